Frame: build, errors, events, settings, RPC, interfaces

Cause: an empty repository; parts are to be filled side by side. Ruled out: cyaml's own messages alone for refused settings (it keeps no position of an unknown key or a value, so the line is looked up in the text); log4c's stock layouts (they format into a shared static buffer); the svc listener's blocking reads (a slow peer would hold the server's thread, so a maximum record is set, which makes libtirpc read without blocking). Before: nothing.

--- /dev/null
+++ b/agent/permit.h
@@ -0,0 +1,83 @@
+/*
+ * Client of the brokers: asks for permits to use an upstream's slot.
+ *
+ * One thread talks to the brokers of every service and failure domain; the
+ * answers arrive over the process's RPC server. All functions are
+ * thread-safe and never block.
+ */
+#ifndef AGENT_PERMIT_H
+#define AGENT_PERMIT_H
+
+#include "agent/ctl.h"
+
+enum permit_result {
+	PERMIT_GRANTED,
+	/* Cannot be answered within its deadline. */
+	PERMIT_LATE,
+	/* The waiting line of its rank is full. */
+	PERMIT_FULL,
+	/* The failure domain has no upstream that takes new work. */
+	PERMIT_NO_UPSTREAM,
+};
+
+/* How the use of a permit ended, for the broker's view of the upstream. */
+enum permit_outcome {
+	PERMIT_DONE,
+	/* Refused by the upstream before it ran. */
+	PERMIT_SHED,
+	/* No connection, or no byte in time. */
+	PERMIT_SILENT,
+	PERMIT_FAILED,
+	/* Not used. */
+	PERMIT_UNUSED,
+};
+
+struct permit_ask {
+	/* Chosen by the caller, unique in the process. */
+	uint64_t id;
+	struct strbuf service;
+	/* Failure domain of the upstreams. */
+	struct strbuf domain;
+	enum rank rank;
+	/* On this process's clock. */
+	apr_time_t deadline;
+};
+
+struct permit_answer {
+	uint64_t ask_id;
+	enum permit_result result;
+	/* Granted only. */
+	uint64_t permit_id;
+	struct strbuf upstream;
+	struct strbuf address;
+	uint16_t port;
+	/* Refused only: when to come back. */
+	apr_interval_time_t retry_after;
+};
+
+struct permit_agent;
+
+/*
+ * Registers its RPC program (before rpcs_start()) and starts the thread.
+ * on_answer runs on the agent's threads and must not block; each ask is
+ * answered once, at its deadline at the latest, unless cancelled. Borrows
+ * set, clk and ctl.
+ */
+int permit_agent_start(struct permit_agent **out, const struct settings *set,
+		       const struct clk *clk, struct ctl_agent *ctl,
+		       void (*on_answer)(void *ctx,
+					 const struct permit_answer *answer),
+		       void *ctx);
+void permit_agent_stop(struct permit_agent *agent);
+
+/* Returns 0 or PST_ERR_FULL. */
+int permit_agent_ask(struct permit_agent *agent, const struct permit_ask *ask);
+
+/* Gives up an ask; an answer that crosses it is returned as unused. */
+void permit_agent_cancel(struct permit_agent *agent, uint64_t ask_id);
+
+/* Ends the use of a permit. */
+void permit_agent_release(struct permit_agent *agent, uint64_t permit_id,
+			  enum permit_outcome outcome);
+
+#endif
--- /dev/null
+++ b/agent/ticket.h
@@ -0,0 +1,78 @@
+/*
+ * Client and server of the at-most-once protocol in one entry process.
+ *
+ * Issues tickets, admits requests that carry a ticket or a caller's own key,
+ * and answers for the tickets of which this process is the home. One thread
+ * does the waiting; all functions are thread-safe and never block.
+ */
+#ifndef AGENT_TICKET_H
+#define AGENT_TICKET_H
+
+#include "agent/ctl.h"
+
+/* Longest text of a ticket or key, in bytes, without the final NUL. */
+#define TKT_KEY_MAX 128
+
+enum tkt_verdict {
+	/* May be sent upstream, now, by this process, and by no other ever. */
+	TKT_RUN,
+	/* Was not run and never will be under this key. */
+	TKT_NOT_RUN,
+	/* Ran, runs or may have run elsewhere. */
+	TKT_UNKNOWN,
+	/* Malformed or expired key, or write budget spent: not run. */
+	TKT_REFUSED,
+};
+
+/* How an admitted request ended. */
+enum tkt_end {
+	/* An answer came, whole. */
+	TKT_END_RAN,
+	/* Proof that no upstream ran it. */
+	TKT_END_NOT_RUN,
+	/* Neither. */
+	TKT_END_UNKNOWN,
+};
+
+struct tkt_answer {
+	uint64_t request_id;
+	enum tkt_verdict verdict;
+	/* Error behind a verdict other than TKT_RUN; see schema/errors. */
+	int reason;
+};
+
+struct tkt_agent;
+
+/*
+ * Registers its RPC program (before rpcs_start()) and starts the thread.
+ * on_answer runs on the agent's threads and must not block; each admission
+ * is answered once. Borrows set, clk and ctl.
+ */
+int tkt_agent_start(struct tkt_agent **out, const struct settings *set,
+		    const struct clk *clk, struct ctl_agent *ctl,
+		    void (*on_answer)(void *ctx,
+				      const struct tkt_answer *answer),
+		    void *ctx);
+void tkt_agent_stop(struct tkt_agent *agent);
+
+/*
+ * Writes up to count fresh tickets, NUL-terminated. Returns how many, which
+ * is 0 while no witness can be reached.
+ */
+size_t tkt_agent_issue(struct tkt_agent *agent, size_t count,
+		       char out[][TKT_KEY_MAX + 1]);
+
+/*
+ * Asks whether the request may run, with an answer by the deadline.
+ * Returns 0 or PST_ERR_FULL, which means not run.
+ */
+int tkt_agent_admit(struct tkt_agent *agent, uint64_t request_id,
+		    struct str key, apr_time_t deadline);
+
+/* Reports how a request with verdict TKT_RUN ended; once for each. */
+void tkt_agent_end(struct tkt_agent *agent, struct str key, enum tkt_end end);
+
+/* Hands unused tickets back and seals; part of a planned stop. */
+void tkt_agent_drain(struct tkt_agent *agent);
+
+#endif
--- /dev/null
+++ b/common/rpcs.h
@@ -0,0 +1,61 @@
+/*
+ * ONC RPC server over TCP, one for each process.
+ *
+ * One thread reads, decodes and answers; handlers run on it and must not
+ * block. Programs are registered before rpcs_start(). libtirpc keeps its
+ * registrations in the process, so there is only one server.
+ */
+#ifndef COMMON_RPCS_H
+#define COMMON_RPCS_H
+
+#include <rpc/rpc.h>
+
+#include "common/net.h"
+
+/* Largest message accepted, in bytes. */
+#define RPCS_MAX_MESSAGE (4 * 1024 * 1024)
+
+/*
+ * Handles one call. args is decoded and freed by the server; res starts
+ * zeroed and, after the answer is sent, is freed with the result's XDR
+ * routine. Returns 0, or an error, upon which the caller gets a system error.
+ */
+struct rpcs_proc {
+	rpcproc_t proc;
+	/* A message without an answer. */
+	bool one_way;
+	xdrproc_t xargs;
+	size_t args_size;
+	xdrproc_t xres;
+	size_t res_size;
+	int (*handle)(void *ctx, const struct net_addr *peer, void *args,
+		      void *res);
+};
+
+struct rpcs_program {
+	rpcprog_t prog;
+	rpcvers_t vers;
+	const struct rpcs_proc *procs;
+	size_t proc_count;
+	void *ctx;
+};
+
+/* Decides whether an address may send RPC; runs on the server's thread. */
+struct rpcs_gate {
+	bool (*allow)(void *ctx, struct str ip);
+	void *ctx;
+};
+
+/* Borrows program. Returns 0, PST_ERR_FULL or PST_ERR_EXISTS. */
+int rpcs_register(const struct rpcs_program *program);
+
+/* Listens and starts the thread. Returns 0, PST_ERR_IO or PST_ERR_THREAD. */
+int rpcs_start(struct str ip, uint16_t port, struct rpcs_gate gate);
+
+/* Stops the thread and closes every connection. */
+void rpcs_stop(void);
+
+/* Whether net.peers of the settings lists the address. */
+bool rpcs_peer_listed(const struct settings *set, struct str ip);
+
+#endif
--- /dev/null
+++ b/common/settings.h
@@ -0,0 +1,31 @@
+/*
+ * Reads and checks the settings file.
+ *
+ * The structures, defaults and limits are generated from schema/settings
+ * into schema/gen/settings_gen.h. A loaded struct settings never changes.
+ */
+#ifndef COMMON_SETTINGS_H
+#define COMMON_SETTINGS_H
+
+#include "schema/gen/settings_gen.h"
+
+/* Where and why a file was refused. */
+struct set_problem {
+	/* 1-based line, or 0 when no line applies. */
+	size_t line;
+	char key[STR_ID_MAX + 1];
+	char reason[256];
+};
+
+/*
+ * Loads path. On success *out is owned by the caller and freed with
+ * set_free(). On failure returns PST_ERR_SETTINGS_OPEN, _SYNTAX or _RANGE
+ * (or PST_ERR_NOMEM) and fills in problem.
+ */
+int set_load(const char *path, struct settings **out,
+	     struct set_problem *problem);
+
+/* NULL is allowed. */
+void set_free(struct settings *set);
+
+#endif
--- /dev/null
+++ b/policy/vml.h
@@ -0,0 +1,64 @@
+/*
+ * The list of VMs that the platform publishes, decoded.
+ *
+ * A struct vml is immutable and shared by reference count.
+ */
+#ifndef POLICY_VML_H
+#define POLICY_VML_H
+
+#include "common/ref.h"
+#include "common/str.h"
+
+enum vm_kind {
+	/* Runs pst-entryd, pst-controld and pst-lookupd. */
+	VM_ENTRY,
+	VM_UPSTREAM,
+};
+
+enum vm_state {
+	VM_LIVE,
+	/* Gets no new work. */
+	VM_LEAVING,
+};
+
+struct vm {
+	struct strbuf id;
+	enum vm_kind kind;
+	enum vm_state state;
+	struct strbuf region;
+	struct strbuf domain;
+	struct strbuf address;
+	/* Upstreams only. */
+	struct strbuf service;
+	uint16_t port;
+	uint32_t slots;
+};
+
+struct vml {
+	struct ref ref;
+	/* Grows with each change of the list. */
+	uint64_t revision;
+	struct vm *vms;
+	size_t count;
+};
+
+/* Parses the platform's JSON; returns 0, PST_ERR_INVALID or PST_ERR_NOMEM. */
+int vml_parse(struct vml **out, struct str json);
+
+void vml_get(struct vml *vml);
+void vml_put(struct vml *vml);
+
+/* Returns NULL when the VM is not on the list. */
+const struct vm *vml_find(const struct vml *vml, struct str id);
+
+/* Whether an entry VM of the list has this IP address. */
+bool vml_has_entry_address(const struct vml *vml, struct str ip);
+
+/*
+ * Picks up to want live entry VMs by rendezvous hashing of key, best first;
+ * domain restricts the choice unless it is empty. Returns how many.
+ */
+size_t vml_rendezvous(const struct vml *vml, struct str key, struct str domain,
+		      const struct vm **out, size_t want);
+
+#endif
--- /dev/null
+++ b/tests/test_rpc.c
@@ -0,0 +1,155 @@
+#include <check.h>
+#include <stdatomic.h>
+#include <unistd.h>
+
+#include "common/err.h"
+#include "common/rpcc.h"
+#include "common/rpcs.h"
+#include "tests/fix_run.h"
+
+#define PROG	    0x20505399
+#define PORT	    18399
+#define PROC_DOUBLE 1
+#define PROC_NOTE   2
+
+static atomic_uint noted;
+static atomic_bool allowed = true;
+
+static int handle_double(void *ctx, const struct net_addr *peer, void *args,
+			 void *res)
+{
+	(void)ctx;
+	(void)peer;
+	*(u_int *)res = 2 * *(u_int *)args;
+	return 0;
+}
+
+static int handle_note(void *ctx, const struct net_addr *peer, void *args,
+		       void *res)
+{
+	(void)ctx;
+	(void)peer;
+	(void)res;
+	noted = *(u_int *)args;
+	return 0;
+}
+
+static bool allow(void *ctx, struct str ip)
+{
+	(void)ctx;
+	(void)ip;
+	return allowed;
+}
+
+static const struct rpcs_proc procs[] = {
+	{
+		.proc = PROC_DOUBLE,
+		.xargs = (xdrproc_t)xdr_u_int,
+		.args_size = sizeof(u_int),
+		.xres = (xdrproc_t)xdr_u_int,
+		.res_size = sizeof(u_int),
+		.handle = handle_double,
+	},
+	{
+		.proc = PROC_NOTE,
+		.one_way = true,
+		.xargs = (xdrproc_t)xdr_u_int,
+		.args_size = sizeof(u_int),
+		.handle = handle_note,
+	},
+};
+
+static const struct rpcs_program program = {
+	.prog = PROG,
+	.vers = 1,
+	.procs = procs,
+	.proc_count = 2,
+};
+
+static struct settings set;
+
+static struct rpcc *open_client(void)
+{
+	struct net_addr peer;
+	struct rpcc *c = NULL;
+
+	set.vm.address = fix_ip();
+	set.net.rpc_timeout_ms = 500;
+	net_addr_make(&peer, fix_ip(), PORT);
+	ck_assert_int_eq(rpcc_create(&c, &set, clk_system(), STR_LIT(""), &peer,
+				     PROG, 1),
+			 0);
+	return c;
+}
+
+static void start_server(void)
+{
+	ck_assert_int_eq(rpcs_register(&program), 0);
+	ck_assert_int_eq(
+		rpcs_start(fix_ip(), PORT, (struct rpcs_gate){.allow = allow}),
+		0);
+}
+
+START_TEST(calls_and_one_way_messages_arrive)
+{
+	struct rpcc *c;
+	u_int arg = 21;
+	u_int res = 0;
+
+	start_server();
+	c = open_client();
+	ck_assert_int_eq(rpcc_call(c, PROC_DOUBLE, (xdrproc_t)xdr_u_int, &arg,
+				   (xdrproc_t)xdr_u_int, &res, CLK_MS(500)),
+			 0);
+	ck_assert_uint_eq(res, 42);
+	ck_assert_int_eq(rpcc_send(c, PROC_NOTE, (xdrproc_t)xdr_u_int, &arg),
+			 0);
+	ck_assert_int_eq(rpcc_call(c, PROC_DOUBLE, (xdrproc_t)xdr_u_int, &arg,
+				   (xdrproc_t)xdr_u_int, &res, CLK_MS(500)),
+			 0);
+	ck_assert_uint_eq(noted, 21);
+	rpcc_destroy(c);
+	rpcs_stop();
+}
+END_TEST
+
+START_TEST(peer_that_is_not_allowed_gets_an_error)
+{
+	struct rpcc *c;
+	u_int arg = 1;
+	u_int res = 0;
+
+	start_server();
+	allowed = false;
+	c = open_client();
+	ck_assert_int_eq(rpcc_call(c, PROC_DOUBLE, (xdrproc_t)xdr_u_int, &arg,
+				   (xdrproc_t)xdr_u_int, &res, CLK_MS(500)),
+			 PST_ERR_IO);
+	allowed = true;
+	rpcc_destroy(c);
+	rpcs_stop();
+}
+END_TEST
+
+START_TEST(absent_peer_is_a_connect_error)
+{
+	struct rpcc *c = open_client();
+	u_int arg = 1;
+	u_int res = 0;
+
+	ck_assert_int_eq(rpcc_call(c, PROC_DOUBLE, (xdrproc_t)xdr_u_int, &arg,
+				   (xdrproc_t)xdr_u_int, &res, CLK_MS(500)),
+			 PST_ERR_CONNECT);
+	rpcc_destroy(c);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("rpc");
+
+	tcase_add_test(tc, calls_and_one_way_messages_arrive);
+	tcase_add_test(tc, peer_that_is_not_allowed_gets_an_error);
+	tcase_add_test(tc, absent_peer_is_a_connect_error);
+	return fix_run("rpc", tc);
+}
