Tickets: keys, witness, home, asker and agent, without the seal

Cause: a booking that a caller repeats at another entry must run at most once, and a caller told 'not run' must be able to trust it, with nothing kept on disk and no store write for each booking. Ruled out: a store write for each request (several hundred writes a second are all there is); homes by hash over the live list (two views, two homes). Conclusion: silence of the witness proves nothing; a claim whose answer is late may have taken effect.

--- a/agent/ticket.h
+++ b/agent/ticket.h
@@ -9,37 +9,7 @@
 #define AGENT_TICKET_H
 
 #include "agent/ctl.h"
-
-/* Longest text of a ticket or key, in bytes, without the final NUL. */
-#define TKT_KEY_MAX 128
-
-enum tkt_verdict {
-	/* May be sent upstream, now, by this process, and by no other ever. */
-	TKT_RUN,
-	/* Was not run and never will be under this key. */
-	TKT_NOT_RUN,
-	/* Ran, runs or may have run elsewhere. */
-	TKT_UNKNOWN,
-	/* Malformed or expired key, or write budget spent: not run. */
-	TKT_REFUSED,
-};
-
-/* How an admitted request ended. */
-enum tkt_end {
-	/* An answer came, whole. */
-	TKT_END_RAN,
-	/* Proof that no upstream ran it. */
-	TKT_END_NOT_RUN,
-	/* Neither. */
-	TKT_END_UNKNOWN,
-};
-
-struct tkt_answer {
-	uint64_t request_id;
-	enum tkt_verdict verdict;
-	/* Error behind a verdict other than TKT_RUN; see schema/errors. */
-	int reason;
-};
+#include "policy/tkt_types.h"
 
 struct tkt_agent;
 
@@ -53,6 +23,8 @@
 		    void (*on_answer)(void *ctx,
 				      const struct tkt_answer *answer),
 		    void *ctx);
+
+/* Call after rpcs_stop(), whose handlers use the agent. NULL is allowed. */
 void tkt_agent_stop(struct tkt_agent *agent);
 
 /*
@@ -64,7 +36,9 @@
 
 /*
  * Asks whether the request may run, with an answer by the deadline.
- * Returns 0 or PST_ERR_FULL, which means not run.
+ * Returns 0, or PST_ERR_FULL: this process did not run it, but whether
+ * another one did under the same key is unknown, as for any refusal of a
+ * keyed request before its verdict.
  */
 int tkt_agent_admit(struct tkt_agent *agent, uint64_t request_id,
 		    struct str key, apr_time_t deadline);
--- /dev/null
+++ b/agent/tkt_peers.c
@@ -0,0 +1,399 @@
+#include "agent/tkt_peers.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_queue.h>
+
+#include "agent/tkt_wire.h"
+#include "common/err.h"
+#include "common/rpcc.h"
+
+#define WORKERS 6
+/* Peers known at once; the one idle longest makes room. */
+#define PEERS_MAX 1024
+#define BUCKETS	  1024
+/* Calls that wait for one peer. */
+#define LINE_MAX_CALLS 8192
+/* Operations in one message. */
+#define BATCH_MAX 512
+
+/* Gap between trials of a silent peer, doubling up to the maximum. */
+#define GAP_MIN CLK_MS(100)
+#define GAP_MAX CLK_MS(2000)
+
+struct peer {
+	uint64_t vm;
+	struct strbuf address;
+	struct rpcc *witness;
+	struct rpcc *home;
+	struct tkt_call *first;
+	struct tkt_call **last;
+	size_t waiting;
+	/* On the ready ring or in a worker's hands. */
+	bool scheduled;
+	apr_interval_time_t gap;
+	apr_time_t silent_until;
+	apr_time_t used_at;
+	struct peer *chain;
+};
+
+struct tkt_peers {
+	struct tkt_peers_conf conf;
+	apr_pool_t *pool;
+	/* Peers that have calls waiting, each once. */
+	apr_queue_t *ready;
+	pthread_mutex_t lock;
+	struct peer *buckets[BUCKETS];
+	size_t count;
+	struct tkt_peers_stats stats;
+	pthread_t workers[WORKERS];
+	size_t worker_count;
+};
+
+static void free_calls(struct tkt_call *call)
+{
+	while (call) {
+		struct tkt_call *next = call->next;
+
+		free(call);
+		call = next;
+	}
+}
+
+static void drop_connections(struct peer *peer)
+{
+	rpcc_destroy(peer->witness);
+	rpcc_destroy(peer->home);
+	peer->witness = NULL;
+	peer->home = NULL;
+	peer->address.len = 0;
+}
+
+static void free_peer(struct peer *peer)
+{
+	drop_connections(peer);
+	free_calls(peer->first);
+	free(peer);
+}
+
+static void evict_idle(struct tkt_peers *p)
+{
+	struct peer **oldest = NULL;
+	struct peer *peer;
+
+	for (size_t i = 0; i < BUCKETS; i++) {
+		for (struct peer **at = &p->buckets[i]; *at;
+		     at = &(*at)->chain) {
+			if ((*at)->scheduled)
+				continue;
+			if (!oldest || (*at)->used_at < (*oldest)->used_at)
+				oldest = at;
+		}
+	}
+	if (!oldest)
+		return;
+	peer = *oldest;
+	*oldest = peer->chain;
+	p->count--;
+	free_peer(peer);
+}
+
+static struct peer *get_peer(struct tkt_peers *p, uint64_t vm)
+{
+	struct peer *peer = p->buckets[vm % BUCKETS];
+
+	while (peer && peer->vm != vm)
+		peer = peer->chain;
+	if (peer)
+		return peer;
+	if (p->count == PEERS_MAX)
+		evict_idle(p);
+	if (p->count == PEERS_MAX)
+		return NULL;
+	peer = calloc(1, sizeof(*peer));
+	if (!peer)
+		return NULL;
+	peer->vm = vm;
+	peer->last = &peer->first;
+	peer->gap = GAP_MIN;
+	peer->chain = p->buckets[vm % BUCKETS];
+	p->buckets[vm % BUCKETS] = peer;
+	p->count++;
+	return peer;
+}
+
+/* Opens the clients anew when the list gives the VM another address. */
+static bool locate(struct tkt_peers *p, struct peer *peer)
+{
+	const struct settings *set = p->conf.set;
+	struct vml *vml = p->conf.list(p->conf.ctx);
+	const struct vm *vm = vml ? tkt_vm_find(vml, peer->vm) : NULL;
+	struct net_addr addr;
+	bool found = vm != NULL;
+
+	if (found && !strbuf_eq(&vm->address, &peer->address)) {
+		drop_connections(peer);
+		found = !net_addr_make(&addr, strbuf_str(&vm->address),
+				       (uint16_t)set->entry.rpc_port) &&
+			!rpcc_create(&peer->witness, set, p->conf.clk,
+				     strbuf_str(&vm->region), &addr,
+				     TKT_WITNESS_PROG, TKT_VERS) &&
+			!rpcc_create(&peer->home, set, p->conf.clk,
+				     strbuf_str(&vm->region), &addr,
+				     TKT_HOME_PROG, TKT_VERS);
+		if (found)
+			peer->address = vm->address;
+	}
+	if (vml)
+		ref_put(&vml->ref);
+	return found;
+}
+
+/* Takes calls of one kind and incarnation off the front of the line. */
+static struct tkt_call *take_batch(struct peer *peer, size_t *count)
+{
+	struct tkt_call *batch = peer->first;
+	struct tkt_call **end = &peer->first;
+	const size_t most = batch && batch->kind == TKT_CALL_OP ? BATCH_MAX : 1;
+
+	*count = 0;
+	while (*end && *count < most && (*end)->kind == batch->kind &&
+	       (*end)->incarnation == batch->incarnation) {
+		end = &(*end)->next;
+		(*count)++;
+	}
+	peer->first = *end;
+	*end = NULL;
+	if (!peer->first)
+		peer->last = &peer->first;
+	peer->waiting -= *count;
+	return batch;
+}
+
+static void note_result(struct tkt_peers *p, struct peer *peer, int err)
+{
+	if (!err) {
+		peer->gap = GAP_MIN;
+		peer->silent_until = 0;
+		return;
+	}
+	peer->silent_until = clk_now(p->conf.clk) + peer->gap;
+	peer->gap = peer->gap * 2 < GAP_MAX ? peer->gap * 2 : GAP_MAX;
+	p->conf.avoid(p->conf.ctx, peer->vm, err);
+}
+
+static apr_interval_time_t call_timeout(const struct tkt_peers *p)
+{
+	return CLK_MS(p->conf.set->ticket.call_timeout_ms);
+}
+
+static int call_apply(struct tkt_peers *p, struct peer *peer,
+		      const struct tkt_call *batch, size_t count,
+		      struct tktm_apply_res *res)
+{
+	struct tktm_op *ops = calloc(count, sizeof(*ops));
+	struct tktm_apply_args args = {
+		.witness_incarnation = batch->incarnation,
+		.vm = p->conf.vm,
+		.incarnation = p->conf.incarnation,
+		.ops.ops_len = (u_int)count,
+		.ops.ops_val = ops,
+	};
+	int err;
+
+	if (!ops)
+		return PST_ERR_NOMEM;
+	for (size_t i = 0; i < count; i++, batch = batch->next)
+		tkt_wire_op(&ops[i], &batch->op);
+	err = rpcc_call(peer->witness, TKT_PROC_APPLY,
+			(xdrproc_t)xdr_tktm_apply_args, &args,
+			(xdrproc_t)xdr_tktm_apply_res, res, call_timeout(p));
+	free(ops);
+	return err;
+}
+
+static void run_ops(struct tkt_peers *p, struct peer *peer,
+		    const struct tkt_call *batch, size_t count, bool reachable)
+{
+	struct tktm_apply_res res = {0};
+	int err = PST_ERR_CONNECT;
+
+	if (reachable) {
+		err = call_apply(p, peer, batch, count, &res);
+		if (!err && res.rulings.rulings_len != count)
+			err = PST_ERR_PROTOCOL;
+		note_result(p, peer, err);
+	}
+	for (size_t i = 0; i < count; i++, batch = batch->next) {
+		struct tkt_ruling ruling = {.grant = TKT_GRANT_SILENT};
+
+		if (!err)
+			ruling = tkt_wire_ruling(&res.rulings.rulings_val[i]);
+		p->conf.ruled(p->conf.ctx, batch->attempt, &ruling);
+	}
+	if (!err && res.leaving)
+		p->conf.avoid(p->conf.ctx, peer->vm, PST_ERR_STOPPED);
+	xdr_free((xdrproc_t)xdr_tktm_apply_res, &res);
+}
+
+static void run_query(struct tkt_peers *p, struct peer *peer,
+		      struct tkt_call *call, bool reachable)
+{
+	struct tktm_query_args args = {
+		.incarnation = call->incarnation,
+		.attempt = call->query.owner_attempt,
+		.key = call->query.key,
+	};
+	struct tktm_query_res res = {0};
+	int err = PST_ERR_CONNECT;
+
+	if (reachable) {
+		err = rpcc_call(peer->home, TKT_PROC_QUERY,
+				(xdrproc_t)xdr_tktm_query_args, &args,
+				(xdrproc_t)xdr_tktm_query_res, &res,
+				call_timeout(p));
+		note_result(p, peer, err);
+	}
+	p->conf.told(p->conf.ctx, call->attempt, tkt_wire_outcome(res.outcome),
+		     err != 0);
+}
+
+/* Serves one batch of a peer; returns whether calls are left. */
+static bool serve_peer(struct tkt_peers *p, struct peer *peer)
+{
+	const apr_time_t now = clk_now(p->conf.clk);
+	struct tkt_call *batch;
+	size_t count;
+	bool reachable;
+	bool more;
+
+	pthread_mutex_lock(&p->lock);
+	batch = take_batch(peer, &count);
+	peer->used_at = now;
+	pthread_mutex_unlock(&p->lock);
+	reachable = now >= peer->silent_until && locate(p, peer);
+	if (batch->kind == TKT_CALL_OP)
+		run_ops(p, peer, batch, count, reachable);
+	else
+		run_query(p, peer, batch, reachable);
+	pthread_mutex_lock(&p->lock);
+	p->stats.messages += reachable;
+	if (reachable && batch->kind == TKT_CALL_OP)
+		p->stats.ops += count;
+	more = peer->first != NULL;
+	peer->scheduled = more;
+	pthread_mutex_unlock(&p->lock);
+	free_calls(batch);
+	return more;
+}
+
+static void *work(void *arg)
+{
+	struct tkt_peers *p = arg;
+	void *peer;
+
+	while (apr_queue_pop(p->ready, &peer) == APR_SUCCESS) {
+		if (serve_peer(p, peer))
+			apr_queue_trypush(p->ready, peer);
+	}
+	return NULL;
+}
+
+int tkt_peers_start(struct tkt_peers **out, const struct tkt_peers_conf *conf)
+{
+	struct tkt_peers *p = calloc(1, sizeof(*p));
+
+	if (!p)
+		return PST_ERR_NOMEM;
+	p->conf = *conf;
+	pthread_mutex_init(&p->lock, NULL);
+	if (apr_pool_create(&p->pool, NULL) ||
+	    apr_queue_create(&p->ready, PEERS_MAX, p->pool)) {
+		tkt_peers_stop(p);
+		return PST_ERR_NOMEM;
+	}
+	for (size_t i = 0; i < WORKERS; i++) {
+		if (pthread_create(&p->workers[i], NULL, work, p)) {
+			tkt_peers_stop(p);
+			return PST_ERR_THREAD;
+		}
+		p->worker_count++;
+	}
+	*out = p;
+	return 0;
+}
+
+void tkt_peers_stop(struct tkt_peers *p)
+{
+	if (!p)
+		return;
+	if (p->ready)
+		apr_queue_term(p->ready);
+	for (size_t i = 0; i < p->worker_count; i++)
+		pthread_join(p->workers[i], NULL);
+	for (size_t i = 0; i < BUCKETS; i++) {
+		while (p->buckets[i]) {
+			struct peer *peer = p->buckets[i];
+
+			p->buckets[i] = peer->chain;
+			free_peer(peer);
+		}
+	}
+	if (p->pool)
+		apr_pool_destroy(p->pool);
+	pthread_mutex_destroy(&p->lock);
+	free(p);
+}
+
+int tkt_peers_send(struct tkt_peers *p, uint64_t vm,
+		   const struct tkt_call *call)
+{
+	struct tkt_call *copy = malloc(sizeof(*copy));
+	struct peer *peer;
+	bool schedule;
+
+	if (!copy)
+		return PST_ERR_NOMEM;
+	*copy = *call;
+	copy->next = NULL;
+	pthread_mutex_lock(&p->lock);
+	peer = get_peer(p, vm);
+	if (!peer || peer->waiting == LINE_MAX_CALLS) {
+		pthread_mutex_unlock(&p->lock);
+		free(copy);
+		return PST_ERR_FULL;
+	}
+	*peer->last = copy;
+	peer->last = &copy->next;
+	peer->waiting++;
+	schedule = !peer->scheduled;
+	peer->scheduled = true;
+	pthread_mutex_unlock(&p->lock);
+	if (schedule)
+		apr_queue_trypush(p->ready, peer);
+	return 0;
+}
+
+const struct vm *tkt_vm_find(const struct vml *vml, uint64_t hash)
+{
+	for (size_t i = 0; i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+
+		if (vm->kind == VM_ENTRY &&
+		    tkt_vm_hash(strbuf_str(&vm->id)) == hash)
+			return vm;
+	}
+	return NULL;
+}
+
+struct tkt_peers_stats tkt_peers_stats(struct tkt_peers *p)
+{
+	struct tkt_peers_stats stats;
+
+	pthread_mutex_lock(&p->lock);
+	stats = p->stats;
+	pthread_mutex_unlock(&p->lock);
+	return stats;
+}
--- /dev/null
+++ b/agent/tkt_store.c
@@ -0,0 +1,118 @@
+#include "agent/tkt_store.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/err.h"
+#include "policy/tkt_claim.h"
+
+#define KEY_PREFIX "/pst/key/"
+/* No key contains it, so that no key is the beginning of another. */
+#define KEY_END " "
+
+struct tkt_store {
+	struct stc *stc;
+	const struct clk *clk;
+	uint32_t retention_s;
+	uint64_t lease;
+	apr_time_t lease_until;
+};
+
+static struct tkt_ruling find_owner(const struct stc_list *list, struct str key,
+				    const struct tkt_owner *owner)
+{
+	for (size_t i = 0; i < list->count; i++) {
+		if (str_eq(list->items[i].key, key))
+			return tkt_claim_read(list->items[i].value, owner);
+	}
+	return (struct tkt_ruling){.grant = TKT_GRANT_SILENT};
+}
+
+/* The write was refused or went unanswered: whose claim is there? */
+static struct tkt_ruling read_back(struct tkt_store *s, struct str key,
+				   const struct tkt_owner *owner)
+{
+	struct tkt_ruling ruling = {.grant = TKT_GRANT_SILENT};
+	struct stc_list list = {0};
+
+	if (stc_read(s->stc, key, &list))
+		return ruling;
+	ruling = find_owner(&list, key, owner);
+	stc_list_free(&list);
+	return ruling;
+}
+
+static int hold_lease(struct tkt_store *s)
+{
+	const apr_time_t now = clk_now(s->clk);
+	int err;
+
+	if (s->lease && now < s->lease_until)
+		return 0;
+	err = stc_lease_grant(s->stc, 2 * s->retention_s, &s->lease);
+	if (err) {
+		s->lease = 0;
+		return err;
+	}
+	s->lease_until = now + CLK_SEC(s->retention_s);
+	return 0;
+}
+
+int tkt_store_create(struct tkt_store **out, const struct settings *set,
+		     const struct clk *clk)
+{
+	struct tkt_store *s = calloc(1, sizeof(*s));
+	int err;
+
+	if (!s)
+		return PST_ERR_NOMEM;
+	s->clk = clk;
+	s->retention_s = (uint32_t)set->ticket.key_retention_s;
+	err = stc_create(&s->stc, set, clk);
+	if (err) {
+		free(s);
+		return err;
+	}
+	*out = s;
+	return 0;
+}
+
+void tkt_store_destroy(struct tkt_store *s)
+{
+	if (!s)
+		return;
+	stc_destroy(s->stc);
+	free(s);
+}
+
+struct tkt_ruling tkt_store_claim(struct tkt_store *s, struct str key,
+				  const struct tkt_owner *owner)
+{
+	const struct tkt_ruling down = {
+		.grant = TKT_GRANT_DOWN,
+		.reason = PST_ERR_TKT_STORE_DOWN,
+	};
+	char name[sizeof(KEY_PREFIX KEY_END) + TKT_KEY_MAX];
+	char value[TKT_CLAIM_MAX + 1];
+	const struct str at = {
+		.ptr = name,
+		.len = (size_t)snprintf(name, sizeof(name),
+					KEY_PREFIX "%.*s" KEY_END,
+					STR_ARG(key)),
+	};
+	struct str text = {.ptr = value};
+	uint64_t revision;
+	int err;
+
+	if (hold_lease(s))
+		return down;
+	text.len = tkt_claim_format(owner, value);
+	err = stc_swap(s->stc, at, 0, text, s->lease, &revision);
+	if (!err)
+		return (struct tkt_ruling){.grant = TKT_GRANT_YOURS};
+	if (err == PST_ERR_CONFLICT || err == PST_ERR_TIMEOUT)
+		return read_back(s, at, owner);
+	/* The lease may be gone. */
+	s->lease = 0;
+	return down;
+}
--- /dev/null
+++ b/agent/tkt_wire.h
@@ -0,0 +1,39 @@
+/* Numbers and conversions of the at-most-once messages (schema/ticket.x). */
+#ifndef AGENT_TKT_WIRE_H
+#define AGENT_TKT_WIRE_H
+
+#include "policy/tkt_witness.h"
+#include "schema/gen/ticket.h"
+
+#define TKT_HOME_PROG	 0x20505301
+#define TKT_WITNESS_PROG 0x20505302
+#define TKT_VERS	 1
+
+enum tkt_home_proc {
+	TKT_PROC_QUERY = 1,
+};
+
+enum tkt_witness_proc {
+	TKT_PROC_APPLY = 1,
+	TKT_PROC_OPEN = 2,
+	TKT_PROC_SHRINK = 3,
+};
+
+void tkt_wire_op(struct tktm_op *out, const struct tkt_op *op);
+
+/*
+ * The rest of *out names who asks, which the message says once. Returns
+ * false for an operation that this version does not know.
+ */
+bool tkt_unwire_op(struct tkt_op *out, const struct tktm_op *op);
+
+void tkt_wire_put_ruling(struct tktm_ruling *out,
+			 const struct tkt_ruling *ruling);
+
+/* A ruling that this version does not know counts as silence. */
+struct tkt_ruling tkt_wire_ruling(const struct tktm_ruling *ruling);
+
+/* An outcome that this version does not know counts as unseen. */
+enum tkt_outcome tkt_wire_outcome(u_int outcome);
+
+#endif
--- /dev/null
+++ b/policy/tkt_pick.c
@@ -0,0 +1,55 @@
+#include "policy/tkt_pick.h"
+
+static enum tkt_pick_why distance(const struct vm *a, const struct vm *b)
+{
+	if (strbuf_eq(&a->domain, &b->domain))
+		return TKT_PICK_SHARED_FATE;
+	if (strbuf_eq(&a->region, &b->region))
+		return TKT_PICK_NEAR;
+	return TKT_PICK_FAR;
+}
+
+static bool is_candidate(const struct vm *vm, const struct vm *self)
+{
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
+	       !strbuf_eq(&vm->id, &self->id);
+}
+
+bool tkt_pick_witness(const struct vml *vml, const struct vm *self,
+		      const bool *avoid, struct tkt_pick *out)
+{
+	const uint64_t seed = tkt_vm_hash(strbuf_str(&self->id));
+	uint64_t best = 0;
+
+	*out = (struct tkt_pick){.why = TKT_PICK_SHARED_FATE};
+	for (size_t i = 0; i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+		const enum tkt_pick_why why = distance(vm, self);
+		uint64_t score;
+
+		if (!is_candidate(vm, self) || (avoid && avoid[i]))
+			continue;
+		out->candidates++;
+		score = str_hash(strbuf_str(&vm->id), seed);
+		if (out->vm &&
+		    (why > out->why || (why == out->why && score <= best)))
+			continue;
+		out->vm = vm;
+		out->why = why;
+		best = score;
+	}
+	return out->vm != NULL;
+}
+
+const char *tkt_pick_why_name(enum tkt_pick_why why)
+{
+	switch (why) {
+	case TKT_PICK_NEAR:
+		return "near";
+	case TKT_PICK_FAR:
+		return "far";
+	case TKT_PICK_SHARED_FATE:
+		return "shared_fate";
+	}
+	return "?";
+}
--- /dev/null
+++ b/policy/tkt_witness.c
@@ -0,0 +1,205 @@
+#include "policy/tkt_witness.h"
+
+#include <stdlib.h>
+
+#include "common/err.h"
+
+enum slot_state {
+	SLOT_FREE,
+	SLOT_OWNED,
+	SLOT_SEALED,
+};
+
+struct slot {
+	struct tkt_owner owner;
+	enum slot_state state;
+};
+
+struct block {
+	uint64_t home;
+	uint32_t count;
+	uint32_t used;
+	apr_time_t expires_at;
+	/* Allocated with the first record, for the count of that time. */
+	uint32_t allocated;
+	struct slot *slots;
+};
+
+/*
+ * Blocks are numbered in sequence and live equally long, so the live ones
+ * are the numbers from first to next, kept in a ring.
+ */
+struct tkt_witness {
+	struct tkt_witness_conf conf;
+	struct block *ring;
+	uint64_t first;
+	uint64_t next;
+	uint64_t records;
+	uint64_t bytes;
+};
+
+static struct block *block_at(struct tkt_witness *w, uint64_t number)
+{
+	return &w->ring[number % w->conf.max_blocks];
+}
+
+static void drop_records(struct tkt_witness *w, struct block *block)
+{
+	if (!block->slots)
+		return;
+	free(block->slots);
+	block->slots = NULL;
+	w->records -= block->used;
+	w->bytes -= block->allocated * sizeof(*block->slots);
+	block->used = 0;
+}
+
+static struct block *find_block(struct tkt_witness *w, uint64_t incarnation,
+				uint64_t number)
+{
+	if (incarnation != w->conf.incarnation)
+		return NULL;
+	if (number < w->first || number >= w->next)
+		return NULL;
+	return block_at(w, number);
+}
+
+static bool hold_records(struct tkt_witness *w, struct block *block)
+{
+	if (block->slots)
+		return true;
+	block->slots = calloc(block->count, sizeof(*block->slots));
+	if (!block->slots)
+		return false;
+	block->allocated = block->count;
+	w->bytes += block->allocated * sizeof(*block->slots);
+	return true;
+}
+
+static struct tkt_ruling decide(struct tkt_witness *w, struct block *block,
+				const struct tkt_op *op)
+{
+	struct slot *slot = &block->slots[op->index];
+	const bool own = slot->state == SLOT_OWNED &&
+			 tkt_owner_eq(&slot->owner, &op->who);
+
+	if (slot->state == SLOT_SEALED)
+		return (struct tkt_ruling){.grant = TKT_GRANT_SEALED};
+	if (slot->state == SLOT_OWNED && !own)
+		return (struct tkt_ruling){
+			.grant = TKT_GRANT_OTHER,
+			.owner = slot->owner,
+		};
+	if (slot->state == SLOT_FREE) {
+		block->used++;
+		w->records++;
+	}
+	slot->owner = op->who;
+	if (op->kind == TKT_OP_SEAL) {
+		slot->state = SLOT_SEALED;
+		return (struct tkt_ruling){.grant = TKT_GRANT_SEALED};
+	}
+	slot->state = SLOT_OWNED;
+	return (struct tkt_ruling){
+		.grant = TKT_GRANT_YOURS,
+		.handed_over = op->who.vm != block->home,
+	};
+}
+
+int tkt_witness_create(struct tkt_witness **out,
+		       const struct tkt_witness_conf *conf)
+{
+	struct tkt_witness *w = calloc(1, sizeof(*w));
+
+	if (!w)
+		return PST_ERR_NOMEM;
+	w->conf = *conf;
+	w->ring = calloc(conf->max_blocks, sizeof(*w->ring));
+	if (!w->ring) {
+		free(w);
+		return PST_ERR_NOMEM;
+	}
+	w->first = 1;
+	w->next = 1;
+	w->bytes = sizeof(*w) + conf->max_blocks * sizeof(*w->ring);
+	*out = w;
+	return 0;
+}
+
+void tkt_witness_destroy(struct tkt_witness *w)
+{
+	if (!w)
+		return;
+	for (uint64_t n = w->first; n < w->next; n++)
+		free(block_at(w, n)->slots);
+	free(w->ring);
+	free(w);
+}
+
+int tkt_witness_open(struct tkt_witness *w, uint64_t home, uint32_t *count,
+		     apr_time_t now, uint64_t *block)
+{
+	tkt_witness_expire(w, now);
+	if (!*count)
+		return PST_ERR_INVALID;
+	if (w->next - w->first == w->conf.max_blocks)
+		return PST_ERR_TKT_NO_BLOCK;
+	if (*count > w->conf.max_count)
+		*count = w->conf.max_count;
+	*block = w->next++;
+	*block_at(w, *block) = (struct block){
+		.home = home,
+		.count = *count,
+		.expires_at = now + w->conf.ttl,
+	};
+	return 0;
+}
+
+struct tkt_ruling tkt_witness_apply(struct tkt_witness *w, uint64_t incarnation,
+				    const struct tkt_op *op, apr_time_t now)
+{
+	struct block *block;
+
+	tkt_witness_expire(w, now);
+	block = find_block(w, incarnation, op->block);
+	if (!block || op->index >= block->count)
+		return (struct tkt_ruling){.grant = TKT_GRANT_LOST};
+	if (!hold_records(w, block))
+		return (struct tkt_ruling){.grant = TKT_GRANT_DOWN};
+	return decide(w, block, op);
+}
+
+void tkt_witness_shrink(struct tkt_witness *w, uint64_t incarnation,
+			uint64_t block, uint32_t first_unused, apr_time_t now)
+{
+	struct block *found;
+
+	tkt_witness_expire(w, now);
+	found = find_block(w, incarnation, block);
+	if (!found || first_unused >= found->count)
+		return;
+	found->count = first_unused;
+	if (!first_unused)
+		drop_records(w, found);
+}
+
+void tkt_witness_expire(struct tkt_witness *w, apr_time_t now)
+{
+	while (w->first < w->next) {
+		struct block *block = block_at(w, w->first);
+
+		if (block->expires_at > now)
+			return;
+		drop_records(w, block);
+		w->first++;
+	}
+}
+
+struct tkt_witness_stats tkt_witness_stats(const struct tkt_witness *w)
+{
+	return (struct tkt_witness_stats){
+		.blocks = w->next - w->first,
+		.records = w->records,
+		.bytes = w->bytes,
+	};
+}
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -143,6 +143,29 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_ticket {
+	uint64_t *block_tickets;
+	uint64_t *max_blocks;
+	uint64_t *ttl_ms;
+	uint64_t *max_open;
+	uint64_t *give_up_ms;
+	uint64_t *call_timeout_ms;
+	uint64_t *store_writes_per_s;
+	uint64_t *key_retention_s;
+};
+
+static const cyaml_schema_field_t fields_ticket[] = {
+	CYAML_FIELD_UINT_PTR("block_tickets", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, block_tickets),
+	CYAML_FIELD_UINT_PTR("max_blocks", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, max_blocks),
+	CYAML_FIELD_UINT_PTR("ttl_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, ttl_ms),
+	CYAML_FIELD_UINT_PTR("max_open", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, max_open),
+	CYAML_FIELD_UINT_PTR("give_up_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, give_up_ms),
+	CYAML_FIELD_UINT_PTR("call_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, call_timeout_ms),
+	CYAML_FIELD_UINT_PTR("store_writes_per_s", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, store_writes_per_s),
+	CYAML_FIELD_UINT_PTR("key_retention_s", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, key_retention_s),
+	CYAML_FIELD_END,
+};
+
 struct raw_control {
 	uint64_t *rpc_port;
 	uint64_t *admin_port;
@@ -201,6 +224,7 @@
 	struct raw_vm *vm;
 	struct raw_platform *platform;
 	struct raw_entry *entry;
+	struct raw_ticket *ticket;
 	struct raw_control *control;
 	struct raw_lookup *lookup;
 	struct raw_net *net;
@@ -211,6 +235,7 @@
 	CYAML_FIELD_MAPPING_PTR("vm", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, vm, fields_vm),
 	CYAML_FIELD_MAPPING_PTR("platform", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, platform, fields_platform),
 	CYAML_FIELD_MAPPING_PTR("entry", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, entry, fields_entry),
+	CYAML_FIELD_MAPPING_PTR("ticket", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, ticket, fields_ticket),
 	CYAML_FIELD_MAPPING_PTR("control", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, control, fields_control),
 	CYAML_FIELD_MAPPING_PTR("lookup", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, lookup, fields_lookup),
 	CYAML_FIELD_MAPPING_PTR("net", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, net, fields_net),
@@ -282,6 +307,28 @@
 	return 0;
 }
 
+static int convert_ticket(const struct raw_ticket *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->block_tickets : NULL, UINT64_C(1024), UINT64_C(1), UINT64_C(65536), &out->ticket.block_tickets))
+		return refuse(bad, "ticket", "block_tickets", "a number from 1 to 65536");
+	if (conv_uint(r ? r->max_blocks : NULL, UINT64_C(4096), UINT64_C(1), UINT64_C(1048576), &out->ticket.max_blocks))
+		return refuse(bad, "ticket", "max_blocks", "a number from 1 to 1048576");
+	if (conv_uint(r ? r->ttl_ms : NULL, UINT64_C(120000), UINT64_C(1000), UINT64_C(86400000), &out->ticket.ttl_ms))
+		return refuse(bad, "ticket", "ttl_ms", "a number from 1000 to 86400000");
+	if (conv_uint(r ? r->max_open : NULL, UINT64_C(16384), UINT64_C(16), UINT64_C(8388608), &out->ticket.max_open))
+		return refuse(bad, "ticket", "max_open", "a number from 16 to 8388608");
+	if (conv_uint(r ? r->give_up_ms : NULL, UINT64_C(1000), UINT64_C(10), UINT64_C(60000), &out->ticket.give_up_ms))
+		return refuse(bad, "ticket", "give_up_ms", "a number from 10 to 60000");
+	if (conv_uint(r ? r->call_timeout_ms : NULL, UINT64_C(250), UINT64_C(10), UINT64_C(60000), &out->ticket.call_timeout_ms))
+		return refuse(bad, "ticket", "call_timeout_ms", "a number from 10 to 60000");
+	if (conv_uint(r ? r->store_writes_per_s : NULL, UINT64_C(8), UINT64_C(1), UINT64_C(10000), &out->ticket.store_writes_per_s))
+		return refuse(bad, "ticket", "store_writes_per_s", "a number from 1 to 10000");
+	if (conv_uint(r ? r->key_retention_s : NULL, UINT64_C(86400), UINT64_C(60), UINT64_C(2592000), &out->ticket.key_retention_s))
+		return refuse(bad, "ticket", "key_retention_s", "a number from 60 to 2592000");
+	return 0;
+}
+
 static int convert_control(const struct raw_control *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -342,6 +389,8 @@
 		err = convert_platform(r ? r->platform : NULL, out, bad);
 	if (!err)
 		err = convert_entry(r ? r->entry : NULL, out, bad);
+	if (!err)
+		err = convert_ticket(r ? r->ticket : NULL, out, bad);
 	if (!err)
 		err = convert_control(r ? r->control : NULL, out, bad);
 	if (!err)
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -63,6 +63,26 @@
 	struct str policy;
 };
 
+/* At-most-once tickets and callers' own keys. */
+struct set_ticket {
+	/* Largest number of tickets in one block of a witness. */
+	uint64_t block_tickets;
+	/* Blocks that this process holds as a witness at once. */
+	uint64_t max_blocks;
+	/* Life of a block at its witness, in milliseconds; a ticket is good for at least half of it. */
+	uint64_t ttl_ms;
+	/* Keyed requests that this process remembers, in progress or ended. */
+	uint64_t max_open;
+	/* Time after which a key that no arbiter has decided is answered as unknown, in milliseconds. */
+	uint64_t give_up_ms;
+	/* Time allowed for one call to a witness or home, in milliseconds. */
+	uint64_t call_timeout_ms;
+	/* Claims of callers' own keys that this VM may write to the store in a second. */
+	uint64_t store_writes_per_s;
+	/* Least time for which the store remembers a caller's own key, in seconds. */
+	uint64_t key_retention_s;
+};
+
 /* pst-controld: table, members, limits and permits. */
 struct set_control {
 	/* Port for RPC from other processes of the system. */
@@ -109,6 +129,7 @@
 	struct set_vm vm;
 	struct set_platform platform;
 	struct set_entry entry;
+	struct set_ticket ticket;
 	struct set_control control;
 	struct set_lookup lookup;
 	struct set_net net;
--- /dev/null
+++ b/tests/fix_tkt.h
@@ -0,0 +1,107 @@
+/*
+ * A fleet of at-most-once policies on a hand-moved clock and a seeded network
+ * that loses, repeats and reorders messages. It counts what upstreams ran.
+ */
+#ifndef TESTS_FIX_TKT_H
+#define TESTS_FIX_TKT_H
+
+#include <stdio.h>
+
+#include "common/clk.h"
+#include "policy/tkt_asker.h"
+#include "policy/tkt_home.h"
+#include "policy/tkt_witness.h"
+
+#define FIX_PROCS 4
+#define FIX_KEYS  24
+
+/* Where a request is on its way; the hook is told before each step. */
+enum fix_step {
+	FIX_ADMIT,
+	FIX_CLAIM,
+	FIX_RULING,
+	FIX_RUN,
+	FIX_END,
+	FIX_STEPS,
+};
+
+/* What is left out, to see that the checks notice. */
+enum fix_broken {
+	FIX_RIGHT,
+	/* A seal counts as confirmed without asking the witness. */
+	FIX_NO_SEAL,
+	/* The witness grants every claim of the ticket's home. */
+	FIX_NO_REFUSAL,
+	/* A restarted process keeps its incarnation. */
+	FIX_SAME_INCARNATION,
+};
+
+struct fix_msg;
+
+struct fix_proc {
+	uint64_t vm;
+	uint64_t incarnation;
+	bool alive;
+	apr_time_t paused_until;
+	struct tkt_asker *asker;
+	struct tkt_witness *witness;
+	struct tkt_home home;
+	struct fix_world *world;
+};
+
+struct fix_key {
+	char text[TKT_KEY_MAX + 1];
+	struct tkt_key key;
+	unsigned runs;
+	bool told_not_run;
+};
+
+struct fix_world {
+	uint64_t random;
+	apr_time_t now;
+	enum fix_broken broken;
+	/* In percent. */
+	unsigned loss;
+	unsigned repeat;
+	/* Largest delay of a message. */
+	apr_interval_time_t delay;
+	struct fix_proc procs[FIX_PROCS];
+	/* Messages between the two are lost. */
+	bool cut[FIX_PROCS + 1][FIX_PROCS + 1];
+	bool store_down;
+	struct tkt_owner claims[FIX_KEYS];
+	bool claimed[FIX_KEYS];
+	struct fix_key keys[FIX_KEYS];
+	size_t key_count;
+	struct fix_msg *queue;
+	/* May cause faults; NULL for none. */
+	void (*hook)(struct fix_world *w, enum fix_step step, int proc);
+	void (*verdict)(struct fix_world *w, const struct tkt_answer *answer);
+	/* How the upstream ends a request that it got. */
+	enum tkt_end (*upstream)(struct fix_world *w, bool *ran);
+	/* First broken promise, or NULL. */
+	const char *violation;
+	uint64_t verdicts[TKT_REFUSED + 1];
+	void *ctx;
+};
+
+void fix_tkt_init(struct fix_world *w, uint64_t seed);
+void fix_tkt_done(struct fix_world *w);
+
+uint64_t fix_tkt_random(struct fix_world *w, uint64_t below);
+
+/* Gives proc's home a block of witness's tickets, without the network. */
+void fix_tkt_open(struct fix_world *w, int proc, int witness);
+
+/* Adds a key: a ticket of proc's home, or an own key when proc is -1. */
+size_t fix_tkt_key(struct fix_world *w, int proc);
+
+void fix_tkt_admit(struct fix_world *w, int proc, size_t key,
+		   uint64_t request_id, apr_interval_time_t allowed);
+void fix_tkt_crash(struct fix_world *w, int proc);
+void fix_tkt_restart(struct fix_world *w, int proc);
+
+/* Delivers and ticks until the time is reached. */
+void fix_tkt_run(struct fix_world *w, apr_time_t until);
+
+#endif
