Tickets: seal at the witness before 'not run' is told

Ruled out: waiting longer for the answer, since a late one has no bound. Conclusion: 'not run' is told only with the arbiter's word.

--- a/policy/tkt_asker.c
+++ b/policy/tkt_asker.c
@@ -267,7 +267,11 @@
 			 apr_time_t now)
 {
 	if (now >= rec->give_up_at) {
-		conclude_not_run(a, rec, rec->reason, now);
+		conclude_unknown(a, rec, rec->reason, now);
+		return;
+	}
+	if (rec->state == TKT_ST_CLAIMING && now >= rec->seal_at) {
+		start_seal(a, rec, now);
 		return;
 	}
 	if (rec->state == TKT_ST_ASKING || now < rec->resend_at)
