--- a/agent/stc.h
+++ b/agent/stc.h
@@ -10,6 +10,12 @@
 #include "common/clk.h"
 #include "common/settings.h"
 
+/* Longest key or prefix, in bytes. */
+#define STC_KEY_MAX 512
+
+/* As expected revision: written whatever the key holds. */
+#define STC_ANY UINT64_MAX
+
 struct stc;
 
 /* One key and value, owned by a struct stc_list. */
@@ -38,6 +44,9 @@
 int stc_read(struct stc *stc, struct str prefix, struct stc_list *out);
 void stc_list_free(struct stc_list *list);
 
+/* As stc_read() for one key: no item or one. */
+int stc_read_key(struct stc *stc, struct str key, struct stc_list *out);
+
 /*
  * Writes value if the key's mod_revision is still expected (0: absent);
  * lease 0 is none. Returns 0 with *revision set, PST_ERR_CONFLICT when the
