Table and VM list: decode, validate, find

Cause: every module reads the table and the list through these headers. Services and VMs are found by binary search, not by scanning. Refusals name service and cell.

--- a/policy/tbl.h
+++ b/policy/tbl.h
@@ -12,6 +12,11 @@
 #include "common/ref.h"
 #include "common/str.h"
 
+/* Keys of the store that hold the table. */
+#define TBL_PREFIX	   "/pst/table/"
+#define TBL_KEY_MANIFEST   "/pst/table/manifest"
+#define TBL_PREFIX_SERVICE "/pst/table/service/"
+
 enum rank {
 	RANK_URGENT,
 	RANK_NORMAL,
@@ -55,7 +60,7 @@
 
 struct tbl {
 	struct ref ref;
-	/* Revision of the store at which this table was read. */
+	/* Store's revision of the newest change that this table holds. */
 	uint64_t revision;
 	struct tbl_region *regions;
 	size_t region_count;
@@ -92,6 +97,15 @@
 int tbl_parse(struct tbl **out, const struct tbl_part *parts, size_t count,
 	      uint64_t revision, struct tbl_problem *problem);
 
+/*
+ * As tbl_parse(), taking every part that is not among the given ones from
+ * base. Costs the changed parts alone, unless the manifest is one of them:
+ * then every service's part must be given. base may be NULL.
+ */
+int tbl_apply(struct tbl **out, const struct tbl *base,
+	      const struct tbl_part *parts, size_t count, uint64_t revision,
+	      struct tbl_problem *problem);
+
 void tbl_get(struct tbl *tbl);
 void tbl_put(struct tbl *tbl);
 
--- /dev/null
+++ b/policy/tbl_frame.h
@@ -0,0 +1,39 @@
+/* The manifest of a table: regions, failure domains, links and services. */
+#ifndef POLICY_TBL_FRAME_H
+#define POLICY_TBL_FRAME_H
+
+#include "policy/tbl.h"
+
+/* Most of each that a table may name. */
+#define TBL_MAX_REGIONS	 256
+#define TBL_MAX_DOMAINS	 1024
+#define TBL_MAX_SERVICES 16384
+
+/* Immutable, shared by the tables that have the same manifest. */
+struct tbl_frame {
+	struct ref ref;
+	struct tbl_region *regions;
+	size_t region_count;
+	struct tbl_domain *domains;
+	size_t domain_count;
+	struct tbl_link *links;
+	size_t link_count;
+	struct strbuf *services;
+	size_t service_count;
+	/* Indices into services, ordered by name. */
+	uint32_t *order;
+};
+
+/* Returns 0 with one reference, PST_ERR_INVALID or PST_ERR_NOMEM. */
+int tbl_frame_parse(struct tbl_frame **out, struct str json,
+		    struct tbl_problem *problem);
+
+int tbl_frame_region(const struct tbl_frame *frame, struct str name);
+int tbl_frame_domain(const struct tbl_frame *frame, struct str name);
+int tbl_frame_service(const struct tbl_frame *frame, struct str name);
+
+/* Fills in problem and returns err. A long cell name is cut. */
+int tbl_refuse(struct tbl_problem *problem, struct str service, int err,
+	       const char *cell, ...) __attribute__((format(printf, 4, 5)));
+
+#endif
--- /dev/null
+++ b/policy/vml.c
@@ -0,0 +1,242 @@
+#include "policy/vml.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "policy/jsn.h"
+
+/* Most VMs that a list may name. */
+#define MAX_VMS	    65536
+#define MAX_PORT    65535
+#define MAX_SLOTS   65535
+#define ADDRESS_MAX 45
+
+static void release_list(struct ref *ref)
+{
+	struct vml *vml = REF_CONTAINER(ref, struct vml, ref);
+
+	free(vml->vms);
+	free(vml);
+}
+
+/* Lists from the platform are ordered by id, so that a VM is found fast. */
+static int compare_vms(const void *a, const void *b)
+{
+	const struct vm *x = a;
+	const struct vm *y = b;
+
+	return str_cmp(strbuf_str(&x->id), strbuf_str(&y->id));
+}
+
+static int parse_word(const json_t *value, const char *zero, const char *one,
+		      int *out)
+{
+	const struct str word = str_from_c(json_string_value(value));
+
+	if (str_eq(word, str_from_c(zero)))
+		*out = 0;
+	else if (str_eq(word, str_from_c(one)))
+		*out = 1;
+	else
+		return PST_ERR_INVALID;
+	return 0;
+}
+
+/* Digits, letters a to f, dots and colons, as in an IP address. */
+static int parse_address(const json_t *value, struct strbuf *out)
+{
+	const struct str s = str_from_c(json_string_value(value));
+
+	if (!s.len || s.len > ADDRESS_MAX ||
+	    strspn(s.ptr, "0123456789abcdefABCDEF.:") != s.len)
+		return PST_ERR_INVALID;
+	return strbuf_set(out, s);
+}
+
+static int parse_upstream(const json_t *entry, struct vm *vm)
+{
+	uint32_t port;
+
+	if (jsn_name(json_object_get(entry, "service"), &vm->service) ||
+	    jsn_u32(json_object_get(entry, "port"), 1, MAX_PORT, &port) ||
+	    jsn_u32(json_object_get(entry, "slots"), 0, MAX_SLOTS, &vm->slots))
+		return PST_ERR_INVALID;
+	vm->port = (uint16_t)port;
+	return 0;
+}
+
+static int parse_vm(const json_t *entry, struct vm *vm)
+{
+	int kind;
+	int state;
+
+	if (parse_word(json_object_get(entry, "kind"), "entry", "upstream",
+		       &kind) ||
+	    parse_word(json_object_get(entry, "state"), "live", "leaving",
+		       &state) ||
+	    jsn_name(json_object_get(entry, "id"), &vm->id) ||
+	    jsn_name(json_object_get(entry, "region"), &vm->region) ||
+	    jsn_name(json_object_get(entry, "failure_domain"), &vm->domain) ||
+	    parse_address(json_object_get(entry, "address"), &vm->address))
+		return PST_ERR_INVALID;
+	vm->kind = kind ? VM_UPSTREAM : VM_ENTRY;
+	vm->state = state ? VM_LEAVING : VM_LIVE;
+	return vm->kind == VM_UPSTREAM ? parse_upstream(entry, vm) : 0;
+}
+
+static int parse_vms(struct vml *vml, const json_t *list)
+{
+	const size_t count = json_array_size(list);
+
+	if (!json_is_array(list) || count > MAX_VMS)
+		return PST_ERR_INVALID;
+	vml->vms = calloc(count + 1, sizeof(*vml->vms));
+	if (!vml->vms)
+		return PST_ERR_NOMEM;
+	for (size_t i = 0; i < count; i++) {
+		if (parse_vm(json_array_get(list, i), &vml->vms[i]))
+			return PST_ERR_INVALID;
+	}
+	vml->count = count;
+	return 0;
+}
+
+static int order_vms(struct vml *vml)
+{
+	qsort(vml->vms, vml->count, sizeof(*vml->vms), compare_vms);
+	for (size_t i = 1; i < vml->count; i++) {
+		if (strbuf_eq(&vml->vms[i - 1].id, &vml->vms[i].id))
+			return PST_ERR_INVALID;
+	}
+	return 0;
+}
+
+struct scored {
+	const struct vm *vm;
+	uint64_t score;
+};
+
+static bool better(const struct scored *a, const struct scored *b)
+{
+	if (a->score != b->score)
+		return a->score > b->score;
+	return str_cmp(strbuf_str(&a->vm->id), strbuf_str(&b->vm->id)) < 0;
+}
+
+int vml_parse(struct vml **out, struct str json)
+{
+	json_t *root = jsn_parse(json);
+	struct vml *vml;
+	int err;
+
+	if (!root)
+		return PST_ERR_INVALID;
+	err = vml_create(&vml, 0);
+	if (!err)
+		err = jsn_u64(json_object_get(root, "revision"), 0, INT64_MAX,
+			      &vml->revision);
+	else
+		vml = NULL;
+	if (!err)
+		err = parse_vms(vml, json_object_get(root, "vms"));
+	if (!err)
+		err = order_vms(vml);
+	json_decref(root);
+	if (!err)
+		*out = vml;
+	else
+		vml_put(vml);
+	return err;
+}
+
+int vml_create(struct vml **out, size_t count)
+{
+	struct vml *vml = calloc(1, sizeof(*vml));
+
+	if (!vml)
+		return PST_ERR_NOMEM;
+	ref_init(&vml->ref, release_list);
+	if (count) {
+		vml->vms = calloc(count, sizeof(*vml->vms));
+		if (!vml->vms) {
+			free(vml);
+			return PST_ERR_NOMEM;
+		}
+	}
+	vml->count = count;
+	*out = vml;
+	return 0;
+}
+
+void vml_get(struct vml *vml)
+{
+	ref_get(&vml->ref);
+}
+
+void vml_put(struct vml *vml)
+{
+	if (vml)
+		ref_put(&vml->ref);
+}
+
+const struct vm *vml_find(const struct vml *vml, struct str id)
+{
+	size_t low = 0;
+	size_t high = vml->count;
+
+	while (low < high) {
+		const size_t middle = (low + high) / 2;
+		const int order = str_cmp(strbuf_str(&vml->vms[middle].id), id);
+
+		if (!order)
+			return &vml->vms[middle];
+		if (order < 0)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return NULL;
+}
+
+bool vml_has_entry_address(const struct vml *vml, struct str ip)
+{
+	for (size_t i = 0; i < vml->count; i++) {
+		if (vml->vms[i].kind == VM_ENTRY &&
+		    str_eq(strbuf_str(&vml->vms[i].address), ip))
+			return true;
+	}
+	return false;
+}
+
+size_t vml_rendezvous(const struct vml *vml, struct str key, struct str domain,
+		      const struct vm **out, size_t want)
+{
+	const uint64_t seed = str_hash(key, 0);
+	struct scored best[VML_MAX_PICKS];
+	size_t count = 0;
+
+	if (want > VML_MAX_PICKS)
+		want = VML_MAX_PICKS;
+	for (size_t i = 0; i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+		struct scored next = {.vm = vm};
+		size_t at;
+
+		if (vm->kind != VM_ENTRY || vm->state != VM_LIVE ||
+		    (domain.len && !str_eq(strbuf_str(&vm->domain), domain)))
+			continue;
+		next.score = str_hash(strbuf_str(&vm->id), seed);
+		for (at = count; at && better(&next, &best[at - 1]); at--) {
+			if (at < want)
+				best[at] = best[at - 1];
+		}
+		if (at < want)
+			best[at] = next;
+		if (count < want)
+			count++;
+	}
+	for (size_t i = 0; i < count; i++)
+		out[i] = best[i].vm;
+	return count;
+}
--- a/policy/vml.h
+++ b/policy/vml.h
@@ -38,10 +38,20 @@
 	struct ref ref;
 	/* Grows with each change of the list. */
 	uint64_t revision;
+	/* Ordered by id. */
 	struct vm *vms;
 	size_t count;
 };
 
+/* Most VMs that vml_rendezvous() picks. */
+#define VML_MAX_PICKS 64
+
+/*
+ * Makes a list of count empty VMs, which the caller fills in, ordered by id,
+ * before sharing it. Returns 0 or PST_ERR_NOMEM.
+ */
+int vml_create(struct vml **out, size_t count);
+
 /* Parses the platform's JSON; returns 0, PST_ERR_INVALID or PST_ERR_NOMEM. */
 int vml_parse(struct vml **out, struct str json);
 
@@ -56,7 +66,8 @@
 
 /*
  * Picks up to want live entry VMs by rendezvous hashing of key, best first;
- * domain restricts the choice unless it is empty. Returns how many.
+ * domain restricts the choice unless it is empty. Returns how many,
+ * at most VML_MAX_PICKS.
  */
 size_t vml_rendezvous(const struct vml *vml, struct str key, struct str domain,
 		      const struct vm **out, size_t want);
