--- a/common/rpcs.h
+++ b/common/rpcs.h
@@ -13,7 +13,7 @@
 #include "common/net.h"
 
 /* Largest message accepted, in bytes. */
-#define RPCS_MAX_MESSAGE (4 * 1024 * 1024)
+#define RPCS_MAX_MESSAGE 4194304
 
 /*
  * Handles one call. args is decoded and freed by the server; res starts
