Agent of pst-controld, freshness, membership, relays

Ruled out: paging with a cursor kept across peers; a peer that holds an older table would then leave gaps. The cursor belongs to one exchange.

--- /dev/null
+++ b/agent/ctl.c
@@ -0,0 +1,357 @@
+#include "agent/ctl.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/hold.h"
+#include "agent/tmsg.h"
+#include "common/err.h"
+#include "common/evt.h"
+#include "common/net.h"
+#include "common/rpcc.h"
+
+#define LOG_MODULE "sync"
+
+/* Failed exchanges with the own pst-controld before another VM is asked. */
+#define FAILURES_BEFORE_OTHERS 2
+
+/* Pages of one exchange; a table has fewer. */
+#define MAX_PAGES 64
+
+struct ctl_agent {
+	const struct settings *set;
+	const struct clk *clk;
+	pthread_t thread;
+	pthread_mutex_t lock;
+	pthread_cond_t wake;
+	bool stopping;
+	/* Guarded by lock. */
+	struct ctl_view *view;
+	struct rev rev;
+	/* The thread's own. */
+	struct hold hold;
+	struct vml *vml;
+	uint64_t list_incarnation;
+	uint64_t list_revision;
+	uint32_t failures;
+	uint32_t next_other;
+	struct rpcc *own;
+	bool fresh;
+};
+
+static void release_view(struct ref *ref)
+{
+	struct ctl_view *view = REF_CONTAINER(ref, struct ctl_view, ref);
+
+	tbl_put(view->tbl);
+	vml_put(view->vml);
+	free(view);
+}
+
+static void publish(struct ctl_agent *agent)
+{
+	struct ctl_view *old;
+	struct ctl_view *view;
+
+	if (!agent->hold.tbl || !agent->vml)
+		return;
+	view = ctl_view_make(agent->hold.tbl, agent->vml);
+	if (!view)
+		return;
+	pthread_mutex_lock(&agent->lock);
+	old = agent->view;
+	agent->view = view;
+	pthread_mutex_unlock(&agent->lock);
+	ctl_view_put(old);
+}
+
+static int take_list(struct ctl_agent *agent, const table_answer *answer)
+{
+	struct vml *vml = NULL;
+	int err;
+
+	if (!answer->list)
+		return 0;
+	err = tmsg_list_take(&vml, answer->list);
+	if (err)
+		return err;
+	vml_put(agent->vml);
+	agent->vml = vml;
+	agent->list_incarnation = answer->list_incarnation;
+	agent->list_revision = vml->revision;
+	publish(agent);
+	return 0;
+}
+
+static int take_parts(struct ctl_agent *agent, const table_answer *answer)
+{
+	struct tbl_part *parts = tmsg_parts_borrow(answer->parts.parts_val,
+						   answer->parts.parts_len);
+	int err =
+		parts ? hold_keep(&agent->hold, parts, answer->parts.parts_len)
+		      : PST_ERR_NOMEM;
+
+	free(parts);
+	return err;
+}
+
+static int finish(struct ctl_agent *agent, const table_answer *answer,
+		  apr_time_t asked_at)
+{
+	const table_status *status = &answer->status;
+	bool changed = false;
+	int err;
+
+	if (!status->revision)
+		return 0;
+	rev_heard(&agent->hold.rev, status->revision);
+	err = hold_apply(&agent->hold, status->revision, status->vm, &changed);
+	if (changed)
+		publish(agent);
+	if (err && err != PST_ERR_STALE && err != PST_ERR_INVALID)
+		return err;
+	if (status->confirmed_age_ms != TABLE_AGE_NEVER)
+		rev_confirm(&agent->hold.rev, status->revision,
+			    asked_at - CLK_MS(status->confirmed_age_ms));
+	return 0;
+}
+
+/* after moves on from page to page; all pages come from one process. */
+static int ask(struct ctl_agent *agent, struct rpcc *rpcc, uint64_t *after,
+	       bool *more)
+{
+	const apr_time_t asked_at = clk_now(agent->clk);
+	table_ask args = {
+		.from = (char *)agent->set->vm.id.ptr,
+		.from_domain = (char *)agent->set->vm.failure_domain.ptr,
+		.held = agent->hold.rev.revision,
+		.after = *after,
+		.list_incarnation = agent->list_incarnation,
+		.list_revision = agent->list_revision,
+	};
+	table_answer answer = {0};
+	int err = rpcc_call(rpcc, TABLE_VIEW, (xdrproc_t)xdr_table_ask, &args,
+			    (xdrproc_t)xdr_table_answer, &answer,
+			    CLK_MS(agent->set->net.rpc_timeout_ms));
+
+	if (err)
+		return err;
+	*more = answer.more;
+	*after = tmsg_last_revision(&answer, *after);
+	err = take_list(agent, &answer);
+	if (!err)
+		err = take_parts(agent, &answer);
+	if (!err && !answer.more)
+		err = finish(agent, &answer, asked_at);
+	xdr_free((xdrproc_t)xdr_table_answer, &answer);
+	return err;
+}
+
+static int exchange(struct ctl_agent *agent, struct rpcc *rpcc)
+{
+	uint64_t after = agent->hold.rev.revision;
+	bool more = true;
+	int err = 0;
+
+	for (int i = 0; !err && more && i < MAX_PAGES; i++)
+		err = ask(agent, rpcc, &after, &more);
+	return err;
+}
+
+static int open_client(struct ctl_agent *agent, struct str region,
+		       struct str ip, struct rpcc **out)
+{
+	struct net_addr peer;
+	int err = net_addr_make(&peer, ip,
+				(uint16_t)agent->set->control.rpc_port);
+
+	if (err)
+		return err;
+	return rpcc_create(out, agent->set, agent->clk, region, &peer,
+			   TABLE_PROGRAM, TABLE_VERSION);
+}
+
+/* Another live entry VM, of the own failure domain while there is one. */
+static const struct vm *pick_other(struct ctl_agent *agent)
+{
+	const struct settings *set = agent->set;
+	const struct vm *picks[VML_MAX_PICKS];
+	size_t count;
+
+	if (!agent->vml)
+		return NULL;
+	count = vml_rendezvous(agent->vml, set->vm.id, set->vm.failure_domain,
+			       picks, VML_MAX_PICKS);
+	if (count < 2)
+		count = vml_rendezvous(agent->vml, set->vm.id, STR_LIT(""),
+				       picks, VML_MAX_PICKS);
+	for (size_t i = 0; i < count; i++) {
+		const struct vm *vm = picks[agent->next_other++ % count];
+
+		if (!str_eq(strbuf_str(&vm->id), set->vm.id))
+			return vm;
+	}
+	return NULL;
+}
+
+static void exchange_with_other(struct ctl_agent *agent)
+{
+	const struct vm *vm = pick_other(agent);
+	struct rpcc *rpcc = NULL;
+
+	if (!vm || open_client(agent, strbuf_str(&vm->region),
+			       strbuf_str(&vm->address), &rpcc))
+		return;
+	exchange(agent, rpcc);
+	rpcc_destroy(rpcc);
+}
+
+static void run_once(struct ctl_agent *agent)
+{
+	const int err = exchange(agent, agent->own);
+
+	if (err) {
+		if (++agent->failures == FAILURES_BEFORE_OTHERS)
+			evt_log(SYNC_LOST, "vm=%.*s err=%s",
+				STR_ARG(agent->set->vm.id), err_name(err));
+		if (agent->failures >= FAILURES_BEFORE_OTHERS)
+			exchange_with_other(agent);
+		return;
+	}
+	if (agent->failures >= FAILURES_BEFORE_OTHERS)
+		evt_log(SYNC_BACK, "vm=%.*s", STR_ARG(agent->set->vm.id));
+	agent->failures = 0;
+}
+
+/* Readers judge freshness themselves, on their own clock reading. */
+static void share_rev(struct ctl_agent *agent)
+{
+	pthread_mutex_lock(&agent->lock);
+	agent->rev = agent->hold.rev;
+	pthread_mutex_unlock(&agent->lock);
+}
+
+/* Returns false when the agent stops. */
+static bool wait_interval(struct ctl_agent *agent)
+{
+	const apr_interval_time_t wait =
+		CLK_MS(agent->set->control.sync_interval_ms);
+	const apr_time_t until = apr_time_now() + wait;
+	const struct timespec ts = {
+		.tv_sec = until / APR_USEC_PER_SEC,
+		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
+	};
+	bool stopping;
+
+	pthread_mutex_lock(&agent->lock);
+	if (!agent->stopping)
+		pthread_cond_timedwait(&agent->wake, &agent->lock, &ts);
+	stopping = agent->stopping;
+	pthread_mutex_unlock(&agent->lock);
+	return !stopping;
+}
+
+static void *run(void *arg)
+{
+	struct ctl_agent *agent = arg;
+
+	do {
+		agent->fresh = hold_tick(&agent->hold, agent->fresh);
+		share_rev(agent);
+		run_once(agent);
+		share_rev(agent);
+	} while (wait_interval(agent));
+	return NULL;
+}
+
+static void destroy(struct ctl_agent *agent)
+{
+	rpcc_destroy(agent->own);
+	hold_done(&agent->hold);
+	vml_put(agent->vml);
+	ctl_view_put(agent->view);
+	pthread_cond_destroy(&agent->wake);
+	pthread_mutex_destroy(&agent->lock);
+	free(agent);
+}
+
+int ctl_agent_start(struct ctl_agent **out, const struct settings *set,
+		    const struct clk *clk)
+{
+	struct ctl_agent *agent = calloc(1, sizeof(*agent));
+	int err;
+
+	if (!agent)
+		return PST_ERR_NOMEM;
+	agent->set = set;
+	agent->clk = clk;
+	pthread_mutex_init(&agent->lock, NULL);
+	pthread_cond_init(&agent->wake, NULL);
+	err = hold_init(&agent->hold, set, clk);
+	agent->rev = agent->hold.rev;
+	if (!err)
+		err = open_client(agent, set->vm.region, set->vm.address,
+				  &agent->own);
+	if (!err && pthread_create(&agent->thread, NULL, run, agent))
+		err = PST_ERR_THREAD;
+	if (err)
+		destroy(agent);
+	else
+		*out = agent;
+	return err;
+}
+
+void ctl_agent_stop(struct ctl_agent *agent)
+{
+	if (!agent)
+		return;
+	pthread_mutex_lock(&agent->lock);
+	agent->stopping = true;
+	pthread_cond_signal(&agent->wake);
+	pthread_mutex_unlock(&agent->lock);
+	pthread_join(agent->thread, NULL);
+	destroy(agent);
+}
+
+struct ctl_view *ctl_agent_view(struct ctl_agent *agent)
+{
+	struct ctl_view *view;
+
+	pthread_mutex_lock(&agent->lock);
+	view = agent->view;
+	if (view)
+		ref_get(&view->ref);
+	pthread_mutex_unlock(&agent->lock);
+	return view;
+}
+
+struct ctl_view *ctl_view_make(struct tbl *tbl, struct vml *vml)
+{
+	struct ctl_view *view = calloc(1, sizeof(*view));
+
+	if (!view)
+		return NULL;
+	ref_init(&view->ref, release_view);
+	tbl_get(tbl);
+	vml_get(vml);
+	view->tbl = tbl;
+	view->vml = vml;
+	return view;
+}
+
+void ctl_view_put(struct ctl_view *view)
+{
+	if (view)
+		ref_put(&view->ref);
+}
+
+bool ctl_agent_fresh(struct ctl_agent *agent)
+{
+	bool fresh;
+
+	pthread_mutex_lock(&agent->lock);
+	fresh = agent->view && rev_fresh(&agent->rev, clk_now(agent->clk));
+	pthread_mutex_unlock(&agent->lock);
+	return fresh;
+}
--- a/agent/ctl.h
+++ b/agent/ctl.h
@@ -19,6 +19,9 @@
 	struct vml *vml;
 };
 
+/* Takes a reference to each. Returns one reference, or NULL. */
+struct ctl_view *ctl_view_make(struct tbl *tbl, struct vml *vml);
+
 struct ctl_agent;
 
 /* Borrows set and clk. Returns 0, PST_ERR_NOMEM or PST_ERR_THREAD. */
--- /dev/null
+++ b/agent/hold.h
@@ -0,0 +1,44 @@
+/*
+ * A table built from parts that arrive piece by piece, with its revision and
+ * freshness. Not thread-safe.
+ */
+#ifndef AGENT_HOLD_H
+#define AGENT_HOLD_H
+
+#include "common/clk.h"
+#include "common/settings.h"
+#include "policy/pts.h"
+#include "policy/rev.h"
+
+struct hold {
+	const struct clk *clk;
+	struct pts *pts;
+	struct rev rev;
+	/* NULL before the first. */
+	struct tbl *tbl;
+};
+
+/* Returns 0 or PST_ERR_NOMEM. */
+int hold_init(struct hold *hold, const struct settings *set,
+	      const struct clk *clk);
+void hold_done(struct hold *hold);
+
+/* Keeps parts of an exchange that goes on; nothing is in force yet. */
+int hold_keep(struct hold *hold, const struct tbl_part *parts, size_t count);
+
+/*
+ * Puts in force all that is kept, after which every change up to revision is
+ * held. Logs a new table, or the refusal of a value. Sets *changed when tbl
+ * is a new one. Returns 0, PST_ERR_STALE when a higher revision is held, or
+ * PST_ERR_INVALID with the last good table still in force.
+ */
+int hold_apply(struct hold *hold, uint64_t revision, const char *source,
+	       bool *changed);
+
+/*
+ * Notes the time, drops the confirmation after a pause, and logs that and
+ * each change between fresh and stale. Returns whether it is fresh.
+ */
+bool hold_tick(struct hold *hold, bool was_fresh);
+
+#endif
--- /dev/null
+++ b/agent/tmsg.c
@@ -0,0 +1,144 @@
+#include "agent/tmsg.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+
+#define US_PER_MS 1000
+
+static char *copy_bytes(struct str s)
+{
+	char *copy = malloc(s.len + 1);
+
+	if (!copy)
+		return NULL;
+	if (s.len)
+		memcpy(copy, s.ptr, s.len);
+	copy[s.len] = '\0';
+	return copy;
+}
+
+static bool copy_part(const struct tbl_part *part, table_part *out)
+{
+	out->key = copy_bytes(part->key);
+	out->mod_revision = part->mod_revision;
+	out->value.value_val = copy_bytes(part->value);
+	out->value.value_len = (u_int)part->value.len;
+	return out->key && out->value.value_val;
+}
+
+static bool copy_vm(const struct vm *vm, table_vm *out)
+{
+	out->id = copy_bytes(strbuf_str(&vm->id));
+	out->kind = vm->kind;
+	out->state = vm->state;
+	out->region = copy_bytes(strbuf_str(&vm->region));
+	out->domain = copy_bytes(strbuf_str(&vm->domain));
+	out->address = copy_bytes(strbuf_str(&vm->address));
+	out->service = copy_bytes(strbuf_str(&vm->service));
+	out->port = vm->port;
+	out->slots = vm->slots;
+	return out->id && out->region && out->domain && out->address &&
+	       out->service;
+}
+
+static int take_vm(const table_vm *from, struct vm *vm)
+{
+	if (from->kind > VM_UPSTREAM || from->state > VM_LEAVING ||
+	    from->port > UINT16_MAX)
+		return PST_ERR_PROTOCOL;
+	vm->kind = (enum vm_kind)from->kind;
+	vm->state = (enum vm_state)from->state;
+	vm->port = (uint16_t)from->port;
+	vm->slots = from->slots;
+	strbuf_set(&vm->id, str_from_c(from->id));
+	strbuf_set(&vm->region, str_from_c(from->region));
+	strbuf_set(&vm->domain, str_from_c(from->domain));
+	strbuf_set(&vm->address, str_from_c(from->address));
+	strbuf_set(&vm->service, str_from_c(from->service));
+	return 0;
+}
+
+table_part *tmsg_parts_copy(const struct tbl_part *parts, size_t count)
+{
+	table_part *copy = count ? calloc(count, sizeof(*copy)) : NULL;
+	bool whole = copy;
+
+	for (size_t i = 0; whole && i < count; i++)
+		whole = copy_part(&parts[i], &copy[i]);
+	if (whole)
+		return copy;
+	for (size_t i = 0; copy && i < count; i++) {
+		free(copy[i].key);
+		free(copy[i].value.value_val);
+	}
+	free(copy);
+	return NULL;
+}
+
+struct tbl_part *tmsg_parts_borrow(const table_part *parts, size_t count)
+{
+	struct tbl_part *borrowed = calloc(count + 1, sizeof(*borrowed));
+
+	for (size_t i = 0; borrowed && i < count; i++) {
+		borrowed[i].key = str_from_c(parts[i].key);
+		borrowed[i].mod_revision = parts[i].mod_revision;
+		borrowed[i].value = (struct str){
+			.ptr = parts[i].value.value_val,
+			.len = parts[i].value.value_len,
+		};
+	}
+	return borrowed;
+}
+
+table_list *tmsg_list_copy(const struct vml *vml)
+{
+	table_list *list = calloc(1, sizeof(*list));
+	bool whole = list;
+
+	if (!list)
+		return NULL;
+	list->revision = vml->revision;
+	list->vms.vms_val = calloc(vml->count + 1, sizeof(table_vm));
+	list->vms.vms_len = (u_int)vml->count;
+	whole = list->vms.vms_val;
+	for (size_t i = 0; whole && i < vml->count; i++)
+		whole = copy_vm(&vml->vms[i], &list->vms.vms_val[i]);
+	if (whole)
+		return list;
+	if (list->vms.vms_val)
+		xdr_free((xdrproc_t)xdr_table_list, list);
+	free(list);
+	return NULL;
+}
+
+int tmsg_list_take(struct vml **out, const table_list *list)
+{
+	int err = vml_create(out, list->vms.vms_len);
+
+	if (err)
+		return err;
+	(*out)->revision = list->revision;
+	for (size_t i = 0; !err && i < (*out)->count; i++)
+		err = take_vm(&list->vms.vms_val[i], &(*out)->vms[i]);
+	if (err)
+		vml_put(*out);
+	return err;
+}
+
+uint64_t tmsg_last_revision(const table_answer *answer, uint64_t after)
+{
+	const u_int count = answer->parts.parts_len;
+
+	return count ? answer->parts.parts_val[count - 1].mod_revision : after;
+}
+
+u_int tmsg_age_ms(apr_interval_time_t age)
+{
+	const apr_interval_time_t ms =
+		age / US_PER_MS + (age % US_PER_MS ? 1 : 0);
+
+	return ms < (apr_interval_time_t)TABLE_AGE_NEVER ? (u_int)ms
+							 : TABLE_AGE_NEVER;
+}
--- /dev/null
+++ b/policy/rev.c
@@ -0,0 +1,121 @@
+#include "policy/rev.h"
+
+#include <stdlib.h>
+
+#include "common/err.h"
+
+/* Allowance for the difference in rate of two VMs' clocks: 1 in this. */
+#define CLOCK_DRIFT_DIVISOR 100
+
+static int compare_latest_first(const void *a, const void *b)
+{
+	const apr_time_t x = *(const apr_time_t *)a;
+	const apr_time_t y = *(const apr_time_t *)b;
+
+	return (x < y) - (x > y);
+}
+
+static bool is_majority(size_t part, size_t all)
+{
+	return part * 2 > all;
+}
+
+void rev_init(struct rev *rev, apr_interval_time_t freshness_timeout,
+	      apr_interval_time_t pause_bound)
+{
+	*rev = (struct rev){
+		.freshness_timeout = freshness_timeout,
+		.pause_bound = pause_bound,
+	};
+}
+
+bool rev_heard(struct rev *rev, uint64_t revision)
+{
+	if (revision > rev->heard)
+		rev->heard = revision;
+	return revision > rev->revision;
+}
+
+int rev_hold(struct rev *rev, uint64_t revision)
+{
+	if (revision < rev->revision)
+		return PST_ERR_STALE;
+	rev->revision = revision;
+	rev_heard(rev, revision);
+	return 0;
+}
+
+bool rev_confirm(struct rev *rev, uint64_t newest, apr_time_t at)
+{
+	rev_heard(rev, newest);
+	if (!rev->revision || rev->heard > rev->revision)
+		return false;
+	if (at < rev->not_before)
+		return false;
+	if (!rev->confirmed || at > rev->confirmed_at)
+		rev->confirmed_at = at;
+	rev->confirmed = true;
+	rev->voter = true;
+	return true;
+}
+
+apr_interval_time_t rev_age(const struct rev *rev, apr_time_t now)
+{
+	return rev->confirmed ? now - rev->confirmed_at : REV_NEVER;
+}
+
+bool rev_fresh(const struct rev *rev, apr_time_t now)
+{
+	return rev_age(rev, now) <= rev->freshness_timeout;
+}
+
+apr_interval_time_t rev_tick(struct rev *rev, apr_time_t now, apr_time_t wall)
+{
+	const apr_interval_time_t gap = now - rev->last_tick;
+	const apr_interval_time_t wall_gap = wall - rev->last_wall;
+	const apr_interval_time_t longest = gap > wall_gap ? gap : wall_gap;
+	const bool paused = rev->ticked && longest > rev->pause_bound;
+
+	rev->ticked = true;
+	rev->last_tick = now;
+	rev->last_wall = wall;
+	if (!paused)
+		return 0;
+	rev->confirmed = false;
+	rev->not_before = now;
+	return longest;
+}
+
+bool rev_majority(const struct rev_vote *votes, size_t count, uint64_t held,
+		  apr_time_t *at)
+{
+	apr_time_t *times = calloc(count + 1, sizeof(*times));
+	size_t agree = 0;
+	bool found;
+
+	if (!times)
+		return false;
+	for (size_t i = 0; i < count; i++) {
+		if (votes[i].valid && votes[i].revision <= held)
+			times[agree++] = votes[i].asked_at;
+	}
+	found = is_majority(agree, count);
+	if (found) {
+		qsort(times, agree, sizeof(*times), compare_latest_first);
+		*at = times[count / 2];
+	}
+	free(times);
+	return found;
+}
+
+bool rev_accepted(const struct rev_holders *holders,
+		  apr_interval_time_t since_write,
+		  apr_interval_time_t freshness_timeout)
+{
+	if (!is_majority(holders->domains_whole, holders->domains))
+		return false;
+	if (holders->vms_holding == holders->vms)
+		return true;
+	return since_write >
+	       freshness_timeout + freshness_timeout / CLOCK_DRIFT_DIVISOR;
+}
--- /dev/null
+++ b/policy/rev.h
@@ -0,0 +1,104 @@
+/*
+ * Which revision of the table a process holds, and whether it may take new
+ * work under it.
+ *
+ * The revision only grows. New work is taken while a confirmation that no
+ * newer change had been accepted is younger than the freshness timeout; an
+ * operator's edit counts as accepted only when every VM holds it or the
+ * timeout has passed, so that no VM can serve under an older table after
+ * that. A confirmation comes from a read of the store, from a peer that has
+ * one, or from a majority of the failure domains.
+ */
+#ifndef POLICY_REV_H
+#define POLICY_REV_H
+
+#include <apr_time.h>
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+/* Age of a confirmation that never came. */
+#define REV_NEVER INT64_MAX
+
+struct rev {
+	apr_interval_time_t freshness_timeout;
+	apr_interval_time_t pause_bound;
+	/* Highest revision held; 0 before the first. */
+	uint64_t revision;
+	/* Highest revision heard of. */
+	uint64_t heard;
+	bool confirmed;
+	/* The held revision was the newest at this time. */
+	apr_time_t confirmed_at;
+	/* Its revision may count in a majority: it was confirmed once. */
+	bool voter;
+	/* Confirmations as of an earlier time do not count. */
+	apr_time_t not_before;
+	bool ticked;
+	apr_time_t last_tick;
+	apr_time_t last_wall;
+};
+
+void rev_init(struct rev *rev, apr_interval_time_t freshness_timeout,
+	      apr_interval_time_t pause_bound);
+
+/* Notes that a revision exists. Returns whether it must be fetched. */
+bool rev_heard(struct rev *rev, uint64_t revision);
+
+/* Notes the revision now held. A lower one is refused (PST_ERR_STALE). */
+int rev_hold(struct rev *rev, uint64_t revision);
+
+/*
+ * Notes that at the time at (this process's clock) no revision above newest
+ * had been accepted. Returns whether that confirms the held revision.
+ */
+bool rev_confirm(struct rev *rev, uint64_t newest, apr_time_t at);
+
+/* Time since the held revision was confirmed, or REV_NEVER. */
+apr_interval_time_t rev_age(const struct rev *rev, apr_time_t now);
+
+/* Whether new work may be taken. */
+bool rev_fresh(const struct rev *rev, apr_time_t now);
+
+/*
+ * Called regularly with the monotonic and the wall clock. After a gap of
+ * more than the pause bound on either, the confirmation is dropped and the
+ * gap returned; otherwise returns 0.
+ */
+apr_interval_time_t rev_tick(struct rev *rev, apr_time_t now, apr_time_t wall);
+
+/* What one failure domain answered. */
+struct rev_vote {
+	/* Not a voter, or no answer: false. */
+	bool valid;
+	uint64_t revision;
+	/* When it was asked, on the asker's clock. */
+	apr_time_t asked_at;
+};
+
+/*
+ * Finds the latest time at which a majority of the failure domains held no
+ * revision above held; votes has one entry for each domain of the table.
+ * Returns whether there is one, with *at set.
+ */
+bool rev_majority(const struct rev_vote *votes, size_t count, uint64_t held,
+		  apr_time_t *at);
+
+/*
+ * Whether an edit is accepted: every VM of a majority of the domains holds
+ * it, and every other VM either holds it or has had the freshness timeout,
+ * counted from when the edit was written, to stop.
+ */
+struct rev_holders {
+	size_t domains;
+	/* Domains of which every live VM holds the edit. */
+	size_t domains_whole;
+	size_t vms;
+	size_t vms_holding;
+};
+
+bool rev_accepted(const struct rev_holders *holders,
+		  apr_interval_time_t since_write,
+		  apr_interval_time_t freshness_timeout);
+
+#endif
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -158,6 +158,25 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_table {
+	uint64_t *head_interval_ms;
+	uint64_t *peer_interval_ms;
+	uint64_t *watch_ms;
+	uint64_t *heartbeat_timeout_ms;
+	uint64_t *pause_ms;
+	uint64_t *backoff_max_ms;
+};
+
+static const cyaml_schema_field_t fields_table[] = {
+	CYAML_FIELD_UINT_PTR("head_interval_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_table, head_interval_ms),
+	CYAML_FIELD_UINT_PTR("peer_interval_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_table, peer_interval_ms),
+	CYAML_FIELD_UINT_PTR("watch_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_table, watch_ms),
+	CYAML_FIELD_UINT_PTR("heartbeat_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_table, heartbeat_timeout_ms),
+	CYAML_FIELD_UINT_PTR("pause_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_table, pause_ms),
+	CYAML_FIELD_UINT_PTR("backoff_max_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_table, backoff_max_ms),
+	CYAML_FIELD_END,
+};
+
 struct raw_lookup {
 	uint64_t *port;
 	uint64_t *admin_port;
@@ -202,6 +221,7 @@
 	struct raw_platform *platform;
 	struct raw_entry *entry;
 	struct raw_control *control;
+	struct raw_table *table;
 	struct raw_lookup *lookup;
 	struct raw_net *net;
 	struct raw_log *log;
@@ -212,6 +232,7 @@
 	CYAML_FIELD_MAPPING_PTR("platform", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, platform, fields_platform),
 	CYAML_FIELD_MAPPING_PTR("entry", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, entry, fields_entry),
 	CYAML_FIELD_MAPPING_PTR("control", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, control, fields_control),
+	CYAML_FIELD_MAPPING_PTR("table", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, table, fields_table),
 	CYAML_FIELD_MAPPING_PTR("lookup", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, lookup, fields_lookup),
 	CYAML_FIELD_MAPPING_PTR("net", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, net, fields_net),
 	CYAML_FIELD_MAPPING_PTR("log", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, log, fields_log),
@@ -296,6 +317,24 @@
 	return 0;
 }
 
+static int convert_table(const struct raw_table *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->head_interval_ms : NULL, UINT64_C(1000), UINT64_C(50), UINT64_C(60000), &out->table.head_interval_ms))
+		return refuse(bad, "table", "head_interval_ms", "a number from 50 to 60000");
+	if (conv_uint(r ? r->peer_interval_ms : NULL, UINT64_C(500), UINT64_C(50), UINT64_C(60000), &out->table.peer_interval_ms))
+		return refuse(bad, "table", "peer_interval_ms", "a number from 50 to 60000");
+	if (conv_uint(r ? r->watch_ms : NULL, UINT64_C(30000), UINT64_C(100), UINT64_C(600000), &out->table.watch_ms))
+		return refuse(bad, "table", "watch_ms", "a number from 100 to 600000");
+	if (conv_uint(r ? r->heartbeat_timeout_ms : NULL, UINT64_C(3000), UINT64_C(100), UINT64_C(600000), &out->table.heartbeat_timeout_ms))
+		return refuse(bad, "table", "heartbeat_timeout_ms", "a number from 100 to 600000");
+	if (conv_uint(r ? r->pause_ms : NULL, UINT64_C(1000), UINT64_C(50), UINT64_C(60000), &out->table.pause_ms))
+		return refuse(bad, "table", "pause_ms", "a number from 50 to 60000");
+	if (conv_uint(r ? r->backoff_max_ms : NULL, UINT64_C(5000), UINT64_C(100), UINT64_C(600000), &out->table.backoff_max_ms))
+		return refuse(bad, "table", "backoff_max_ms", "a number from 100 to 600000");
+	return 0;
+}
+
 static int convert_lookup(const struct raw_lookup *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -344,6 +383,8 @@
 		err = convert_entry(r ? r->entry : NULL, out, bad);
 	if (!err)
 		err = convert_control(r ? r->control : NULL, out, bad);
+	if (!err)
+		err = convert_table(r ? r->table : NULL, out, bad);
 	if (!err)
 		err = convert_lookup(r ? r->lookup : NULL, out, bad);
 	if (!err)
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -75,6 +75,22 @@
 	uint64_t freshness_timeout_ms;
 };
 
+/* Following the operators' table and the membership. */
+struct set_table {
+	/* Time between two reads of the table's newest revision by a relay, in milliseconds. */
+	uint64_t head_interval_ms;
+	/* Time between two rounds of exchanges with other VMs, in milliseconds. */
+	uint64_t peer_interval_ms;
+	/* Length of one watch of the store, in milliseconds. */
+	uint64_t watch_ms;
+	/* Time without a sign of life after which a VM counts as absent, in milliseconds. */
+	uint64_t heartbeat_timeout_ms;
+	/* Gap between two runs of a duty that counts as a pause of the process, in milliseconds. */
+	uint64_t pause_ms;
+	/* Longest wait between two tries of a store that does not answer, in milliseconds. */
+	uint64_t backoff_max_ms;
+};
+
 /* pst-lookupd: which entry VMs a caller should use. */
 struct set_lookup {
 	/* Port for callers. */
@@ -110,6 +126,7 @@
 	struct set_platform platform;
 	struct set_entry entry;
 	struct set_control control;
+	struct set_table table;
 	struct set_lookup lookup;
 	struct set_net net;
 	struct set_log log;
--- /dev/null
+++ b/schema/table.x
@@ -0,0 +1,93 @@
+/* The table, the VM list and freshness between pst-controld and others. */
+%#include "schema/gen/common.h"
+
+const TABLE_KEY_MAX = 512;
+const TABLE_VALUE_MAX = 1048576;
+const TABLE_PARTS_MAX = 16384;
+const TABLE_VMS_MAX = 65536;
+const TABLE_DOMAINS_MAX = 1024;
+const TABLE_AGE_NEVER = 0xffffffff;
+
+/* One value of the store. */
+struct table_part {
+	string key<TABLE_KEY_MAX>;
+	unsigned hyper mod_revision;
+	opaque value<TABLE_VALUE_MAX>;
+};
+
+struct table_vm {
+	pst_id id;
+	unsigned int kind;
+	unsigned int state;
+	pst_id region;
+	pst_id domain;
+	pst_id address;
+	pst_id service;
+	unsigned int port;
+	unsigned int slots;
+};
+
+struct table_list {
+	unsigned hyper revision;
+	table_vm vms<TABLE_VMS_MAX>;
+};
+
+/* Entry VMs of one failure domain that its relays do not hear. */
+struct table_absent {
+	pst_id domain;
+	unsigned int age_ms;
+	pst_id vms<TABLE_VMS_MAX>;
+};
+
+/* What a pst-controld knows of the table. */
+struct table_status {
+	pst_id vm;
+	unsigned hyper incarnation;
+	unsigned hyper revision;
+	/* Age of the latest confirmation that revision is the newest. */
+	unsigned int confirmed_age_ms;
+	/* Its revision counts in a majority of failure domains. */
+	bool voter;
+	bool relay;
+	bool store_reachable;
+	bool fresh;
+};
+
+/* Asks for the parts changed after a revision. */
+struct table_ask {
+	pst_id from;
+	pst_id from_domain;
+	unsigned hyper held;
+	unsigned hyper after;
+	unsigned hyper list_incarnation;
+	unsigned hyper list_revision;
+};
+
+struct table_answer {
+	table_status status;
+	/* Ask again with the last part's revision as after. */
+	bool more;
+	table_part parts<TABLE_PARTS_MAX>;
+	unsigned hyper list_incarnation;
+	table_list *list;
+	table_absent absents<TABLE_DOMAINS_MAX>;
+};
+
+/* Parts changed after the revision previous. */
+struct table_change {
+	pst_id from;
+	unsigned hyper previous;
+	table_part parts<TABLE_PARTS_MAX>;
+};
+
+program TABLE_PROGRAM {
+	version TABLE_VERSION {
+		/* Between pst-controlds: the platform's list. */
+		table_answer TABLE_SYNC(table_ask) = 1;
+		/* For pst-entryd and pst-lookupd: the corrected list. */
+		table_answer TABLE_VIEW(table_ask) = 2;
+		/* One way. */
+		void TABLE_PUSH(table_change) = 3;
+		table_status TABLE_STATUS(void) = 4;
+	} = 1;
+} = 0x20505305;
