--- /dev/null
+++ b/tests/test_tkt_golden.c
@@ -0,0 +1,121 @@
+/*
+ * The decision lines of one whole session, compared to the byte. After a
+ * wanted change: build/tests/test_tkt_golden --write
+ */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/evt.h"
+#include "tests/fix_run.h"
+#include "tests/fix_tkt.h"
+
+#define SEED   20261204
+#define GOLDEN "tests/golden/ticket_session.txt"
+
+static enum tkt_end upstream(struct fix_world *w, bool *ran)
+{
+	*ran = w->key_count != 3;
+	return *ran ? TKT_END_RAN : TKT_END_NOT_RUN;
+}
+
+static void admit(struct fix_world *w, int proc, size_t key, uint64_t request)
+{
+	fix_tkt_admit(w, proc, key, request, CLK_MS(300));
+	fix_tkt_run(w, w->now + CLK_MS(500));
+}
+
+/* A repeated request, a dead home, a shed one, a silent witness, a store. */
+static void play(struct fix_world *w)
+{
+	size_t key = fix_tkt_key(w, 0);
+
+	admit(w, 0, key, 1);
+	admit(w, 2, key, 2);
+	key = fix_tkt_key(w, 0);
+	fix_tkt_crash(w, 0);
+	admit(w, 2, key, 3);
+	admit(w, 3, key, 4);
+	key = fix_tkt_key(w, 1);
+	admit(w, 1, key, 5);
+	admit(w, 3, key, 6);
+	key = fix_tkt_key(w, 1);
+	w->cut[1][2] = true;
+	admit(w, 1, key, 7);
+	w->cut[1][2] = false;
+	admit(w, 1, key, 8);
+	key = fix_tkt_key(w, 1);
+	fix_tkt_restart(w, 2);
+	admit(w, 1, key, 9);
+	key = fix_tkt_key(w, -1);
+	w->store_down = true;
+	admit(w, 1, key, 10);
+	w->store_down = false;
+	admit(w, 1, key, 11);
+	admit(w, 3, key, 12);
+}
+
+static void write_session(FILE *out)
+{
+	struct fix_world w;
+
+	evt_init("debug");
+	evt_redirect(out);
+	fix_tkt_init(&w, SEED);
+	w.delay = CLK_MS(5);
+	w.upstream = upstream;
+	fix_tkt_open(&w, 0, 1);
+	fix_tkt_open(&w, 1, 2);
+	play(&w);
+	fix_tkt_done(&w);
+	evt_redirect(NULL);
+	evt_done();
+}
+
+static char *read_all(FILE *file, size_t *len)
+{
+	char *text = calloc(1, 65536);
+
+	rewind(file);
+	*len = fread(text, 1, 65536, file);
+	return text;
+}
+
+START_TEST(session_is_as_recorded)
+{
+	FILE *now = tmpfile();
+	FILE *then = fopen(GOLDEN, "r");
+	size_t now_len;
+	size_t then_len;
+	char *now_text;
+	char *then_text;
+
+	ck_assert_ptr_nonnull(then);
+	write_session(now);
+	now_text = read_all(now, &now_len);
+	then_text = read_all(then, &then_len);
+	ck_assert_uint_gt(now_len, 0);
+	ck_assert_str_eq(now_text, then_text);
+	ck_assert_uint_eq(now_len, then_len);
+	free(now_text);
+	free(then_text);
+	fclose(now);
+	fclose(then);
+}
+END_TEST
+
+int main(int argc, char **argv)
+{
+	TCase *tc = tcase_create("tkt_golden");
+
+	if (argc > 1 && !strcmp(argv[1], "--write")) {
+		FILE *out = fopen(GOLDEN, "w");
+
+		if (!out)
+			return EXIT_FAILURE;
+		write_session(out);
+		return fclose(out) ? EXIT_FAILURE : EXIT_SUCCESS;
+	}
+	tcase_add_test(tc, session_is_as_recorded);
+	return fix_run("tkt_golden", tc);
+}
