--- a/agent/tkt_keeper.c
+++ b/agent/tkt_keeper.c
@@ -16,14 +16,16 @@
 #define INTERVAL   CLK_MS(10)
 /* Tickets in the smallest block. */
 #define MIN_COUNT 16
-/* VMs avoided at once, and for how long. */
-#define AVOID_MAX  32
-#define AVOID_TIME CLK_SEC(3)
+/* VMs avoided at once; how long, doubling while a VM keeps failing. */
+#define AVOID_MAX CLK_SEC(3)
+#define AVOID_MIN CLK_MS(100)
+#define AVOID_VMS 32
 /* Unused parts of blocks that wait to be handed back. */
 #define RETURNS_MAX 16
 
 struct avoided {
 	uint64_t vm;
+	apr_interval_time_t time;
 	apr_time_t until;
 };
 
@@ -33,7 +35,7 @@
 	atomic_bool stopping;
 	pthread_mutex_t lock;
 	struct tkt_home home;
-	struct avoided avoided[AVOID_MAX];
+	struct avoided avoided[AVOID_VMS];
 	size_t avoid_next;
 	struct tkt_block returns[RETURNS_MAX];
 	size_t return_count;
@@ -44,13 +46,41 @@
 
 static bool is_avoided(const struct tkt_keeper *k, uint64_t vm, apr_time_t now)
 {
-	for (size_t i = 0; i < AVOID_MAX; i++) {
+	for (size_t i = 0; i < AVOID_VMS; i++) {
 		if (k->avoided[i].vm == vm && now < k->avoided[i].until)
 			return true;
 	}
 	return false;
 }
 
+/* Returns whether the VM was not avoided yet. The lock is held. */
+static bool avoid(struct tkt_keeper *k, uint64_t vm, apr_time_t now)
+{
+	struct avoided *a = NULL;
+
+	for (size_t i = 0; i < AVOID_VMS && !a; i++) {
+		if (k->avoided[i].vm == vm)
+			a = &k->avoided[i];
+	}
+	if (a && now < a->until)
+		return false;
+	if (a && now < a->until + AVOID_MAX) {
+		a->time = a->time * 2 < AVOID_MAX ? a->time * 2 : AVOID_MAX;
+		a->until = now + a->time;
+		return true;
+	}
+	if (!a) {
+		a = &k->avoided[k->avoid_next];
+		k->avoid_next = (k->avoid_next + 1) % AVOID_VMS;
+	}
+	*a = (struct avoided){
+		.vm = vm,
+		.time = AVOID_MIN,
+		.until = now + AVOID_MIN,
+	};
+	return true;
+}
+
 /* Stops using a VM; its unused tickets go back. The lock is held. */
 static void leave(struct tkt_keeper *k, uint64_t vm)
 {
@@ -66,16 +96,16 @@
 static bool *mark_avoided(struct tkt_keeper *k, const struct vml *vml)
 {
 	const apr_time_t now = clk_now(k->conf.clk);
-	bool *avoid = calloc(vml->count + 1, sizeof(*avoid));
+	bool *marks = calloc(vml->count + 1, sizeof(*marks));
 
-	if (!avoid)
+	if (!marks)
 		return NULL;
 	pthread_mutex_lock(&k->lock);
 	for (size_t i = 0; i < vml->count; i++)
-		avoid[i] = is_avoided(
+		marks[i] = is_avoided(
 			k, tkt_vm_hash(strbuf_str(&vml->vms[i].id)), now);
 	pthread_mutex_unlock(&k->lock);
-	return avoid;
+	return marks;
 }
 
 static void log_choice(struct tkt_keeper *k, const struct tkt_pick *pick)
@@ -98,7 +128,7 @@
 {
 	const struct set_vm *own = &k->conf.set->vm;
 	struct vml *vml = k->conf.list(k->conf.ctx);
-	bool *avoid = vml ? mark_avoided(k, vml) : NULL;
+	bool *marks = vml ? mark_avoided(k, vml) : NULL;
 	struct tkt_pick pick = {0};
 	struct vm self = {0};
 
@@ -106,11 +136,11 @@
 	strbuf_set(&self.region, own->region);
 	strbuf_set(&self.domain, own->failure_domain);
 	if (vml)
-		tkt_pick_witness(vml, &self, avoid, &pick);
+		tkt_pick_witness(vml, &self, marks, &pick);
 	log_choice(k, &pick);
 	if (pick.vm)
 		*out = *pick.vm;
-	free(avoid);
+	free(marks);
 	if (vml)
 		ref_put(&vml->ref);
 	return pick.vm != NULL;
@@ -286,21 +316,13 @@
 
 void tkt_keeper_avoid(struct tkt_keeper *k, uint64_t vm, int err)
 {
-	const apr_time_t now = clk_now(k->conf.clk);
-	bool known;
+	bool fresh;
 
 	pthread_mutex_lock(&k->lock);
-	known = is_avoided(k, vm, now);
-	if (!known) {
-		k->avoided[k->avoid_next] = (struct avoided){
-			.vm = vm,
-			.until = now + AVOID_TIME,
-		};
-		k->avoid_next = (k->avoid_next + 1) % AVOID_MAX;
-	}
+	fresh = avoid(k, vm, clk_now(k->conf.clk));
 	leave(k, vm);
 	pthread_mutex_unlock(&k->lock);
-	if (!known)
+	if (fresh)
 		evt_log(TICKET_WITNESS_FAILED, "witness=%llx err=%s",
 			(unsigned long long)vm, err_name(err));
 }
