Tickets: Promela model, checked exhaustively in the tests

Model: one key, its arbiter (witness or store), two entries with two lives each or three with one; messages stay in the network once sent, which covers loss, repetition, reordering and late delivery; restarts, expiry, pause. Before: nothing searched. Conclusion: seal, refusal and fresh names are each needed.

--- /dev/null
+++ b/tests/model/ticket.pml
@@ -0,0 +1,191 @@
+/*
+ * At most once, with an honest "not run": one key, its arbiter and PROCS entry
+ * processes, the first of them the home. With -DSTORE the key is a caller's
+ * own and the arbiter is the store, which knows no seal and loses nothing.
+ *
+ * The network is a set of messages: once sent, a message stays, so it may be
+ * delivered any number of times, in any order, or never. That is loss,
+ * repetition, reordering and late delivery at once. A pause is a process that
+ * takes no step; a crash of a process forgets its attempts and takes a new
+ * incarnation; a crash of the witness loses its records.
+ *
+ * Variants, each of which must fail: -DNO_SEAL tells "not run" without the
+ * witness's word; -DNO_REFUSAL lets the witness grant the home's claim after
+ * a handover; -DSAME_INCARNATION restarts the witness under its old name;
+ * -DSAME_ATTEMPT lets a restarted entry use its attempt's number again.
+ */
+#ifndef PROCS
+#define PROCS	 2
+#endif
+/* Each process has this many in its life: one more for each restart. */
+#ifndef LIVES
+#define LIVES	 2
+#endif
+#define ATTEMPTS (PROCS * LIVES)
+
+/* Arbiter's word about the one ticket. */
+#define FREE	 0
+#define SEALED	 99
+
+mtype = { idle, claiming, sealing, running, ended };
+
+/* Messages that were sent: attempt a is 1 to ATTEMPTS; 0 names nobody. */
+bool claim_sent[ATTEMPTS + 1];
+bool seal_sent[ATTEMPTS + 1];
+/* Replies that were sent; other_sent names the owner then. */
+bool yours_sent[ATTEMPTS + 1];
+bool sealed_sent[ATTEMPTS + 1];
+byte other_sent[ATTEMPTS + 1];
+/* What the attempt's process answers when it is asked: it never runs. */
+bool given_up[ATTEMPTS + 1];
+
+byte owner = FREE;
+bool witness_lost = false;
+byte runs = 0;
+bool told_not_run = false;
+
+inline tell_not_run() {
+	told_not_run = true;
+	assert(runs == 0)
+}
+
+inline run_upstream() {
+	runs++;
+	assert(runs <= 1);
+	assert(!told_not_run)
+}
+
+active proctype witness()
+{
+	byte a;
+
+end:	do
+	:: atomic { select(a : 1 .. ATTEMPTS);
+		if
+		:: claim_sent[a] && !witness_lost ->
+			if
+			:: owner == FREE || owner == a ->
+				owner = a;
+				yours_sent[a] = true
+			:: owner == SEALED ->
+				sealed_sent[a] = true
+			:: else ->
+#ifdef NO_REFUSAL
+				if
+				/* The home's attempts. */
+				:: a % PROCS == 1 -> yours_sent[a] = true
+				:: else -> other_sent[a] = owner
+				fi
+#else
+				other_sent[a] = owner
+#endif
+			fi
+		:: seal_sent[a] && !witness_lost ->
+#ifdef STORE
+			if
+			:: owner == FREE || owner == a ->
+				owner = a;
+				yours_sent[a] = true
+			:: else ->
+				other_sent[a] = owner
+			fi
+#else
+			if
+			:: owner == FREE || owner == a || owner == SEALED ->
+				owner = SEALED;
+				sealed_sent[a] = true
+			:: else ->
+				other_sent[a] = owner
+			fi
+#endif
+		:: else -> skip
+		fi }
+#ifndef STORE
+	/* Restart or expiry: the records are gone, and so is the name. */
+	:: atomic { !witness_lost ->
+#ifdef SAME_INCARNATION
+		owner = FREE
+#else
+		witness_lost = true
+#endif
+	   }
+#endif
+	od
+}
+
+proctype entry(byte first)
+{
+	byte mine = first;
+	mtype state = idle;
+	/* Asked for a seal without a word on it: only seals from then on. */
+	bool bound = false;
+
+end:	do
+	/* A request arrives. */
+	:: atomic { state == idle && !bound ->
+		claim_sent[mine] = true;
+		state = claiming }
+	:: atomic { state == idle && bound ->
+		seal_sent[mine] = true;
+		state = sealing }
+	/* The claim stays unanswered. */
+	:: atomic { state == claiming ->
+#ifdef NO_SEAL
+		tell_not_run();
+		state = ended
+#else
+		seal_sent[mine] = true;
+		given_up[mine] = true;
+		bound = true;
+		state = sealing
+#endif
+	   }
+	:: atomic { state == claiming && yours_sent[mine] ->
+		state = running }
+	/* Proof: nobody owns it, or this attempt does and will not run. */
+	:: atomic { state == sealing && (sealed_sent[mine] ||
+			yours_sent[mine]) ->
+		tell_not_run();
+		state = ended }
+	:: atomic { state == claiming && sealed_sent[mine] ->
+		tell_not_run();
+		state = ended }
+	/* Owned by another, or no answer in time: unknown. */
+	:: atomic { (state == claiming || state == sealing) &&
+			other_sent[mine] ->
+		state = ended }
+	/* The owner was asked: its attempt never runs. */
+	:: atomic { (state == claiming || state == sealing) &&
+			other_sent[mine] && given_up[other_sent[mine]] ->
+		tell_not_run();
+		state = ended }
+	:: atomic { state == sealing -> state = idle }
+	/* Sent upstream, unless it is refused before. */
+	:: atomic { state == running ->
+		run_upstream();
+		state = ended }
+	:: atomic { state == running ->
+		tell_not_run();
+		seal_sent[mine] = true;
+		given_up[mine] = true;
+		state = ended }
+	/* Crash: a new incarnation knows nothing and has new attempts. */
+	:: atomic { mine + PROCS <= ATTEMPTS ->
+#ifndef SAME_ATTEMPT
+		mine = mine + PROCS;
+#endif
+		bound = false;
+		state = idle }
+	od
+}
+
+init
+{
+	atomic {
+		byte p;
+
+		for (p : 1 .. PROCS) {
+			run entry(p)
+		}
+	}
+}
