--- /dev/null
+++ b/entryd/front.c
@@ -0,0 +1,521 @@
+#include "entryd/front.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include <jansson.h>
+
+#include "common/err.h"
+#include "common/net.h"
+#include "entryd/hdr.h"
+#include "entryd/problem.h"
+
+/* Most tickets given at once. */
+#define MAX_TICKETS 64
+
+/* Memory of a connection beyond its header, in bytes. */
+#define CONNECTION_SPARE 65536
+
+struct frt {
+	const struct settings *set;
+	const struct clk *clk;
+	struct rte *rte;
+	struct ups *ups;
+	struct tkt_agent *ticket;
+	struct MHD_Daemon *daemon;
+	atomic_uint_fast64_t next_number;
+	uint64_t incarnation;
+	atomic_bool closing;
+};
+
+/* What libmicrohttpd keeps for one request. */
+struct exchange {
+	struct frt *frt;
+	char *uri;
+	struct req *req;
+};
+
+static enum MHD_Result refuse(const struct frt *frt,
+			      struct MHD_Connection *conn, unsigned status,
+			      int reason, bool not_run)
+{
+	const struct problem problem = {
+		.status = status,
+		.reason = reason,
+		.not_run = not_run,
+		.close = frt->closing,
+	};
+
+	return problem_answer(conn, &problem);
+}
+
+static const char *header(struct MHD_Connection *conn, const char *name)
+{
+	return MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
+}
+
+static enum MHD_Result keep_header(void *ctx, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct req *req = ctx;
+	const struct str n = str_from_c(name);
+	struct curl_slist *grown;
+	char *line = NULL;
+
+	(void)kind;
+	if (hdr_hop_by_hop(n) || str_eq_nocase(n, STR_LIT("X-Request-Id")) ||
+	    str_eq_nocase(n, STR_LIT("X-Deadline-Ms")))
+		return MHD_YES;
+	if (asprintf(&line, value && *value ? "%s: %s" : "%s;", name, value) <
+	    0)
+		return MHD_NO;
+	grown = curl_slist_append(req->headers, line);
+	free(line);
+	if (!grown)
+		return MHD_NO;
+	req->headers = grown;
+	return MHD_YES;
+}
+
+static void set_id(struct frt *frt, struct req *req, const char *wanted)
+{
+	req->number = atomic_fetch_add(&frt->next_number, 1);
+	if (wanted && hdr_request_id_ok(str_from_c(wanted))) {
+		strbuf_set(&req->id, str_from_c(wanted));
+		return;
+	}
+	req->id.len = (uint8_t)snprintf(req->id.ptr, sizeof(req->id.ptr),
+					"%016llx-%llu",
+					(unsigned long long)frt->incarnation,
+					(unsigned long long)req->number);
+}
+
+static int read_body_length(struct frt *frt, struct MHD_Connection *conn,
+			    struct req *req)
+{
+	const char *length = header(conn, "Content-Length");
+	uint64_t number = 0;
+
+	if (header(conn, "Transfer-Encoding")) {
+		req->body_length = -1;
+		return 0;
+	}
+	if (length && str_to_u64(str_from_c(length), &number))
+		return PST_ERR_REQ_HEADER;
+	if (number > frt->set->entry.max_body_bytes)
+		return PST_ERR_REQ_TOO_LARGE;
+	req->body_length = (int64_t)number;
+	if (!number)
+		pipe_close(&req->body, false);
+	return 0;
+}
+
+static int read_headers(struct MHD_Connection *conn, struct req *req)
+{
+	const char *key = header(conn, "Idempotency-Key");
+	const char *deadline = header(conn, "X-Deadline-Ms");
+	const char *priority = header(conn, "Priority");
+	struct str text;
+	int err = 0;
+
+	req->rank = RANK_NORMAL;
+	if (priority)
+		err = hdr_priority(str_from_c(priority), &req->rank);
+	if (!err && deadline)
+		err = hdr_deadline(str_from_c(deadline), &req->deadline_ms);
+	if (!err && key)
+		err = hdr_key(str_from_c(key), TKT_KEY_MAX, &text);
+	if (err || !key || req->idempotent)
+		return err;
+	memcpy(req->key, text.ptr, text.len);
+	req->keyed = true;
+	return 0;
+}
+
+static int fill_request(struct frt *frt, struct MHD_Connection *conn,
+			struct req *req, const char *uri, const char *method)
+{
+	struct str rest;
+	int err = hdr_path(str_from_c(uri), &req->service, &rest);
+
+	if (err)
+		return err;
+	req->head_only = !strcmp(method, MHD_HTTP_METHOD_HEAD);
+	req->idempotent =
+		req->head_only || !strcmp(method, MHD_HTTP_METHOD_GET);
+	req->method = strdup(method);
+	req->target = strndup(rest.ptr, rest.len);
+	if (!req->method || !req->target)
+		return PST_ERR_NOMEM;
+	set_id(frt, req, header(conn, "X-Request-Id"));
+	err = read_headers(conn, req);
+	if (!err)
+		err = read_body_length(frt, conn, req);
+	if (err)
+		return err;
+	MHD_get_connection_values(conn, MHD_HEADER_KIND, keep_header, req);
+	req->conn = conn;
+	req->caller_fd =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd;
+	req->arrived = clk_now(frt->clk);
+	return 0;
+}
+
+static unsigned status_of(int err)
+{
+	switch (err) {
+	case PST_ERR_REQ_PATH:
+		return MHD_HTTP_NOT_FOUND;
+	case PST_ERR_REQ_HEADER:
+		return MHD_HTTP_BAD_REQUEST;
+	case PST_ERR_REQ_TOO_LARGE:
+		return MHD_HTTP_CONTENT_TOO_LARGE;
+	default:
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	}
+}
+
+static enum MHD_Result begin(struct frt *frt, struct MHD_Connection *conn,
+			     struct exchange *ex, const char *method)
+{
+	struct req *req = NULL;
+	int err = req_create(&req, frt->set->entry.buffer_bytes);
+
+	if (err)
+		return MHD_NO;
+	err = fill_request(frt, conn, req, ex->uri, method);
+	if (!err)
+		err = rte_arrive(frt->rte, req);
+	if (err) {
+		/* The key of a request turned away here is not sealed. */
+		const bool not_run = !req->keyed;
+
+		req_put(req);
+		return refuse(frt, conn, status_of(err), err, not_run);
+	}
+	ex->req = req;
+	pthread_mutex_lock(&req->lock);
+	if (req->stage == REQ_WAITING ||
+	    (req->stage == REQ_OPEN && !req->body_length))
+		req_park(req);
+	pthread_mutex_unlock(&req->lock);
+	return MHD_YES;
+}
+
+static ssize_t read_answer(void *ctx, uint64_t position, char *out, size_t max)
+{
+	struct exchange *ex = ctx;
+	struct req *req = ex->req;
+	ssize_t result = 0;
+	bool kick = false;
+
+	(void)position;
+	pthread_mutex_lock(&req->lock);
+	result = (ssize_t)pipe_read(&req->answer, out, max);
+	if (result) {
+		kick = req->answer_waits;
+		req->answer_waits = false;
+	} else if (req->stage == REQ_BROKEN || req->answer.broken) {
+		result = MHD_CONTENT_READER_END_WITH_ERROR;
+	} else if (req->answer.closed) {
+		result = MHD_CONTENT_READER_END_OF_STREAM;
+	} else {
+		req_park(req);
+	}
+	pthread_mutex_unlock(&req->lock);
+	if (kick)
+		ups_kick(ex->frt->ups, req);
+	return result;
+}
+
+/* Headers of the answer were collected as "Name: value". */
+static void copy_headers(struct MHD_Response *response,
+			 const struct curl_slist *headers)
+{
+	for (; headers; headers = headers->next) {
+		const char *colon = strchr(headers->data, ':');
+		const char *value;
+		char *name;
+
+		if (!colon)
+			continue;
+		name = strndup(headers->data, (size_t)(colon - headers->data));
+		if (!name)
+			return;
+		value = colon + 1 + strspn(colon + 1, " ");
+		MHD_add_response_header(response, name, value);
+		free(name);
+	}
+}
+
+/* With the request's lock held. */
+static enum MHD_Result
+queue_answer(struct frt *frt, struct MHD_Connection *conn, struct exchange *ex)
+{
+	struct req *req = ex->req;
+	const uint64_t size = req->answer_length < 0
+				      ? MHD_SIZE_UNKNOWN
+				      : (uint64_t)req->answer_length;
+	struct MHD_Response *response = MHD_create_response_from_callback(
+		size, frt->set->entry.buffer_bytes / 2, read_answer, ex, NULL);
+	enum MHD_Result result;
+
+	if (!response)
+		return MHD_NO;
+	copy_headers(response, req->answer_headers);
+	MHD_add_response_header(response, "X-Request-Id", req->id.ptr);
+	MHD_add_response_header(response, "X-Served-By", req->upstream.ptr);
+	if (frt->closing)
+		MHD_add_response_header(response, "Connection", "close");
+	req->answer_queued = true;
+	result = MHD_queue_response(conn, req->status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static enum MHD_Result queue_refusal(const struct frt *frt,
+				     struct MHD_Connection *conn,
+				     const struct req *req)
+{
+	const struct problem problem = {
+		.status = req->status,
+		.reason = req->reason,
+		.not_run = req->not_run,
+		.request_id = strbuf_str(&req->id),
+		.close = frt->closing,
+	};
+
+	return problem_answer(conn, &problem);
+}
+
+/* With the request's lock held; sets kick when a halted transfer may go on. */
+static void take_body(struct req *req, const char *bytes, size_t *size,
+		      bool *kick)
+{
+	if (!*size && !req->body_started && req->body_length) {
+		/* The header's call; the body follows. */
+		req->body_started = true;
+		return;
+	}
+	if (*size)
+		*size -= pipe_write(&req->body, bytes, *size);
+	else
+		pipe_close(&req->body, false);
+	*kick = req->body_waits;
+	req->body_waits = false;
+	if (*size || req->body.closed)
+		req_park(req);
+}
+
+static enum MHD_Result go_on(struct frt *frt, struct MHD_Connection *conn,
+			     struct exchange *ex, const char *bytes,
+			     size_t *size)
+{
+	struct req *req = ex->req;
+	enum MHD_Result result = MHD_YES;
+	bool kick = false;
+
+	pthread_mutex_lock(&req->lock);
+	switch (req->stage) {
+	case REQ_WAITING:
+		req_park(req);
+		break;
+	case REQ_OPEN:
+		take_body(req, bytes, size, &kick);
+		break;
+	/* A body that nobody wants any more is read to its end and dropped. */
+	case REQ_ANSWERING:
+		if (*size)
+			*size = 0;
+		else
+			result = queue_answer(frt, conn, ex);
+		break;
+	case REQ_REFUSED:
+		if (*size)
+			*size = 0;
+		else
+			result = queue_refusal(frt, conn, req);
+		break;
+	case REQ_BROKEN:
+		result = MHD_NO;
+		break;
+	}
+	pthread_mutex_unlock(&req->lock);
+	if (kick)
+		ups_kick(frt->ups, req);
+	return result;
+}
+
+static enum MHD_Result answer_tickets(struct frt *frt,
+				      struct MHD_Connection *conn)
+{
+	const char *text = MHD_lookup_connection_value(
+		conn, MHD_GET_ARGUMENT_KIND, "count");
+	char tickets[MAX_TICKETS][TKT_KEY_MAX + 1];
+	struct MHD_Response *response;
+	enum MHD_Result result;
+	uint64_t count = 1;
+	char *body;
+	json_t *list;
+	json_t *object;
+
+	if (text && (str_to_u64(str_from_c(text), &count) || !count ||
+		     count > MAX_TICKETS))
+		return refuse(frt, conn, MHD_HTTP_BAD_REQUEST,
+			      PST_ERR_REQ_HEADER, true);
+	count = frt->closing ? 0 : tkt_agent_issue(frt->ticket, count, tickets);
+	if (!count)
+		return refuse(frt, conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+			      PST_ERR_REQ_TICKETS, true);
+	list = json_array();
+	for (size_t i = 0; i < count; i++)
+		json_array_append_new(list, json_string(tickets[i]));
+	object = json_pack("{s:o}", "tickets", list);
+	body = json_dumps(object, JSON_COMPACT);
+	json_decref(object);
+	if (!body)
+		return MHD_NO;
+	response = MHD_create_response_from_buffer(strlen(body), body,
+						   MHD_RESPMEM_MUST_FREE);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	result = MHD_queue_response(conn, MHD_HTTP_OK, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static bool is_tickets(const char *uri)
+{
+	static const char path[] = "/v1/tickets";
+	const size_t len = sizeof(path) - 1;
+
+	return !strncmp(uri, path, len) && (!uri[len] || uri[len] == '?');
+}
+
+static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
+				  const char *url, const char *method,
+				  const char *version, const char *bytes,
+				  size_t *size, void **state)
+{
+	struct frt *frt = ctx;
+	struct exchange *ex = *state;
+
+	(void)url;
+	(void)version;
+	if (!ex)
+		return MHD_NO;
+	if (ex->req)
+		return go_on(frt, conn, ex, bytes, size);
+	if (!is_tickets(ex->uri))
+		return begin(frt, conn, ex, method);
+	if (strcmp(method, MHD_HTTP_METHOD_POST) != 0)
+		return refuse(frt, conn, MHD_HTTP_METHOD_NOT_ALLOWED,
+			      PST_ERR_REQ_METHOD, true);
+	return answer_tickets(frt, conn);
+}
+
+/* The path is passed on as it came, so it is taken before decoding. */
+static void *on_uri(void *ctx, const char *uri, struct MHD_Connection *conn)
+{
+	struct exchange *ex = calloc(1, sizeof(*ex));
+
+	(void)conn;
+	if (!ex)
+		return NULL;
+	ex->frt = ctx;
+	ex->uri = strdup(uri);
+	if (!ex->uri) {
+		free(ex);
+		return NULL;
+	}
+	return ex;
+}
+
+static void leave_request(struct frt *frt, struct req *req, bool whole)
+{
+	pthread_mutex_lock(&req->lock);
+	req->conn = NULL;
+	if (!whole) {
+		if (req->stage != REQ_REFUSED)
+			req->stage = REQ_BROKEN;
+		pipe_close(&req->body, true);
+	}
+	pthread_mutex_unlock(&req->lock);
+	if (!whole) {
+		ups_kick(frt->ups, req);
+		rte_gone(frt->rte, req);
+	}
+	req_put(req);
+}
+
+static void on_completed(void *ctx, struct MHD_Connection *conn, void **state,
+			 enum MHD_RequestTerminationCode code)
+{
+	struct exchange *ex = *state;
+
+	(void)conn;
+	if (!ex)
+		return;
+	if (ex->req)
+		leave_request(ctx, ex->req,
+			      code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+	free(ex->uri);
+	free(ex);
+	*state = NULL;
+}
+
+int frt_start(struct frt **out, const struct settings *set,
+	      const struct clk *clk, struct rte *rte, struct ups *ups,
+	      struct tkt_agent *ticket)
+{
+	const struct set_entry *entry = &set->entry;
+	struct frt *frt = calloc(1, sizeof(*frt));
+	struct net_addr addr;
+
+	if (!frt)
+		return PST_ERR_NOMEM;
+	frt->set = set;
+	frt->clk = clk;
+	frt->rte = rte;
+	frt->ups = ups;
+	frt->ticket = ticket;
+	frt->next_number = 1;
+	if (net_addr_make(&addr, set->vm.address, (uint16_t)entry->port) ||
+	    getrandom(&frt->incarnation, sizeof(frt->incarnation), 0) < 0) {
+		free(frt);
+		return PST_ERR_HTTP;
+	}
+	frt->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME |
+			(addr.ss.ss_family == AF_INET6 ? MHD_USE_IPv6 : 0),
+		(uint16_t)entry->port, NULL, NULL, on_request, frt,
+		MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&addr.ss,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned)entry->max_connections,
+		MHD_OPTION_CONNECTION_TIMEOUT,
+		(unsigned)((entry->idle_timeout_ms + 999) / 1000),
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+		(size_t)entry->max_header_bytes + CONNECTION_SPARE,
+		MHD_OPTION_THREAD_POOL_SIZE,
+		entry->threads > 1 ? (unsigned)entry->threads : 0,
+		MHD_OPTION_URI_LOG_CALLBACK, on_uri, frt,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, frt, MHD_OPTION_END);
+	if (!frt->daemon) {
+		free(frt);
+		return PST_ERR_HTTP;
+	}
+	*out = frt;
+	return 0;
+}
+
+void frt_close(struct frt *frt)
+{
+	frt->closing = true;
+}
+
+void frt_stop(struct frt *frt)
+{
+	MHD_stop_daemon(frt->daemon);
+	free(frt);
+}
--- /dev/null
+++ b/entryd/main.c
@@ -0,0 +1,180 @@
+/* pst-entryd: takes callers' requests and carries them to upstreams. */
+#include <signal.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include <apr_general.h>
+#include <curl/curl.h>
+
+#include "common/admin.h"
+#include "common/cli.h"
+#include "common/err.h"
+#include "common/evt.h"
+#include "common/rpcs.h"
+#include "entryd/front.h"
+
+#define LOG_MODULE "entry.main"
+
+struct daemon {
+	struct settings *set;
+	const struct clk *clk;
+	struct rte_parts parts;
+	struct rte *rte;
+	struct frt *frt;
+	struct admin *admin;
+};
+
+static bool allow_peer(void *ctx, struct str ip)
+{
+	const struct daemon *d = ctx;
+	struct ctl_view *view;
+	bool listed;
+
+	if (str_eq(ip, d->set->vm.address) || rpcs_peer_listed(d->set, ip))
+		return true;
+	view = ctl_agent_view(d->parts.ctl);
+	if (!view)
+		return false;
+	listed = vml_has_entry_address(view->vml, ip);
+	ctl_view_put(view);
+	return listed;
+}
+
+static int start_agents(struct daemon *d)
+{
+	const struct rpcs_gate gate = {.allow = allow_peer, .ctx = d};
+	struct rte_parts *p = &d->parts;
+	int err = ctl_agent_start(&p->ctl, d->set, d->clk);
+
+	if (!err)
+		err = quota_agent_start(&p->quota, d->set, d->clk, p->ctl);
+	if (!err)
+		err = permit_agent_start(&p->permit, d->set, d->clk, p->ctl,
+					 rte_on_permit, d->rte);
+	if (!err)
+		err = tkt_agent_start(&p->ticket, d->set, d->clk, p->ctl,
+				      rte_on_ticket, d->rte);
+	if (!err)
+		err = rpcs_start(d->set->vm.address,
+				 (uint16_t)d->set->entry.rpc_port, gate);
+	return err;
+}
+
+static int start(struct daemon *d)
+{
+	int err = rte_create(&d->rte, d->set, d->clk);
+
+	if (!err)
+		err = start_agents(d);
+	if (!err)
+		err = ups_start(&d->parts.ups, d->set, d->clk, d->parts.quota,
+				d->rte);
+	if (!err)
+		err = rte_start(d->rte, &d->parts);
+	if (!err)
+		err = admin_start(&d->admin, d->set,
+				  (uint16_t)d->set->entry.admin_port);
+	if (!err)
+		err = frt_start(&d->frt, d->set, d->clk, d->rte, d->parts.ups,
+				d->parts.ticket);
+	return err;
+}
+
+/* Ticks until one of the signals arrives or, if wanted, nothing is left. */
+static int tick_until(struct daemon *d, const sigset_t *signals,
+		      apr_time_t until, bool until_idle)
+{
+	const struct timespec tick = {
+		.tv_nsec = RTE_TICK * 1000,
+	};
+
+	while (clk_now(d->clk) < until) {
+		const int got = sigtimedwait(signals, NULL, &tick);
+
+		if (got > 0)
+			return got;
+		rte_tick(d->rte);
+		if (until_idle && !rte_in_progress(d->rte))
+			return 0;
+	}
+	return 0;
+}
+
+/*
+ * Serves on for the grace time, during which callers with old look-up
+ * answers still come; then refuses new work and finishes what is here.
+ */
+static void drain(struct daemon *d, const sigset_t *signals)
+{
+	const apr_time_t began = clk_now(d->clk);
+	const apr_interval_time_t grace = CLK_MS(d->set->entry.leave_grace_ms);
+
+	evt_log(ENTRY_LEAVING, "in_progress=%zu grace_ms=%llu",
+		rte_in_progress(d->rte),
+		(unsigned long long)d->set->entry.leave_grace_ms);
+	frt_close(d->frt);
+	if (!tick_until(d, signals, began + grace, false)) {
+		rte_close(d->rte);
+		tick_until(d, signals, INT64_MAX, true);
+		tkt_agent_drain(d->parts.ticket);
+	}
+	evt_log(PROCESS_EXIT, "program=pst-entryd drain_ms=%lld",
+		(long long)(clk_now(d->clk) - began) / 1000);
+}
+
+static void stop(struct daemon *d)
+{
+	frt_stop(d->frt);
+	rpcs_stop();
+	ups_stop(d->parts.ups);
+	tkt_agent_stop(d->parts.ticket);
+	permit_agent_stop(d->parts.permit);
+	quota_agent_stop(d->parts.quota);
+	rte_stop(d->rte);
+	ctl_agent_stop(d->parts.ctl);
+	rte_destroy(d->rte);
+	admin_stop(d->admin);
+}
+
+static int run(struct daemon *d)
+{
+	sigset_t signals;
+	int err;
+
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	err = start(d);
+	if (err) {
+		evt_log(PROCESS_STOP, "program=pst-entryd reason=%s",
+			err_name(err));
+		return CLI_EXIT_UNAVAILABLE;
+	}
+	evt_log(PROCESS_READY, "program=pst-entryd");
+	tick_until(d, &signals, INT64_MAX, false);
+	evt_log(PROCESS_STOP, "program=pst-entryd reason=signal");
+	drain(d, &signals);
+	stop(d);
+	return CLI_EXIT_OK;
+}
+
+int main(int argc, char **argv)
+{
+	struct daemon d = {.clk = clk_system()};
+	int status = CLI_EXIT_OK;
+
+	if (cli_start("pst-entryd", "Carries callers' requests to upstreams.",
+		      argc, argv, &d.set, &status) == CLI_DONE)
+		return status;
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
+	evt_log(PROCESS_START, "program=pst-entryd version=%s vm=%s",
+		PST_VERSION, d.set->vm.id.ptr);
+	status = run(&d);
+	curl_global_cleanup();
+	apr_terminate();
+	set_free(d.set);
+	return status;
+}
--- /dev/null
+++ b/entryd/ups.c
@@ -0,0 +1,334 @@
+#include "entryd/ups.h"
+
+#include <stdlib.h>
+
+#include <apr_hash.h>
+#include <apr_queue.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "entryd/route.h"
+#include "entryd/xfer.h"
+
+#define LOG_MODULE "entry.upstream"
+
+/* Orders that each request may have under way, and spare. */
+#define ORDERS_PER_REQUEST 6
+#define ORDERS_SPARE	   64
+
+/* Longest wait of the loop while a transfer is throttled, and otherwise. */
+#define WAIT_THROTTLED_MS 5
+#define WAIT_MS		  50
+
+enum order_kind {
+	ORDER_SEND,
+	ORDER_ABORT,
+	ORDER_KICK,
+	ORDER_STOP,
+};
+
+struct order {
+	enum order_kind kind;
+	struct req *req;
+	struct ups_target target;
+};
+
+/* How often an upstream's connections were given up. */
+struct generation {
+	struct strbuf upstream;
+	unsigned count;
+};
+
+struct ups {
+	struct xfer_env env;
+	apr_pool_t *pool;
+	apr_queue_t *ring;
+	apr_hash_t *generations;
+	CURLM *multi;
+	struct xfer *active;
+	pthread_t thread;
+};
+
+static void post(struct ups *ups, enum order_kind kind, struct req *req,
+		 const struct ups_target *target)
+{
+	struct order *order = calloc(1, sizeof(*order));
+
+	if (!order)
+		abort();
+	order->kind = kind;
+	order->req = req;
+	if (target)
+		order->target = *target;
+	if (req)
+		req_get(req);
+	if (apr_queue_push(ups->ring, order) != APR_SUCCESS) {
+		if (req)
+			req_put(req);
+		free(order);
+		return;
+	}
+	curl_multi_wakeup(ups->multi);
+}
+
+static struct generation *generation_of(struct ups *ups,
+					const struct strbuf *upstream)
+{
+	struct generation *g =
+		apr_hash_get(ups->generations, upstream->ptr, upstream->len);
+
+	if (g)
+		return g;
+	g = apr_pcalloc(ups->pool, sizeof(*g));
+	g->upstream = *upstream;
+	apr_hash_set(ups->generations, g->upstream.ptr, g->upstream.len, g);
+	return g;
+}
+
+static void unlink_xfer(struct ups *ups, struct xfer *x)
+{
+	struct xfer **at = &ups->active;
+
+	while (*at != x)
+		at = &(*at)->next;
+	*at = x->next;
+	if (x->started)
+		curl_multi_remove_handle(ups->multi, x->easy);
+	x->req->transfer = NULL;
+}
+
+static bool replayable(struct req *req)
+{
+	bool ok;
+
+	pthread_mutex_lock(&req->lock);
+	ok = pipe_can_rewind(&req->body) && !req->body.broken;
+	if (ok)
+		pipe_rewind(&req->body);
+	pthread_mutex_unlock(&req->lock);
+	return ok;
+}
+
+static void end_xfer(struct ups *ups, struct xfer *x, enum pth_result result)
+{
+	struct req *req = x->req;
+	const bool again = result != PTH_RESULT_WHOLE && replayable(req);
+
+	unlink_xfer(ups, x);
+	if (result == PTH_RESULT_WHOLE)
+		xfer_complete(x);
+	rte_result(ups->env.rte, req, result, again, x->status);
+	xfer_destroy(x);
+}
+
+/* A transfer waits here for room on its link. */
+static void try_start(struct ups *ups, struct xfer *x)
+{
+	if (x->started)
+		return;
+	x->throttled = !xfer_prepay(x);
+	if (x->throttled)
+		return;
+	x->started = true;
+	curl_multi_add_handle(ups->multi, x->easy);
+}
+
+static void start_xfer(struct ups *ups, struct order *order)
+{
+	const struct generation *g =
+		generation_of(ups, &order->target.upstream);
+	struct xfer *x = NULL;
+	const int err = xfer_create(&x, &ups->env, order->req, &order->target,
+				    g->count);
+
+	if (err) {
+		rte_result(ups->env.rte, order->req, PTH_RESULT_NOT_SENT,
+			   replayable(order->req), 0);
+		return;
+	}
+	x->next = ups->active;
+	ups->active = x;
+	order->req->transfer = x;
+	try_start(ups, x);
+}
+
+static void abort_xfer(struct ups *ups, struct req *req)
+{
+	struct xfer *x = req->transfer;
+
+	if (!x)
+		return;
+	unlink_xfer(ups, x);
+	xfer_destroy(x);
+}
+
+/* Returns true when the thread is to stop. */
+static bool obey(struct ups *ups, struct order *order)
+{
+	switch (order->kind) {
+	case ORDER_SEND:
+		start_xfer(ups, order);
+		break;
+	case ORDER_ABORT:
+		abort_xfer(ups, order->req);
+		break;
+	case ORDER_KICK:
+		order->req->kicked = false;
+		if (order->req->transfer)
+			xfer_resume(order->req->transfer);
+		break;
+	case ORDER_STOP:
+		return true;
+	}
+	return false;
+}
+
+static bool obey_all(struct ups *ups)
+{
+	void *item = NULL;
+	bool stop = false;
+
+	while (apr_queue_trypop(ups->ring, &item) == APR_SUCCESS) {
+		struct order *order = item;
+
+		stop = obey(ups, order) || stop;
+		if (order->req)
+			req_put(order->req);
+		free(order);
+	}
+	return stop;
+}
+
+static void collect(struct ups *ups)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(ups->multi, &left))) {
+		const CURLcode code = msg->data.result;
+		struct xfer *x = NULL;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &x);
+		end_xfer(ups, x, xfer_conclude(x, code));
+	}
+}
+
+/* A slow answer to a request that must run once is waited for. */
+static bool give_up_silent(const struct xfer *x)
+{
+	return x->req->idempotent || x->head_published ||
+	       (x->req->body_length && !x->req->body.closed);
+}
+
+static void end_silent(struct ups *ups, struct xfer *x)
+{
+	const enum pth_result result =
+		x->head_published ? PTH_RESULT_TRUNCATED : PTH_RESULT_SILENT;
+
+	evt_log(UPSTREAM_SUSPECT, "upstream=%s req=%s", x->target.upstream.ptr,
+		x->req->id.ptr);
+	generation_of(ups, &x->target.upstream)->count++;
+	end_xfer(ups, x, result);
+}
+
+/* Returns whether a transfer waits for a link's limit. */
+static bool look_over(struct ups *ups)
+{
+	const apr_time_t now = clk_now(ups->env.clk);
+	bool throttled = false;
+	struct xfer *next;
+
+	for (struct xfer *x = ups->active; x; x = next) {
+		next = x->next;
+		if (!x->started)
+			try_start(ups, x);
+		else if (x->throttled)
+			xfer_resume(x);
+		throttled = throttled || x->throttled;
+		if (xfer_silent(x, now) && give_up_silent(x))
+			end_silent(ups, x);
+	}
+	return throttled;
+}
+
+static void *carry(void *arg)
+{
+	struct ups *ups = arg;
+	int running = 0;
+
+	while (!obey_all(ups)) {
+		bool throttled;
+
+		curl_multi_perform(ups->multi, &running);
+		collect(ups);
+		throttled = look_over(ups);
+		curl_multi_poll(ups->multi, NULL, 0,
+				throttled ? WAIT_THROTTLED_MS : WAIT_MS, NULL);
+	}
+	while (ups->active)
+		abort_xfer(ups, ups->active->req);
+	return NULL;
+}
+
+int ups_start(struct ups **out, const struct settings *set,
+	      const struct clk *clk, struct quota_agent *quota, struct rte *rte)
+{
+	const unsigned capacity =
+		(unsigned)set->entry.max_requests * ORDERS_PER_REQUEST +
+		ORDERS_SPARE;
+	struct ups *ups = calloc(1, sizeof(*ups));
+
+	if (!ups)
+		return PST_ERR_NOMEM;
+	ups->env = (struct xfer_env){
+		.set = set,
+		.clk = clk,
+		.quota = quota,
+		.rte = rte,
+	};
+	apr_pool_create(&ups->pool, NULL);
+	ups->generations = apr_hash_make(ups->pool);
+	ups->multi = curl_multi_init();
+	if (!ups->multi ||
+	    apr_queue_create(&ups->ring, capacity, ups->pool) != APR_SUCCESS)
+		goto fail;
+	curl_multi_setopt(ups->multi, CURLMOPT_MAXCONNECTS,
+			  (long)XFER_MAX_IDLE_CONNECTIONS);
+	if (pthread_create(&ups->thread, NULL, carry, ups))
+		goto fail;
+	*out = ups;
+	return 0;
+fail:
+	if (ups->multi)
+		curl_multi_cleanup(ups->multi);
+	apr_pool_destroy(ups->pool);
+	free(ups);
+	return PST_ERR_HTTP;
+}
+
+void ups_stop(struct ups *ups)
+{
+	post(ups, ORDER_STOP, NULL, NULL);
+	pthread_join(ups->thread, NULL);
+	curl_multi_cleanup(ups->multi);
+	apr_pool_destroy(ups->pool);
+	free(ups);
+}
+
+void ups_send(struct ups *ups, struct req *req, const struct ups_target *target)
+{
+	post(ups, ORDER_SEND, req, target);
+}
+
+void ups_abort(struct ups *ups, struct req *req)
+{
+	post(ups, ORDER_ABORT, req, NULL);
+}
+
+void ups_kick(struct ups *ups, struct req *req)
+{
+	if (!atomic_exchange(&req->kicked, true))
+		post(ups, ORDER_KICK, req, NULL);
+}
--- /dev/null
+++ b/entryd/xfer.c
@@ -0,0 +1,562 @@
+#include "entryd/xfer.h"
+
+#include <netinet/tcp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "common/net.h"
+#include "entryd/route.h"
+
+/* Bytes that libcurl reads at a time. */
+#define READ_BYTES 16384
+
+/* How long an idle connection is kept, in seconds. */
+
+#define MAX_IDLE_S 30
+
+/* Keep-alive probes of connections on which nothing moves, in seconds. */
+#define PROBE_IDLE_S	    2
+#define PROBE_INTERVAL_S    1
+
+#define STATUS_NO_CONTENT   204
+#define STATUS_NOT_MODIFIED 304
+#define STATUS_UNAVAILABLE  503
+
+static void note_progress(struct xfer *x)
+{
+	x->last_progress = clk_now(x->env->clk);
+}
+
+static bool crosses_link(const struct xfer *x)
+{
+	return x->target.here != x->target.there;
+}
+
+/* Takes bytes of the link for sending; all or less. */
+static size_t take_outward(struct xfer *x, size_t want)
+{
+	if (!crosses_link(x))
+		return want;
+	return quota_take_bytes(x->env->quota, x->target.here, x->target.there,
+				x->req->rank, want);
+}
+
+/* Takes bytes of the link for an answer; all or none. */
+static bool take_inward(struct xfer *x, size_t want)
+{
+	size_t got;
+
+	if (!crosses_link(x))
+		return true;
+	got = quota_take_bytes(x->env->quota, x->target.there, x->target.here,
+			       x->req->rank, want);
+	if (got == want)
+		return true;
+	quota_return_bytes(x->env->quota, x->target.there, x->target.here, got);
+	return false;
+}
+
+static size_t on_send(char *buffer, size_t size, size_t count, void *ctx)
+{
+	struct xfer *x = ctx;
+	struct req *req = x->req;
+	size_t want = size * count;
+	size_t given = 0;
+	bool at_end;
+	bool broken;
+
+	pthread_mutex_lock(&req->lock);
+	if (pipe_used(&req->body) < want)
+		want = pipe_used(&req->body);
+	if (want)
+		given = take_outward(x, want);
+	if (given)
+		pipe_read(&req->body, buffer, given);
+	at_end = req->body.closed && !pipe_used(&req->body);
+	broken = req->body.broken;
+	req->body_waits = !given && !at_end && !broken && !want;
+	if (given)
+		req_wake(req);
+	pthread_mutex_unlock(&req->lock);
+
+	if (broken) {
+		x->caller_broke = true;
+		return CURL_READFUNC_ABORT;
+	}
+	if (given) {
+		note_progress(x);
+		return given;
+	}
+	if (at_end)
+		return 0;
+	x->throttled = want > 0;
+	x->send_halted = true;
+	return CURL_READFUNC_PAUSE;
+}
+
+/* libcurl rewinds a body only before the first byte of an answer. */
+static int on_seek(void *ctx, curl_off_t offset, int origin)
+{
+	struct xfer *x = ctx;
+	int result = CURL_SEEKFUNC_FAIL;
+
+	pthread_mutex_lock(&x->req->lock);
+	if (!offset && origin == SEEK_SET && pipe_can_rewind(&x->req->body)) {
+		pipe_rewind(&x->req->body);
+		result = CURL_SEEKFUNC_OK;
+	}
+	pthread_mutex_unlock(&x->req->lock);
+	return result;
+}
+
+static bool has_no_body(const struct xfer *x)
+{
+	return x->req->head_only || x->status == STATUS_NO_CONTENT ||
+	       x->status == STATUS_NOT_MODIFIED || x->stated_length == 0;
+}
+
+/* Hands the head to the caller's side; the body may follow. */
+static void publish_head(struct xfer *x)
+{
+	struct req *req = x->req;
+
+	if (x->head_published)
+		return;
+	x->head_published = true;
+	pthread_mutex_lock(&req->lock);
+	if (req->stage == REQ_OPEN || req->stage == REQ_WAITING) {
+		req->stage = REQ_ANSWERING;
+		req->status = x->status;
+		req->answer_length = has_no_body(x) && !req->head_only
+					     ? 0
+					     : x->stated_length;
+		req->answer_headers = x->answer_headers;
+		x->answer_headers = NULL;
+		req_wake(req);
+	}
+	pthread_mutex_unlock(&req->lock);
+	rte_head(x->env->rte, req);
+}
+
+static void update_digest(struct xfer *x, const void *bytes, size_t len)
+{
+	if (!x->digest_stated)
+		return;
+	EVP_DigestUpdate(x->digest_ctx, bytes, len);
+}
+
+static bool digest_agrees(struct xfer *x)
+{
+	unsigned char got[EVP_MAX_MD_SIZE];
+	unsigned len = 0;
+
+	if (!x->digest_stated || x->req->head_only)
+		return true;
+	EVP_DigestFinal_ex(x->digest_ctx, got, &len);
+	return len == HDR_DIGEST_BYTES && !memcmp(got, x->digest, len);
+}
+
+/* Writes all but the newest byte; the caller checked the space. */
+static void pass_bytes(struct xfer *x, const unsigned char *bytes, size_t len)
+{
+	struct pipe *pipe = &x->req->answer;
+
+	if (x->byte_held)
+		pipe_write(pipe, &x->held, 1);
+	pipe_write(pipe, bytes, len - 1);
+	x->held = bytes[len - 1];
+	x->byte_held = true;
+}
+
+static size_t halt_receive(struct xfer *x, bool throttled)
+{
+	x->throttled = throttled;
+	x->receive_halted = true;
+	return CURL_WRITEFUNC_PAUSE;
+}
+
+static size_t on_body(char *bytes, size_t size, size_t count, void *ctx)
+{
+	struct xfer *x = ctx;
+	const size_t len = size * count;
+	bool unwanted;
+	bool room;
+
+	if (x->id_mismatch || x->shed)
+		return len;
+	if (!len)
+		return 0;
+	pthread_mutex_lock(&x->req->lock);
+	room = pipe_space(&x->req->answer) > len;
+	unwanted = x->req->stage == REQ_BROKEN;
+	x->req->answer_waits = !room && !unwanted;
+	pthread_mutex_unlock(&x->req->lock);
+	if (unwanted)
+		return len;
+	if (!room)
+		return halt_receive(x, false);
+	if (!take_inward(x, len))
+		return halt_receive(x, true);
+	note_progress(x);
+	x->received += len;
+	update_digest(x, bytes, len);
+	publish_head(x);
+	pthread_mutex_lock(&x->req->lock);
+	pass_bytes(x, (const unsigned char *)bytes, len);
+	req_wake(x->req);
+	pthread_mutex_unlock(&x->req->lock);
+	return len;
+}
+
+static void start_head(struct xfer *x)
+{
+	curl_slist_free_all(x->answer_headers);
+	x->answer_headers = NULL;
+	x->stated_length = -1;
+	x->shed = false;
+	x->id_mismatch = false;
+	x->digest_stated = false;
+}
+
+static void start_digest(struct xfer *x, struct str value)
+{
+	if (hdr_digest(value, x->digest))
+		return;
+	if (!x->digest_ctx)
+		x->digest_ctx = EVP_MD_CTX_new();
+	x->digest_stated = x->digest_ctx &&
+			   EVP_DigestInit_ex(x->digest_ctx, EVP_sha256(), NULL);
+}
+
+static void keep_header(struct xfer *x, struct str line)
+{
+	char *text = malloc(line.len + 1);
+	struct curl_slist *grown;
+
+	if (!text)
+		return;
+	memcpy(text, line.ptr, line.len);
+	text[line.len] = '\0';
+	grown = curl_slist_append(x->answer_headers, text);
+	if (grown)
+		x->answer_headers = grown;
+	free(text);
+}
+
+static void read_header(struct xfer *x, struct str line)
+{
+	const char *colon = memchr(line.ptr, ':', line.len);
+	struct str name = {.ptr = line.ptr};
+	struct str value;
+	uint64_t number;
+
+	if (!colon)
+		return;
+	name.len = (size_t)(colon - line.ptr);
+	value.ptr = colon + 1;
+	value.len = line.len - name.len - 1;
+	while (value.len && *value.ptr == ' ') {
+		value.ptr++;
+		value.len--;
+	}
+	if (str_eq_nocase(name, STR_LIT("X-Request-Id"))) {
+		x->id_mismatch = !str_eq(value, strbuf_str(&x->req->id));
+		return;
+	}
+	if (str_eq_nocase(name, STR_LIT("Content-Length")) &&
+	    !str_to_u64(value, &number) && number <= INT64_MAX)
+		x->stated_length = (int64_t)number;
+	if (str_eq_nocase(name, STR_LIT("X-Not-Run")))
+		x->shed = str_eq(value, STR_LIT("1"));
+	if (str_eq_nocase(name, STR_LIT("Content-Digest")))
+		start_digest(x, value);
+	if (!hdr_hop_by_hop(name))
+		keep_header(x, line);
+}
+
+static size_t on_header(char *bytes, size_t size, size_t count, void *ctx)
+{
+	struct xfer *x = ctx;
+	const size_t len = size * count;
+	struct str line = {.ptr = bytes, .len = len};
+	long status = 0;
+
+	note_progress(x);
+	while (line.len && strchr("\r\n", line.ptr[line.len - 1]))
+		line.len--;
+	if (line.len > 5 && !memcmp(line.ptr, "HTTP/", 5)) {
+		start_head(x);
+		return len;
+	}
+	if (line.len) {
+		read_header(x, line);
+		return len;
+	}
+	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < 200)
+		return len;
+	x->status = (unsigned)status;
+	x->shed = x->shed && x->status == STATUS_UNAVAILABLE;
+	x->head_complete = true;
+	return len;
+}
+
+static int on_socket(void *ctx, curl_socket_t fd, curlsocktype purpose)
+{
+	const struct xfer *x = ctx;
+	int value = (int)x->env->set->entry.silence_timeout_ms;
+
+	(void)purpose;
+	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
+	if (crosses_link(x)) {
+		/* The kernel doubles the value for its own bookkeeping. */
+		value = (int)x->env->set->entry.link_window_bytes / 2;
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+	}
+	return CURL_SOCKOPT_OK;
+}
+
+static bool add_header(struct xfer *x, const char *text)
+{
+	struct curl_slist *grown = curl_slist_append(x->headers, text);
+
+	if (grown)
+		x->headers = grown;
+	return grown != NULL;
+}
+
+static int set_headers(struct xfer *x)
+{
+	const struct req *req = x->req;
+	const apr_interval_time_t left = req->deadline - clk_now(x->env->clk);
+	char text[256];
+	bool ok = true;
+
+	for (const struct curl_slist *h = req->headers; h; h = h->next)
+		ok = ok && add_header(x, h->data);
+	snprintf(text, sizeof(text), "Host: %s:%u", x->target.address.ptr,
+		 x->target.port);
+	ok = ok && add_header(x, text);
+	snprintf(text, sizeof(text), "X-Request-Id: %s", req->id.ptr);
+	ok = ok && add_header(x, text);
+	snprintf(text, sizeof(text), "X-Deadline-Ms: %lld",
+		 (long long)(left > 1000 ? left / 1000 : 1));
+	ok = ok && add_header(x, text);
+	ok = ok && add_header(x, "Expect:");
+	if (!ok)
+		return PST_ERR_NOMEM;
+	curl_easy_setopt(x->easy, CURLOPT_HTTPHEADER, x->headers);
+	return 0;
+}
+
+static void set_method(struct xfer *x)
+{
+	const struct req *req = x->req;
+
+	if (req->head_only) {
+		curl_easy_setopt(x->easy, CURLOPT_NOBODY, 1L);
+		return;
+	}
+	if (req->body_length) {
+		curl_easy_setopt(x->easy, CURLOPT_UPLOAD, 1L);
+		curl_easy_setopt(x->easy, CURLOPT_INFILESIZE_LARGE,
+				 (curl_off_t)req->body_length);
+	} else if (strcmp(req->method, "GET") != 0) {
+		curl_easy_setopt(x->easy, CURLOPT_POSTFIELDS, "");
+		curl_easy_setopt(x->easy, CURLOPT_POSTFIELDSIZE, 0L);
+	}
+	curl_easy_setopt(x->easy, CURLOPT_CUSTOMREQUEST, req->method);
+}
+
+/*
+ * The URL's host names the upstream and a generation; libcurl keeps its
+ * connections by that name, so a new generation leaves the old ones unused.
+ */
+static void set_place(struct xfer *x, unsigned generation)
+{
+	const struct settings *set = x->env->set;
+	struct curl_slist *to;
+	struct net_addr proxy;
+	struct strbuf ip;
+	char text[512];
+
+	snprintf(text, sizeof(text), "http://%s.g%u.invalid",
+		 x->target.upstream.ptr, generation);
+	curl_easy_setopt(x->easy, CURLOPT_URL, text);
+	curl_easy_setopt(x->easy, CURLOPT_REQUEST_TARGET, x->req->target);
+	snprintf(text, sizeof(text), "::%s:%u", x->target.address.ptr,
+		 x->target.port);
+	to = curl_slist_append(NULL, text);
+	curl_easy_setopt(x->easy, CURLOPT_CONNECT_TO, to);
+	x->connect_to = to;
+	snprintf(text, sizeof(text), "host!%s", set->vm.address.ptr);
+	curl_easy_setopt(x->easy, CURLOPT_INTERFACE, text);
+	if (str_eq(strbuf_str(&x->target.region), set->vm.region) ||
+	    net_proxy_for(set, strbuf_str(&x->target.region), &proxy))
+		return;
+	net_addr_ip(&proxy, &ip);
+	snprintf(text, sizeof(text), "http://%s:%u", ip.ptr,
+		 net_addr_port(&proxy));
+	curl_easy_setopt(x->easy, CURLOPT_PROXY, text);
+	curl_easy_setopt(x->easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
+	curl_easy_setopt(x->easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+}
+
+static void set_callbacks(struct xfer *x)
+{
+	curl_easy_setopt(x->easy, CURLOPT_PRIVATE, x);
+	curl_easy_setopt(x->easy, CURLOPT_READFUNCTION, on_send);
+	curl_easy_setopt(x->easy, CURLOPT_READDATA, x);
+	curl_easy_setopt(x->easy, CURLOPT_SEEKFUNCTION, on_seek);
+	curl_easy_setopt(x->easy, CURLOPT_SEEKDATA, x);
+	curl_easy_setopt(x->easy, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(x->easy, CURLOPT_WRITEDATA, x);
+	curl_easy_setopt(x->easy, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(x->easy, CURLOPT_HEADERDATA, x);
+	curl_easy_setopt(x->easy, CURLOPT_SOCKOPTFUNCTION, on_socket);
+	curl_easy_setopt(x->easy, CURLOPT_SOCKOPTDATA, x);
+}
+
+static void set_bounds(struct xfer *x)
+{
+	const struct set_entry *entry = &x->env->set->entry;
+	const uint64_t half = entry->buffer_bytes / 2;
+
+	curl_easy_setopt(x->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(x->easy, CURLOPT_HTTP_VERSION,
+			 (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(x->easy, CURLOPT_BUFFERSIZE,
+			 (long)(half < READ_BYTES ? half : READ_BYTES));
+	curl_easy_setopt(x->easy, CURLOPT_CONNECTTIMEOUT_MS,
+			 (long)entry->connect_timeout_ms);
+	curl_easy_setopt(x->easy, CURLOPT_MAXAGE_CONN, (long)MAX_IDLE_S);
+	curl_easy_setopt(x->easy, CURLOPT_TCP_KEEPALIVE, 1L);
+	curl_easy_setopt(x->easy, CURLOPT_TCP_KEEPIDLE, (long)PROBE_IDLE_S);
+	curl_easy_setopt(x->easy, CURLOPT_TCP_KEEPINTVL,
+			 (long)PROBE_INTERVAL_S);
+	if (!x->req->idempotent)
+		curl_easy_setopt(x->easy, CURLOPT_FRESH_CONNECT, 1L);
+}
+
+int xfer_create(struct xfer **out, const struct xfer_env *env, struct req *req,
+		const struct ups_target *target, unsigned generation)
+{
+	struct xfer *x = calloc(1, sizeof(*x));
+
+	if (!x)
+		return PST_ERR_NOMEM;
+	x->env = env;
+	x->req = req;
+	x->target = *target;
+	x->stated_length = -1;
+	req_get(req);
+	note_progress(x);
+	x->easy = curl_easy_init();
+	if (!x->easy || set_headers(x)) {
+		xfer_destroy(x);
+		return PST_ERR_HTTP;
+	}
+	set_place(x, generation);
+	set_method(x);
+	set_callbacks(x);
+	set_bounds(x);
+	*out = x;
+	return 0;
+}
+
+bool xfer_prepay(struct xfer *x)
+{
+	if (!crosses_link(x) || x->prepaid)
+		return true;
+	if (!take_inward(x, x->env->set->entry.link_window_bytes))
+		return false;
+	x->prepaid = x->env->set->entry.link_window_bytes;
+	return true;
+}
+
+void xfer_destroy(struct xfer *x)
+{
+	if (x->prepaid)
+		quota_return_bytes(x->env->quota, x->target.there,
+				   x->target.here, x->prepaid);
+	if (x->easy)
+		curl_easy_cleanup(x->easy);
+	curl_slist_free_all(x->headers);
+	curl_slist_free_all(x->connect_to);
+	curl_slist_free_all(x->answer_headers);
+	EVP_MD_CTX_free(x->digest_ctx);
+	req_put(x->req);
+	free(x);
+}
+
+void xfer_resume(struct xfer *x)
+{
+	if (!x->send_halted && !x->receive_halted)
+		return;
+	x->throttled = false;
+	x->send_halted = false;
+	x->receive_halted = false;
+	curl_easy_pause(x->easy, CURLPAUSE_CONT);
+}
+
+/* Whether a byte of the request can have left for the upstream. */
+static bool may_have_left(const struct xfer *x)
+{
+	curl_off_t body = 0;
+	long header = 0;
+
+	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &header);
+	curl_easy_getinfo(x->easy, CURLINFO_SIZE_UPLOAD_T, &body);
+	return header > 0 || body > 0;
+}
+
+enum pth_result xfer_conclude(struct xfer *x, CURLcode code)
+{
+	if (x->head_complete && x->id_mismatch)
+		return PTH_RESULT_BAD;
+	if (x->head_complete && x->shed && code == CURLE_OK)
+		return PTH_RESULT_SHED;
+	if (code == CURLE_OK && x->head_complete) {
+		if (digest_agrees(x))
+			return PTH_RESULT_WHOLE;
+		return x->head_published ? PTH_RESULT_TRUNCATED
+					 : PTH_RESULT_BAD;
+	}
+	if (x->head_published)
+		return PTH_RESULT_TRUNCATED;
+	if (code == CURLE_COULDNT_CONNECT ||
+	    code == CURLE_COULDNT_RESOLVE_PROXY ||
+	    code == CURLE_COULDNT_RESOLVE_HOST ||
+	    code == CURLE_INTERFACE_FAILED)
+		return PTH_RESULT_NOT_SENT;
+	if (!may_have_left(x))
+		return PTH_RESULT_NOT_SENT;
+	return PTH_RESULT_LOST;
+}
+
+void xfer_complete(struct xfer *x)
+{
+	struct req *req = x->req;
+
+	publish_head(x);
+	pthread_mutex_lock(&req->lock);
+	if (x->byte_held)
+		pipe_write(&req->answer, &x->held, 1);
+	pipe_close(&req->answer, false);
+	req_wake(req);
+	pthread_mutex_unlock(&req->lock);
+}
+
+bool xfer_silent(struct xfer *x, apr_time_t now)
+{
+	const apr_interval_time_t bound =
+		CLK_MS(x->env->set->entry.silence_timeout_ms);
+
+	if (x->throttled || x->send_halted || x->receive_halted) {
+		x->last_progress = now;
+		return false;
+	}
+	return now - x->last_progress > bound;
+}
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -124,6 +124,8 @@
 	uint64_t *connect_timeout_ms;
 	uint64_t *leave_grace_ms;
 	char *policy;
+	uint64_t *threads;
+	uint64_t *link_window_bytes;
 };
 
 static const cyaml_schema_field_t fields_entry[] = {
@@ -140,6 +142,8 @@
 	CYAML_FIELD_UINT_PTR("connect_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, connect_timeout_ms),
 	CYAML_FIELD_UINT_PTR("leave_grace_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, leave_grace_ms),
 	CYAML_FIELD_STRING_PTR("policy", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, policy, 0, CYAML_UNLIMITED),
+	CYAML_FIELD_UINT_PTR("threads", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, threads),
+	CYAML_FIELD_UINT_PTR("link_window_bytes", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, link_window_bytes),
 	CYAML_FIELD_END,
 };
 
@@ -279,6 +283,10 @@
 		return refuse(bad, "entry", "leave_grace_ms", "a number from 0 to 600000");
 	if (conv_str(r ? r->policy : NULL, "broker", check_entry_policy, &out->entry.policy))
 		return refuse(bad, "entry", "policy", "one of broker, random, least_reported, two_choices, static_split");
+	if (conv_uint(r ? r->threads : NULL, UINT64_C(1), UINT64_C(1), UINT64_C(64), &out->entry.threads))
+		return refuse(bad, "entry", "threads", "a number from 1 to 64");
+	if (conv_uint(r ? r->link_window_bytes : NULL, UINT64_C(262144), UINT64_C(16384), UINT64_C(16777216), &out->entry.link_window_bytes))
+		return refuse(bad, "entry", "link_window_bytes", "a number from 16384 to 16777216");
 	return 0;
 }
 
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -61,6 +61,10 @@
 	uint64_t leave_grace_ms;
 	/* How an upstream is chosen; all but broker are baselines for measurement. */
 	struct str policy;
+	/* Threads that serve callers. */
+	uint64_t threads;
+	/* Bytes of an answer from another region that may be on the way to one request; taken from the link's limit before the request is sent. */
+	uint64_t link_window_bytes;
 };
 
 /* pst-controld: table, members, limits and permits. */
--- /dev/null
+++ b/tests/fix_upstream.h
@@ -0,0 +1,37 @@
+/*
+ * A scripted upstream on raw sockets, for answers that no HTTP library would
+ * send. The path says how it behaves:
+ *
+ *   /ok        answers "hello"
+ *   /big       answers FIX_BIG_BYTES of a pattern, with its digest
+ *   /length    reads the body and answers its length
+ *   /crossed   answers with another request's id
+ *   /truncate  states 100 bytes and closes after 10
+ *   /digest    states a digest that is wrong
+ *   /shed      503 with X-Not-Run: 1
+ *   /shedonce  as /shed for the first request, then as /ok
+ *   /drop      reads the request and closes without an answer
+ *   /silent    reads the request and never answers
+ *   /later     keeps silent on the connection's second request
+ */
+#ifndef TESTS_FIX_UPSTREAM_H
+#define TESTS_FIX_UPSTREAM_H
+
+#include <stdatomic.h>
+#include <stdint.h>
+
+#include "common/str.h"
+
+#define FIX_BIG_BYTES 3000000
+
+/* Requests that were read whole, and connections accepted. */
+extern atomic_uint fix_upstream_runs;
+extern atomic_uint fix_upstream_connections;
+
+/* Listens on ip:port until the process ends. */
+void fix_upstream_start(struct str ip, uint16_t port);
+
+/* The byte at an offset of /big. */
+unsigned char fix_upstream_byte(size_t offset);
+
+#endif
