--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -20,22 +20,15 @@
 #define ENTRY_PORT    18080
 #define UPSTREAM_PORT 18090
 
+/* The row of one rank. */
+#define ROW(rank)                                                          \
+	"{\"rank\":\"" rank "\",\"deadline_ms\":3000,\"reserved_pct\":20," \
+	"\"shift_cap_pct_per_s\":10,\"weights\":{\"d1\":1},"               \
+	"\"region_limits\":{}}"
+
 static struct settings set;
 static struct rte *rte;
-static struct tbl_region regions[] = {{.name = {2, "r1"}}};
-static struct tbl_domain domains[] = {{.name = {2, "d1"}}};
-static struct strbuf services[] = {{3, "svc"}};
-static struct tbl_row rows[RANK_COUNT];
-static struct tbl table = {
-	.regions = regions,
-	.region_count = 1,
-	.domains = domains,
-	.domain_count = 1,
-	.services = services,
-	.service_count = 1,
-	.rows = rows,
-};
-static struct ctl_view view = {.tbl = &table};
+static struct ctl_view view;
 static atomic_uint granted;
 static atomic_uint released;
 static atomic_uint ended[3];
@@ -406,6 +399,30 @@
 }
 END_TEST
 
+static void load_table(void)
+{
+	const struct tbl_part parts[] = {
+		{
+			.key = STR_LIT("/pst/table/manifest"),
+			.value = STR_LIT(
+				"{\"regions\":[\"r1\"],\"domains\":[{\"name\":"
+				"\"d1\",\"region\":\"r1\"}],\"links\":[],"
+				"\"services\":[\"svc\"]}"),
+		},
+		{
+			.key = STR_LIT("/pst/table/service/svc"),
+			.value = STR_LIT("{\"rows\":[" ROW("urgent") "," ROW(
+				"normal") "," ROW("bulk") "]}"),
+		},
+	};
+	struct tbl_problem problem;
+
+	if (tbl_parse(&view.tbl, parts, 2, 1, &problem)) {
+		fprintf(stderr, "table refused: %s\n", problem.cell.ptr);
+		exit(EXIT_FAILURE);
+	}
+}
+
 static void start_entry(void)
 {
 	struct rte_parts parts = {0};
@@ -425,14 +442,14 @@
 	set.entry.silence_timeout_ms = 300;
 	set.entry.connect_timeout_ms = 300;
 	set.entry.threads = 1;
-	for (int i = 0; i < RANK_COUNT; i++)
-		rows[i].deadline_ms = 3000;
-	ck_assert_int_eq(rte_create(&rte, &set, clk_system()), 0);
-	ck_assert_int_eq(ups_start(&parts.ups, &set, clk_system(), NULL, rte),
-			 0);
-	ck_assert_int_eq(rte_start(rte, &parts), 0);
-	ck_assert_int_eq(
-		frt_start(&frt, &set, clk_system(), rte, parts.ups, NULL), 0);
+	load_table();
+	if (rte_create(&rte, &set, clk_system()) ||
+	    ups_start(&parts.ups, &set, clk_system(), NULL, rte) ||
+	    rte_start(rte, &parts) ||
+	    frt_start(&frt, &set, clk_system(), rte, parts.ups, NULL)) {
+		fprintf(stderr, "the entry could not be started\n");
+		exit(EXIT_FAILURE);
+	}
 }
 
 static void *tick(void *arg)
