--- /dev/null
+++ b/entryd/route_act.c
@@ -0,0 +1,310 @@
+#include "entryd/route_act.h"
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "entryd/ups.h"
+
+#define LOG_MODULE "entry.route"
+
+static uint64_t next_random(struct rte *rte)
+{
+	/* splitmix64 */
+	uint64_t z = rte->random += 0x9e3779b97f4a7c15;
+
+	z = (z ^ (z >> 30)) * 0xbf58476d1ce4e5b9;
+	z = (z ^ (z >> 27)) * 0x94d049bb133111eb;
+	return z ^ (z >> 31);
+}
+
+static void delist(struct rte *rte, struct req *req)
+{
+	if (!req->listed)
+		return;
+	req->listed = false;
+	if (req->prev)
+		req->prev->next = req->next;
+	else
+		rte->active = req->next;
+	if (req->next)
+		req->next->prev = req->prev;
+	apr_hash_set(rte->by_number, &req->number, sizeof(req->number), NULL);
+	atomic_fetch_sub(&rte->in_progress, 1);
+	req_put(req);
+}
+
+static int reason_of(enum pth_cause cause)
+{
+	switch (cause) {
+	case PTH_CAUSE_KEY:
+		return PST_ERR_REQ_KEY;
+	case PTH_CAUSE_LATE:
+		return PST_ERR_REQ_LATE;
+	case PTH_CAUSE_NO_ROOM:
+		return PST_ERR_REQ_NO_ROOM;
+	case PTH_CAUSE_SHED:
+		return PST_ERR_REQ_SHED;
+	case PTH_CAUSE_SILENT:
+		return PST_ERR_REQ_SILENT;
+	case PTH_CAUSE_DEADLINE:
+		return PST_ERR_REQ_DEADLINE;
+	case PTH_CAUSE_UPSTREAM:
+	case PTH_CAUSE_CALLER_GONE:
+	case PTH_CAUSE_NONE:
+		break;
+	}
+	return PST_ERR_REQ_UPSTREAM;
+}
+
+static unsigned status_of(int reason)
+{
+	switch (reason) {
+	case PST_ERR_REQ_SERVICE:
+		return MHD_HTTP_NOT_FOUND;
+	case PST_ERR_REQ_KEY:
+		return MHD_HTTP_CONFLICT;
+	case PST_ERR_REQ_UPSTREAM:
+		return MHD_HTTP_BAD_GATEWAY;
+	case PST_ERR_REQ_SILENT:
+	case PST_ERR_REQ_DEADLINE:
+		return MHD_HTTP_GATEWAY_TIMEOUT;
+	default:
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	}
+}
+
+void rte_refuse(struct rte *rte, struct req *req, bool not_run, int reason)
+{
+	evt_log(REQ_REFUSED, "req=%s run=%s cause=%s", req->id.ptr,
+		not_run ? "no" : "unknown", err_name(reason));
+	ctr_add(rte->refused[req->rank], 1);
+	pthread_mutex_lock(&req->lock);
+	req->status = status_of(reason);
+	req->not_run = not_run;
+	req->reason = reason;
+	req->stage = REQ_REFUSED;
+	req_wake(req);
+	pthread_mutex_unlock(&req->lock);
+}
+
+static void break_answer(struct req *req)
+{
+	evt_log(REQ_BROKEN, "req=%s", req->id.ptr);
+	pthread_mutex_lock(&req->lock);
+	pipe_close(&req->answer, true);
+	req->stage = REQ_BROKEN;
+	req_wake(req);
+	pthread_mutex_unlock(&req->lock);
+}
+
+static void finish(struct rte *rte, struct req *req)
+{
+	const apr_interval_time_t total = clk_now(rte->clk) - req->arrived;
+
+	if (req->stage == REQ_ANSWERING) {
+		evt_log(REQ_ANSWERED, "req=%s status=%u total_us=%lld",
+			req->id.ptr, req->status, (long long)total);
+		ctr_add(rte->answered[req->rank], 1);
+		hst_record(rte->latency[req->rank], (uint64_t)total);
+	}
+	delist(rte, req);
+}
+
+static enum permit_outcome outcome_of(const struct pth_action *action)
+{
+	if (action->unused)
+		return PERMIT_UNUSED;
+	switch (action->result) {
+	case PTH_RESULT_WHOLE:
+		return PERMIT_DONE;
+	case PTH_RESULT_SHED:
+		return PERMIT_SHED;
+	case PTH_RESULT_NOT_SENT:
+	case PTH_RESULT_SILENT:
+		return PERMIT_SILENT;
+	case PTH_RESULT_LOST:
+	case PTH_RESULT_BAD:
+	case PTH_RESULT_TRUNCATED:
+		break;
+	}
+	return PERMIT_FAILED;
+}
+
+/*
+ * Picks a domain whose limits leave room. Returns its index in the table,
+ * or -1.
+ */
+static int pick_domain(struct rte *rte, struct req *req, const struct tbl *tbl)
+{
+	const int service = tbl_service_find(tbl, strbuf_str(&req->service));
+	const int here = tbl_region_find(tbl, rte->set->vm.region);
+	const struct tbl_row *row;
+
+	if (service < 0)
+		return -1;
+	row = tbl_row(tbl, (uint32_t)service, req->rank);
+	for (;;) {
+		const int i = quota_pick_domain(rte->parts.quota, tbl, row,
+						next_random(rte), req->tried);
+		uint32_t region;
+
+		if (i < 0)
+			return -1;
+		region = tbl->domains[i].region;
+		if ((int)region == here ||
+		    quota_take_request(rte->parts.quota, row, region))
+			return i;
+		req->tried[i] = true;
+	}
+}
+
+static bool ask_permit(struct rte *rte, struct req *req)
+{
+	struct ctl_view *view = ctl_agent_view(rte->parts.ctl);
+	struct permit_ask ask = {
+		.id = req->number << RTE_ASK_BITS | req->pth.asks,
+		.service = req->service,
+		.rank = req->rank,
+		.deadline = req->deadline,
+	};
+	int err = PST_ERR_REQ_NO_ROOM;
+	int domain = -1;
+
+	if (view)
+		domain = pick_domain(rte, req, view->tbl);
+	if (domain >= 0) {
+		req->domain = view->tbl->domains[domain].name;
+		ask.domain = req->domain;
+		req->asked_at = clk_now(rte->clk);
+		evt_log(REQ_DOMAIN, "req=%s domain=%s from=%s try=%u",
+			req->id.ptr, req->domain.ptr,
+			rte->set->vm.failure_domain.ptr, req->pth.sends + 1);
+		err = permit_agent_ask(rte->parts.permit, &ask);
+	}
+	if (view)
+		ctl_view_put(view);
+	return err == 0;
+}
+
+static bool make_target(struct rte *rte, const struct req *req,
+			struct ups_target *out)
+{
+	struct ctl_view *view = ctl_agent_view(rte->parts.ctl);
+	int domain = -1;
+	int here = -1;
+
+	if (view) {
+		here = tbl_region_find(view->tbl, rte->set->vm.region);
+		domain = tbl_domain_find(view->tbl, strbuf_str(&req->domain));
+	}
+	if (domain >= 0 && here >= 0) {
+		*out = (struct ups_target){
+			.upstream = req->upstream,
+			.address = req->upstream_address,
+			.port = req->upstream_port,
+			.here = (uint32_t)here,
+			.there = view->tbl->domains[domain].region,
+		};
+		out->region = view->tbl->regions[out->there].name;
+	}
+	if (view)
+		ctl_view_put(view);
+	return domain >= 0 && here >= 0;
+}
+
+static void defer(struct rte *rte, struct pth_event event)
+{
+	rte->deferred[rte->deferred_count++] = event;
+}
+
+static void send_try(struct rte *rte, struct req *req)
+{
+	const apr_interval_time_t wait = clk_now(rte->clk) - req->asked_at;
+	struct ups_target target;
+
+	if (!make_target(rte, req, &target)) {
+		defer(rte, (struct pth_event){
+				   .kind = PTH_EV_RESULT,
+				   .result = PTH_RESULT_NOT_SENT,
+			   });
+		return;
+	}
+	evt_log(REQ_SENT, "req=%s upstream=%s domain=%s try=%u wait_us=%lld",
+		req->id.ptr, req->upstream.ptr, req->domain.ptr, req->pth.sends,
+		(long long)wait);
+	hst_record(rte->permit_wait[req->rank], (uint64_t)wait);
+	pthread_mutex_lock(&req->lock);
+	if (req->stage == REQ_WAITING)
+		req->stage = REQ_OPEN;
+	if (req->body_length)
+		req_wake(req);
+	pthread_mutex_unlock(&req->lock);
+	ups_send(rte->parts.ups, req, &target);
+}
+
+static void admit_key(struct rte *rte, struct req *req)
+{
+	if (!tkt_agent_admit(rte->parts.ticket, req->number,
+			     str_from_c(req->key), req->deadline))
+		return;
+	defer(rte, (struct pth_event){
+			   .kind = PTH_EV_TICKET,
+			   .ticket = PTH_TICKET_UNKNOWN,
+		   });
+}
+
+static enum tkt_end key_end(enum pth_end end)
+{
+	switch (end) {
+	case PTH_END_RAN:
+		return TKT_END_RAN;
+	case PTH_END_NOT_RUN:
+		return TKT_END_NOT_RUN;
+	case PTH_END_UNKNOWN:
+		break;
+	}
+	return TKT_END_UNKNOWN;
+}
+
+void rte_act(struct rte *rte, struct req *req, const struct pth_action *action)
+{
+	switch (action->kind) {
+	case PTH_ACT_ADMIT_KEY:
+		admit_key(rte, req);
+		break;
+	case PTH_ACT_ASK_PERMIT:
+		if (!ask_permit(rte, req))
+			defer(rte, (struct pth_event){
+					   .kind = PTH_EV_NO_DOMAIN,
+				   });
+		break;
+	case PTH_ACT_CANCEL_ASK:
+		permit_agent_cancel(rte->parts.permit,
+				    req->number << RTE_ASK_BITS |
+					    req->pth.asks);
+		break;
+	case PTH_ACT_RELEASE:
+		permit_agent_release(rte->parts.permit, req->permit_id,
+				     outcome_of(action));
+		break;
+	case PTH_ACT_END_KEY:
+		tkt_agent_end(rte->parts.ticket, str_from_c(req->key),
+			      key_end(action->end));
+		break;
+	case PTH_ACT_SEND:
+		send_try(rte, req);
+		break;
+	case PTH_ACT_ABORT:
+		ups_abort(rte->parts.ups, req);
+		break;
+	case PTH_ACT_REFUSE:
+		rte_refuse(rte, req, action->refuse.not_run,
+			   reason_of(action->refuse.cause));
+		break;
+	case PTH_ACT_BREAK:
+		break_answer(req);
+		break;
+	case PTH_ACT_DONE:
+		finish(rte, req);
+		break;
+	}
+}
--- a/entryd/ups.c
+++ b/entryd/ups.c
@@ -89,9 +89,10 @@
 {
 	struct xfer **at = &ups->active;
 
-	while (*at != x)
+	while (*at && *at != x)
 		at = &(*at)->next;
-	*at = x->next;
+	if (*at)
+		*at = x->next;
 	if (x->started)
 		curl_multi_remove_handle(ups->multi, x->easy);
 	x->req->transfer = NULL;
