--- a/Makefile
+++ b/Makefile
@@ -54,11 +54,13 @@
 
 $(B)/schema/gen/%.o: schema/gen/%.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(GEN_CFLAGS) -MMD -MP -c $< -o $@
+	@echo CC $<
+	@$(CC) $(CPPFLAGS) $(GEN_CFLAGS) -MMD -MP -c $< -o $@
 
 $(B)/%.o: %.c
 	@mkdir -p $(@D)
-	$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
+	@echo CC $<
+	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -MP -c $< -o $@
 
 $(B)/libpst.a: $(call obj,$(LIB_SRC))
 $(B)/libparts.a: $(call obj,$(PART_SRC))
@@ -67,12 +69,13 @@
 $(B)/lib%.a:
 	@mkdir -p $(@D)
 	@rm -f $@
-	ar rcs $@ $^
+	@ar rcs $@ $^
 
 define bin_rule
 $(B)/bin/$(1): $$(call obj,$$(call src,$(2))) $(3) $(LIBS)
 	@mkdir -p $$(@D)
-	$(CC) $(CFLAGS) $$(filter %.o,$$^) $(3) $(LIBS) $(LDLIBS) -o $$@
+	@echo LD $$@
+	@$(CC) $(CFLAGS) $$(filter %.o,$$^) $(3) $(LIBS) $(LDLIBS) -o $$@
 endef
 $(foreach d,$(DAEMONS),$(eval $(call bin_rule,pst-$(d),$(d),)))
 $(eval $(call bin_rule,pstctl,pstctl,))
@@ -80,12 +83,14 @@
 
 $(B)/tests/%: $(B)/tests/%.o $(call obj,$(FIX_SRC)) $(B)/libfakes.a $(LIBS)
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $(filter %.o,$^) $(B)/libfakes.a $(LIBS) $(LDLIBS) \
+	@echo LD $@
+	@$(CC) $(CFLAGS) $(filter %.o,$^) $(B)/libfakes.a $(LIBS) $(LDLIBS) \
 		$(CHECK_LIBS) -o $@
 
 $(B)/bench/%: $(B)/bench/%.o $(B)/libfakes.a $(LIBS)
 	@mkdir -p $(@D)
-	$(CC) $(CFLAGS) $< $(B)/libfakes.a $(LIBS) $(LDLIBS) -o $@
+	@echo LD $@
+	@$(CC) $(CFLAGS) $< $(B)/libfakes.a $(LIBS) $(LDLIBS) -o $@
 
 check: check-unit check-proc
 
