--- /dev/null
+++ b/lookupd/lks.c
@@ -0,0 +1,258 @@
+#include "lookupd/lks.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include <microhttpd.h>
+
+#include "common/ctr.h"
+#include "common/err.h"
+#include "common/evt.h"
+#include "common/net.h"
+#include "lookupd/snap.h"
+
+#define LOG_MODULE "lookup"
+
+/* Connections open at once, idle ones being closed after this time. */
+#define MAX_CONNECTIONS 4096
+#define IDLE_TIMEOUT_S	30
+
+/* Memory for one connection's request and answer, in bytes. */
+#define CONNECTION_MEMORY 8192
+
+/* Longest block of clients, in bytes. */
+#define BLOCK_MAX 255
+
+/* Time between two looks for unfinished requests while stopping. */
+#define STOP_POLL_MS 10
+
+#define PROBLEM_MAX  256
+
+struct lks {
+	const struct settings *set;
+	const struct clk *clk;
+	struct snap *snap;
+	struct MHD_Daemon *daemon;
+	int fd;
+	atomic_uint running;
+	atomic_bool stopping;
+	struct ctr *answered;
+	struct ctr *refused;
+};
+
+static enum MHD_Result send_text(struct lks *lks, struct MHD_Connection *conn,
+				 unsigned status, const char *type,
+				 const char *text, size_t len)
+{
+	struct MHD_Response *response = MHD_create_response_from_buffer(
+		len, (void *)(uintptr_t)text, MHD_RESPMEM_MUST_COPY);
+	enum MHD_Result result;
+
+	if (!response)
+		return MHD_NO;
+	MHD_add_response_header(response, "Content-Type", type);
+	if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+		MHD_add_response_header(response, "Retry-After", "1");
+	if (lks->stopping)
+		MHD_add_response_header(response, "Connection", "close");
+	result = MHD_queue_response(conn, status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+static unsigned status_of(int err)
+{
+	switch (err) {
+	case PST_ERR_LOOKUP_BLOCK:
+		return MHD_HTTP_BAD_REQUEST;
+	case PST_ERR_LOOKUP_SERVICE:
+		return MHD_HTTP_NOT_FOUND;
+	case PST_ERR_LOOKUP_METHOD:
+		return MHD_HTTP_METHOD_NOT_ALLOWED;
+	default:
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	}
+}
+
+static enum MHD_Result refuse(struct lks *lks, struct MHD_Connection *conn,
+			      int err)
+{
+	const unsigned status = status_of(err);
+	char text[PROBLEM_MAX];
+	const int len =
+		snprintf(text, sizeof(text),
+			 "{\"type\":\"about:blank\",\"title\":\"%s\","
+			 "\"status\":%u,\"run\":\"no\",\"reason\":\"%s\"}",
+			 err_text(err), status, err_name(err));
+
+	ctr_add(lks->refused, 1);
+	return send_text(lks, conn, status, "application/problem+json", text,
+			 (size_t)len);
+}
+
+static int decide(struct lks *lks, struct str service, struct str block,
+		  char *out, size_t *len)
+{
+	const struct lkp *lkp = snap_current(lks->snap);
+	int err;
+
+	if (!block.len || block.len > BLOCK_MAX)
+		return PST_ERR_LOOKUP_BLOCK;
+	if (!lkp)
+		return PST_ERR_LOOKUP_NO_VIEW;
+	err = lkp_answer(lkp, service, block, out, len);
+	if (err == PST_ERR_NOTFOUND)
+		return PST_ERR_LOOKUP_SERVICE;
+	if (err)
+		return PST_ERR_LOOKUP_NO_VM;
+	return 0;
+}
+
+static void log_choice(const struct lks *lks, struct str service,
+		       struct str block)
+{
+	const struct lkp *lkp = snap_current(lks->snap);
+	uint32_t picked[LKP_CHOICES];
+	char vms[LKP_CHOICES * (STR_ID_MAX + 1) + 1] = "";
+	size_t used = 0;
+	const size_t count = lkp_pick(lkp, block, picked);
+
+	for (size_t i = 0; i < count; i++)
+		used += (size_t)snprintf(vms + used, sizeof(vms) - used,
+					 "%s%.*s", i ? "," : "",
+					 STR_ARG(lkp_vm_id(lkp, picked[i])));
+	evt_log(LOOKUP_CHOSEN,
+		"service=%.*s block=%.*s vms=%s among=%zu "
+		"why=own_region_first,separate_domains,block_hash",
+		STR_ARG(service), STR_ARG(block), vms, lkp_vm_count(lkp));
+}
+
+static struct str argument(struct MHD_Connection *conn, const char *name)
+{
+	return str_from_c(
+		MHD_lookup_connection_value(conn, MHD_GET_ARGUMENT_KIND, name));
+}
+
+static enum MHD_Result look_up(struct lks *lks, struct MHD_Connection *conn)
+{
+	const struct str service = argument(conn, "service");
+	const struct str block = argument(conn, "block");
+	char text[LKP_ANSWER_MAX];
+	size_t len = 0;
+	const int err = decide(lks, service, block, text, &len);
+
+	if (err) {
+		evt_log(LOOKUP_REFUSED, "service=%.*s block=%.*s err=%s",
+			STR_ARG(service), STR_ARG(block), err_name(err));
+		return refuse(lks, conn, err);
+	}
+	ctr_add(lks->answered, 1);
+	log_choice(lks, service, block);
+	return send_text(lks, conn, MHD_HTTP_OK, "application/json", text, len);
+}
+
+/* The first call for a request brings its header, the next its end. */
+static enum MHD_Result handle(void *ctx, struct MHD_Connection *conn,
+			      const char *url, const char *method,
+			      const char *version, const char *upload,
+			      size_t *upload_size, void **state)
+{
+	struct lks *lks = ctx;
+
+	(void)version;
+	(void)upload;
+	if (!*state) {
+		*state = lks;
+		atomic_fetch_add(&lks->running, 1);
+		return MHD_YES;
+	}
+	if (*upload_size) {
+		*upload_size = 0;
+		return MHD_YES;
+	}
+	if (strcmp(method, MHD_HTTP_METHOD_GET) != 0 ||
+	    strcmp(url, "/v1/lookup") != 0)
+		return refuse(lks, conn, PST_ERR_LOOKUP_METHOD);
+	return look_up(lks, conn);
+}
+
+static void completed(void *ctx, struct MHD_Connection *conn, void **state,
+		      enum MHD_RequestTerminationCode code)
+{
+	struct lks *lks = ctx;
+
+	(void)conn;
+	(void)code;
+	if (*state)
+		atomic_fetch_sub(&lks->running, 1);
+	*state = NULL;
+}
+
+static int open_daemon(struct lks *lks)
+{
+	lks->fd = net_listen(lks->set->vm.address,
+			     (uint16_t)lks->set->lookup.port);
+	if (lks->fd < 0)
+		return lks->fd;
+	lks->daemon = MHD_start_daemon(
+		MHD_USE_EPOLL_INTERNAL_THREAD | MHD_USE_ITC, 0, NULL, NULL,
+		handle, lks, MHD_OPTION_LISTEN_SOCKET, lks->fd,
+		MHD_OPTION_THREAD_POOL_SIZE, (unsigned)lks->set->lookup.threads,
+		MHD_OPTION_CONNECTION_LIMIT, (unsigned)MAX_CONNECTIONS,
+		MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)IDLE_TIMEOUT_S,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+		MHD_OPTION_NOTIFY_COMPLETED, completed, lks, MHD_OPTION_END);
+	if (lks->daemon)
+		return 0;
+	close(lks->fd);
+	return PST_ERR_HTTP;
+}
+
+int lks_start(struct lks **out, const struct settings *set,
+	      const struct clk *clk, struct ctl_agent *ctl)
+{
+	struct lks *lks = calloc(1, sizeof(*lks));
+	int err;
+
+	if (!lks)
+		return PST_ERR_NOMEM;
+	lks->set = set;
+	lks->clk = clk;
+	lks->answered = ctr_get("pst_lookup_answered_total", "",
+				"Look-ups answered with entry VMs.");
+	lks->refused =
+		ctr_get("pst_lookup_refused_total", "", "Look-ups refused.");
+	err = snap_start(&lks->snap, set, ctl);
+	if (!err)
+		err = open_daemon(lks);
+	if (err) {
+		snap_stop(lks->snap);
+		free(lks);
+		return err;
+	}
+	*out = lks;
+	return 0;
+}
+
+void lks_stop(struct lks *lks, apr_interval_time_t timeout)
+{
+	apr_time_t end;
+	int fd;
+
+	if (!lks)
+		return;
+	end = clk_now(lks->clk) + timeout;
+	lks->stopping = true;
+	fd = MHD_quiesce_daemon(lks->daemon);
+	while (atomic_load(&lks->running) && clk_now(lks->clk) < end)
+		usleep(STOP_POLL_MS * 1000);
+	MHD_stop_daemon(lks->daemon);
+	if (fd >= 0)
+		close(fd);
+	snap_stop(lks->snap);
+	free(lks);
+}
--- /dev/null
+++ b/lookupd/lks.h
@@ -0,0 +1,28 @@
+/*
+ * The HTTP server of pst-lookupd.
+ *
+ * Threads of libmicrohttpd answer from a snapshot that a duty of its own
+ * rebuilds when the view of pst-controld changes. Without a fresh view the
+ * last snapshot stays in force.
+ */
+#ifndef LOOKUPD_LKS_H
+#define LOOKUPD_LKS_H
+
+#include "agent/ctl.h"
+
+struct lks;
+
+/*
+ * Borrows set, clk and ctl. Returns 0, PST_ERR_NOMEM, PST_ERR_THREAD,
+ * PST_ERR_IO (the port) or PST_ERR_HTTP.
+ */
+int lks_start(struct lks **out, const struct settings *set,
+	      const struct clk *clk, struct ctl_agent *ctl);
+
+/*
+ * Takes no new connection, waits at most timeout until every look-up that
+ * has begun is answered, then stops. NULL is allowed.
+ */
+void lks_stop(struct lks *lks, apr_interval_time_t timeout);
+
+#endif
--- /dev/null
+++ b/lookupd/snap.c
@@ -0,0 +1,182 @@
+#include "lookupd/snap.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+
+#define LOG_MODULE "lookup"
+
+/* Time between two looks at the view, in milliseconds. */
+#define VIEW_POLL_MS 20
+
+struct snap {
+	const struct settings *set;
+	struct ctl_agent *ctl;
+	pthread_t thread;
+	atomic_bool stopping;
+	pthread_mutex_t lock;
+	/* Guarded by lock. */
+	struct lkp *current;
+	atomic_ulong version;
+	pthread_key_t key;
+	/* Of the builder's thread only. */
+	uint64_t table_revision;
+	uint64_t list_revision;
+	bool stale;
+};
+
+/* A thread's own reference. */
+struct held {
+	struct lkp *lkp;
+	unsigned long version;
+};
+
+static void drop_held(void *arg)
+{
+	struct held *held = arg;
+
+	lkp_put(held->lkp);
+	free(held);
+}
+
+static void publish(struct snap *snap, struct lkp *lkp)
+{
+	struct lkp *old;
+
+	pthread_mutex_lock(&snap->lock);
+	old = snap->current;
+	snap->current = lkp;
+	pthread_mutex_unlock(&snap->lock);
+	atomic_fetch_add(&snap->version, 1);
+	lkp_put(old);
+}
+
+static void rebuild(struct snap *snap, const struct ctl_view *view)
+{
+	const struct lkp_conf conf = {
+		.region = snap->set->vm.region,
+		.entry_port = (uint16_t)snap->set->entry.port,
+		.ttl_ms = (uint32_t)snap->set->lookup.ttl_ms,
+	};
+	const char *why = snap->list_revision == view->vml->revision
+				  ? "table_changed"
+				  : "list_changed";
+	struct lkp *lkp = NULL;
+	const int err = lkp_build(&lkp, view->vml, view->tbl, &conf);
+
+	if (err) {
+		evt_log(LOOKUP_BUILD_FAILED, "err=%s", err_name(err));
+		return;
+	}
+	snap->table_revision = view->tbl->revision;
+	snap->list_revision = view->vml->revision;
+	evt_log(LOOKUP_SNAPSHOT, "table=%lu list=%lu vms=%zu bytes=%zu why=%s",
+		(unsigned long)snap->table_revision,
+		(unsigned long)snap->list_revision, lkp_vm_count(lkp),
+		lkp_bytes(lkp), why);
+	publish(snap, lkp);
+}
+
+static void note_freshness(struct snap *snap)
+{
+	const bool stale = !ctl_agent_fresh(snap->ctl);
+
+	if (stale == snap->stale)
+		return;
+	snap->stale = stale;
+	if (stale)
+		evt_log(LOOKUP_STALE, "table=%lu list=%lu",
+			(unsigned long)snap->table_revision,
+			(unsigned long)snap->list_revision);
+	else
+		evt_log(LOOKUP_FRESH, "table=%lu list=%lu",
+			(unsigned long)snap->table_revision,
+			(unsigned long)snap->list_revision);
+}
+
+static void follow(struct snap *snap)
+{
+	struct ctl_view *view = ctl_agent_view(snap->ctl);
+
+	if (!view)
+		return;
+	if (!atomic_load(&snap->version) ||
+	    view->tbl->revision != snap->table_revision ||
+	    view->vml->revision != snap->list_revision)
+		rebuild(snap, view);
+	ctl_view_put(view);
+	note_freshness(snap);
+}
+
+static void *run(void *arg)
+{
+	struct snap *snap = arg;
+
+	while (!snap->stopping) {
+		follow(snap);
+		usleep(VIEW_POLL_MS * 1000);
+	}
+	return NULL;
+}
+
+int snap_start(struct snap **out, const struct settings *set,
+	       struct ctl_agent *ctl)
+{
+	struct snap *snap = calloc(1, sizeof(*snap));
+
+	if (!snap)
+		return PST_ERR_NOMEM;
+	snap->set = set;
+	snap->ctl = ctl;
+	pthread_mutex_init(&snap->lock, NULL);
+	if (pthread_key_create(&snap->key, drop_held)) {
+		free(snap);
+		return PST_ERR_THREAD;
+	}
+	if (pthread_create(&snap->thread, NULL, run, snap)) {
+		pthread_key_delete(snap->key);
+		free(snap);
+		return PST_ERR_THREAD;
+	}
+	*out = snap;
+	return 0;
+}
+
+void snap_stop(struct snap *snap)
+{
+	if (!snap)
+		return;
+	snap->stopping = true;
+	pthread_join(snap->thread, NULL);
+	pthread_key_delete(snap->key);
+	lkp_put(snap->current);
+	pthread_mutex_destroy(&snap->lock);
+	free(snap);
+}
+
+const struct lkp *snap_current(struct snap *snap)
+{
+	const unsigned long version = atomic_load(&snap->version);
+	struct held *held = pthread_getspecific(snap->key);
+
+	if (!held) {
+		held = calloc(1, sizeof(*held));
+		if (!held)
+			return NULL;
+		pthread_setspecific(snap->key, held);
+	}
+	if (held->version == version)
+		return held->lkp;
+	lkp_put(held->lkp);
+	pthread_mutex_lock(&snap->lock);
+	held->lkp = snap->current;
+	if (held->lkp)
+		lkp_get(held->lkp);
+	pthread_mutex_unlock(&snap->lock);
+	held->version = version;
+	return held->lkp;
+}
--- /dev/null
+++ b/policy/lkp.h
@@ -0,0 +1,72 @@
+/*
+ * The look-up's decision: which entry VMs a block of callers should use.
+ *
+ * A struct lkp is immutable and shared by reference count. Blocks are hashed
+ * into a fixed number of buckets, each with its entry VMs worked out in
+ * advance, so memory does not grow with the number of blocks or services
+ * beyond one slot for each service.
+ */
+#ifndef POLICY_LKP_H
+#define POLICY_LKP_H
+
+#include "common/ref.h"
+#include "common/str.h"
+#include "policy/tbl.h"
+#include "policy/vml.h"
+
+/* Entry VMs named in one answer. */
+#define LKP_CHOICES 3
+
+/* Buckets of blocks; a power of two. */
+#define LKP_BUCKETS 65536
+
+/* Largest answer, in bytes, with the final NUL. */
+#define LKP_ANSWER_MAX 2048
+
+struct lkp_conf {
+	/* Region of this look-up; its entry VMs come first. */
+	struct str region;
+	/* Port of every pst-entryd. */
+	uint16_t entry_port;
+	/* Time that a caller may keep an answer, in milliseconds. */
+	uint32_t ttl_ms;
+};
+
+struct lkp;
+
+/*
+ * Builds a snapshot from the live entry VMs and the table's services. On
+ * success *out holds one reference. Returns 0 or PST_ERR_NOMEM.
+ */
+int lkp_build(struct lkp **out, const struct vml *vml, const struct tbl *tbl,
+	      const struct lkp_conf *conf);
+
+void lkp_get(struct lkp *lkp);
+/* NULL is allowed. */
+void lkp_put(struct lkp *lkp);
+
+/* Live entry VMs of the snapshot. */
+size_t lkp_vm_count(const struct lkp *lkp);
+
+/* Name of the VM at a position, valid as long as the snapshot. */
+struct str lkp_vm_id(const struct lkp *lkp, uint32_t at);
+
+/* Bytes that the snapshot holds. */
+size_t lkp_bytes(const struct lkp *lkp);
+
+/*
+ * Writes the positions of the block's entry VMs, best first, and returns how
+ * many. Positions count the list's live entry VMs in its order.
+ */
+size_t lkp_pick(const struct lkp *lkp, struct str block,
+		uint32_t out[LKP_CHOICES]);
+
+/*
+ * Writes the answer as JSON, NUL-terminated, and its length. Returns 0,
+ * PST_ERR_NOTFOUND when the table has no such service, or
+ * PST_ERR_UNAVAILABLE when no entry VM is live.
+ */
+int lkp_answer(const struct lkp *lkp, struct str service, struct str block,
+	       char out[LKP_ANSWER_MAX], size_t *len);
+
+#endif
