--- a/entryd/front.c
+++ b/entryd/front.c
@@ -5,15 +5,11 @@
 #include <string.h>
 #include <sys/random.h>
 
-#include <jansson.h>
-
 #include "common/err.h"
 #include "common/net.h"
 #include "entryd/hdr.h"
 #include "entryd/problem.h"
-
-/* Most tickets given at once. */
-#define MAX_TICKETS 64
+#include "entryd/tickets.h"
 
 /* Memory of a connection beyond its header, in bytes. */
 #define CONNECTION_SPARE 65536
@@ -349,43 +345,6 @@
 	return result;
 }
 
-static enum MHD_Result answer_tickets(struct frt *frt,
-				      struct MHD_Connection *conn)
-{
-	const char *text = MHD_lookup_connection_value(
-		conn, MHD_GET_ARGUMENT_KIND, "count");
-	char tickets[MAX_TICKETS][TKT_KEY_MAX + 1];
-	struct MHD_Response *response;
-	enum MHD_Result result;
-	uint64_t count = 1;
-	char *body;
-	json_t *list;
-	json_t *object;
-
-	if (text && (str_to_u64(str_from_c(text), &count) || !count ||
-		     count > MAX_TICKETS))
-		return refuse(frt, conn, MHD_HTTP_BAD_REQUEST,
-			      PST_ERR_REQ_HEADER, true);
-	count = frt->closing ? 0 : tkt_agent_issue(frt->ticket, count, tickets);
-	if (!count)
-		return refuse(frt, conn, MHD_HTTP_SERVICE_UNAVAILABLE,
-			      PST_ERR_REQ_TICKETS, true);
-	list = json_array();
-	for (size_t i = 0; i < count; i++)
-		json_array_append_new(list, json_string(tickets[i]));
-	object = json_pack("{s:o}", "tickets", list);
-	body = json_dumps(object, JSON_COMPACT);
-	json_decref(object);
-	if (!body)
-		return MHD_NO;
-	response = MHD_create_response_from_buffer(strlen(body), body,
-						   MHD_RESPMEM_MUST_FREE);
-	MHD_add_response_header(response, "Content-Type", "application/json");
-	result = MHD_queue_response(conn, MHD_HTTP_OK, response);
-	MHD_destroy_response(response);
-	return result;
-}
-
 static bool is_tickets(const char *uri)
 {
 	static const char path[] = "/v1/tickets";
@@ -413,7 +372,10 @@
 	if (strcmp(method, MHD_HTTP_METHOD_POST) != 0)
 		return refuse(frt, conn, MHD_HTTP_METHOD_NOT_ALLOWED,
 			      PST_ERR_REQ_METHOD, true);
-	return answer_tickets(frt, conn);
+	if (frt->closing)
+		return refuse(frt, conn, MHD_HTTP_SERVICE_UNAVAILABLE,
+			      PST_ERR_REQ_TICKETS, true);
+	return tickets_answer(conn, frt->ticket);
 }
 
 /* The path is passed on as it came, so it is taken before decoding. */
--- /dev/null
+++ b/entryd/xfer_head.c
@@ -0,0 +1,102 @@
+#include "entryd/xfer_head.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "entryd/xfer.h"
+
+#define STATUS_FINAL_MIN   200
+#define STATUS_UNAVAILABLE 503
+
+static void start_head(struct xfer *x)
+{
+	curl_slist_free_all(x->answer_headers);
+	x->answer_headers = NULL;
+	x->stated_length = -1;
+	x->shed = false;
+	x->id_mismatch = false;
+	x->digest_stated = false;
+}
+
+static void start_digest(struct xfer *x, struct str value)
+{
+	if (hdr_digest(value, x->digest))
+		return;
+	if (!x->digest_ctx)
+		x->digest_ctx = EVP_MD_CTX_new();
+	x->digest_stated = x->digest_ctx &&
+			   EVP_DigestInit_ex(x->digest_ctx, EVP_sha256(), NULL);
+}
+
+static void keep_header(struct xfer *x, struct str line)
+{
+	char *text = malloc(line.len + 1);
+	struct curl_slist *grown;
+
+	if (!text)
+		return;
+	memcpy(text, line.ptr, line.len);
+	text[line.len] = '\0';
+	grown = curl_slist_append(x->answer_headers, text);
+	if (grown)
+		x->answer_headers = grown;
+	free(text);
+}
+
+static void read_header(struct xfer *x, struct str line)
+{
+	const char *colon = memchr(line.ptr, ':', line.len);
+	struct str name = {.ptr = line.ptr};
+	struct str value;
+	uint64_t number;
+
+	if (!colon)
+		return;
+	name.len = (size_t)(colon - line.ptr);
+	value.ptr = colon + 1;
+	value.len = line.len - name.len - 1;
+	while (value.len && *value.ptr == ' ') {
+		value.ptr++;
+		value.len--;
+	}
+	if (str_eq_nocase(name, STR_LIT("X-Request-Id"))) {
+		x->id_mismatch = !str_eq(value, strbuf_str(&x->req->id));
+		return;
+	}
+	if (str_eq_nocase(name, STR_LIT("Content-Length")) &&
+	    !str_to_u64(value, &number) && number <= INT64_MAX)
+		x->stated_length = (int64_t)number;
+	if (str_eq_nocase(name, STR_LIT("X-Not-Run")))
+		x->shed = str_eq(value, STR_LIT("1"));
+	if (str_eq_nocase(name, STR_LIT("Content-Digest")))
+		start_digest(x, value);
+	if (!hdr_hop_by_hop(name))
+		keep_header(x, line);
+}
+
+size_t xfer_on_header(char *bytes, size_t size, size_t count, void *ctx)
+{
+	struct xfer *x = ctx;
+	const size_t len = size * count;
+	struct str line = {.ptr = bytes, .len = len};
+	long status = 0;
+
+	x->last_progress = clk_now(x->env->clk);
+	while (line.len && strchr("\r\n", line.ptr[line.len - 1]))
+		line.len--;
+	if (line.len > 5 && !memcmp(line.ptr, "HTTP/", 5)) {
+		start_head(x);
+		return len;
+	}
+	if (line.len) {
+		read_header(x, line);
+		return len;
+	}
+	curl_easy_getinfo(x->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (status < STATUS_FINAL_MIN)
+		return len;
+	x->status = (unsigned)status;
+	x->shed = x->shed && x->status == STATUS_UNAVAILABLE;
+	x->head_complete = true;
+	return len;
+}
