--- a/agent/permit.h
+++ b/agent/permit.h
@@ -9,28 +9,7 @@
 #define AGENT_PERMIT_H
 
 #include "agent/ctl.h"
-
-enum permit_result {
-	PERMIT_GRANTED,
-	/* Cannot be answered within its deadline. */
-	PERMIT_LATE,
-	/* The waiting line of its rank is full. */
-	PERMIT_FULL,
-	/* The failure domain has no upstream that takes new work. */
-	PERMIT_NO_UPSTREAM,
-};
-
-/* How the use of a permit ended, for the broker's view of the upstream. */
-enum permit_outcome {
-	PERMIT_DONE,
-	/* Refused by the upstream before it ran. */
-	PERMIT_SHED,
-	/* No connection, or no byte in time. */
-	PERMIT_SILENT,
-	PERMIT_FAILED,
-	/* Not used. */
-	PERMIT_UNUSED,
-};
+#include "policy/brk_types.h"
 
 struct permit_ask {
 	/* Chosen by the caller, unique in the process. */
@@ -68,6 +47,8 @@
 		       void (*on_answer)(void *ctx,
 					 const struct permit_answer *answer),
 		       void *ctx);
+
+/* After rpcs_stop(). Asks that are still open get no answer. */
 void permit_agent_stop(struct permit_agent *agent);
 
 /* Returns 0 or PST_ERR_FULL. */
@@ -80,4 +61,11 @@
 void permit_agent_release(struct permit_agent *agent, uint64_t permit_id,
 			  enum permit_outcome outcome);
 
+/*
+ * Passes on what the upstream of a held permit said of itself with an
+ * answer; dropped when there is no room.
+ */
+void permit_agent_report(struct permit_agent *agent, uint64_t permit_id,
+			 const struct permit_report *report);
+
 #endif
--- /dev/null
+++ b/agent/permit_local.c
@@ -0,0 +1,377 @@
+#include "agent/permit_local.h"
+
+#include <stdlib.h>
+
+#include "common/err.h"
+
+/* Health of upstreams in the static share; as the broker's defaults. */
+#define SHED_HOLD   CLK_MS(100)
+#define SILENT_HOLD CLK_MS(500)
+#define DRAIN_HOLD  CLK_SEC(10)
+
+/* Asks that wait in one rank. */
+#define LINE_MAX_ASKS 4096
+
+/* A baseline's permit; the number is its index and a count. */
+struct choice {
+	uint64_t permit;
+	uint32_t target;
+};
+
+struct permit_local {
+	enum pick_policy policy;
+	struct strbuf service;
+	struct strbuf domain;
+	struct strbuf entry_name;
+	uint64_t epoch;
+	struct brk_sink sink;
+	/* Static split. */
+	struct brk *brk;
+	/* Baselines. */
+	struct brk_up *ups;
+	struct pick_target *targets;
+	size_t count;
+	struct choice *choices;
+	size_t choice_count;
+	size_t choice_room;
+	uint64_t made;
+	uint64_t random;
+};
+
+static bool by_share(const struct permit_local *local)
+{
+	return local->policy == PICK_BROKER ||
+	       local->policy == PICK_STATIC_SPLIT;
+}
+
+static uint64_t next_random(struct permit_local *local)
+{
+	local->random ^= local->random << 13;
+	local->random ^= local->random >> 7;
+	local->random ^= local->random << 17;
+	return local->random;
+}
+
+static struct brk_entry *self(struct permit_local *local, apr_time_t now)
+{
+	return brk_hello(local->brk, strbuf_str(&local->entry_name), 1, now);
+}
+
+/* This VM's place among the live entry VMs, and how many there are. */
+static uint32_t place_of(const struct permit_local *local,
+			 const struct vml *vml, uint32_t *holders)
+{
+	uint32_t place = 0;
+
+	*holders = 0;
+	for (size_t i = 0; i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+
+		if (vm->kind != VM_ENTRY || vm->state != VM_LIVE)
+			continue;
+		++*holders;
+		if (str_cmp(strbuf_str(&vm->id),
+			    strbuf_str(&local->entry_name)) < 0)
+			place++;
+	}
+	return place;
+}
+
+/* Cuts the slots to this VM's share, which is at least one slot. */
+static void cut_to_share(const struct permit_local *local,
+			 const struct vml *vml, struct brk_listed *vms,
+			 size_t count)
+{
+	uint32_t holders;
+	const uint32_t place = place_of(local, vml, &holders);
+	uint32_t first = 0;
+	uint32_t sum = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		const uint32_t slots = vms[i].slots;
+
+		vms[i].slots = pick_share(first, slots, holders, place);
+		first += slots;
+		sum += vms[i].slots;
+	}
+	if (count && !sum)
+		vms[place % count].slots = 1;
+}
+
+static uint32_t outstanding_at(const struct permit_local *local, struct str vm,
+			       uint32_t *load)
+{
+	for (size_t i = 0; i < local->count; i++) {
+		if (!str_eq(strbuf_str(&local->ups[i].vm.name), vm))
+			continue;
+		*load = local->targets[i].load_permille;
+		return local->targets[i].outstanding;
+	}
+	return 0;
+}
+
+static int find_target(const struct brk_up *ups, size_t count, struct str name)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (str_eq(strbuf_str(&ups[i].vm.name), name))
+			return (int)i;
+	}
+	return -1;
+}
+
+/* Choices keep their upstream; those whose upstream left are dropped. */
+static void move_choices(struct permit_local *local, const struct brk_up *ups,
+			 size_t count)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < local->choice_count; i++) {
+		struct choice c = local->choices[i];
+		const int at = find_target(
+			ups, count, strbuf_str(&local->ups[c.target].vm.name));
+
+		if (at < 0)
+			continue;
+		c.target = (uint32_t)at;
+		local->choices[kept++] = c;
+	}
+	local->choice_count = kept;
+}
+
+static void set_targets(struct permit_local *local,
+			const struct brk_listed *vms, size_t count)
+{
+	struct brk_up *ups = calloc(count + 1, sizeof(*ups));
+	struct pick_target *targets = calloc(count + 1, sizeof(*targets));
+
+	if (!ups || !targets) {
+		free(ups);
+		free(targets);
+		return;
+	}
+	for (size_t i = 0; i < count; i++) {
+		ups[i].vm = vms[i];
+		targets[i].usable = !vms[i].leaving;
+		targets[i].outstanding =
+			outstanding_at(local, strbuf_str(&vms[i].name),
+				       &targets[i].load_permille);
+	}
+	move_choices(local, ups, count);
+	free(local->ups);
+	free(local->targets);
+	local->ups = ups;
+	local->targets = targets;
+	local->count = count;
+}
+
+static void choose(struct permit_local *local, const struct brk_ask *ask)
+{
+	const int at = pick_target(local->policy, local->targets, local->count,
+				   next_random(local));
+	struct brk_answer answer = {
+		.entry = &local->entry_name,
+		.ask = ask->id,
+		.rank = ask->rank,
+		.result = PERMIT_NO_UPSTREAM,
+		.why = BRK_WHY_ORDER,
+		.among = (uint32_t)local->count,
+	};
+
+	if (local->choice_count == local->choice_room) {
+		const size_t room = local->choice_room * 2 + 16;
+		struct choice *grown =
+			realloc(local->choices, room * sizeof(*grown));
+
+		if (!grown)
+			return;
+		local->choices = grown;
+		local->choice_room = room;
+	}
+	if (at >= 0) {
+		answer.result = PERMIT_GRANTED;
+		answer.permit = local->epoch << 32 | ++local->made;
+		answer.up = &local->ups[at];
+		local->targets[at].outstanding++;
+		local->choices[local->choice_count++] = (struct choice){
+			.permit = answer.permit,
+			.target = (uint32_t)at,
+		};
+	}
+	local->sink.answer(local->sink.ctx, &answer);
+}
+
+static void end_choice(struct permit_local *local, uint64_t permit)
+{
+	for (size_t i = 0; i < local->choice_count; i++) {
+		struct choice *c = &local->choices[i];
+
+		if (c->permit != permit)
+			continue;
+		local->targets[c->target].outstanding--;
+		*c = local->choices[--local->choice_count];
+		return;
+	}
+}
+
+int permit_local_create(struct permit_local **out,
+			const struct permit_local_cfg *cfg, apr_time_t now)
+{
+	const struct brk_cfg brk_cfg = {
+		.up = {.shed_hold = SHED_HOLD,
+		       .silent_hold = SILENT_HOLD,
+		       .drain_hold = DRAIN_HOLD,
+		       .ramp_start_pct = 100},
+		.permit_ttl = CLK_SEC(60),
+		.line_max = LINE_MAX_ASKS,
+		.epoch = cfg->epoch,
+	};
+	struct permit_local *local = calloc(1, sizeof(*local));
+
+	if (!local)
+		return PST_ERR_NOMEM;
+	local->policy = cfg->policy;
+	strbuf_set(&local->service, cfg->service);
+	strbuf_set(&local->domain, cfg->domain);
+	strbuf_set(&local->entry_name, cfg->entry);
+	local->epoch = cfg->epoch;
+	local->sink = cfg->sink;
+	local->random = str_hash(cfg->entry, (uint64_t)now) | 1;
+	if (by_share(local) &&
+	    brk_create(&local->brk, &brk_cfg, cfg->sink, now)) {
+		free(local);
+		return PST_ERR_NOMEM;
+	}
+	*out = local;
+	return 0;
+}
+
+void permit_local_destroy(struct permit_local *local)
+{
+	if (!local)
+		return;
+	brk_destroy(local->brk);
+	free(local->ups);
+	free(local->targets);
+	free(local->choices);
+	free(local);
+}
+
+void permit_local_view(struct permit_local *local, const struct ctl_view *view,
+		       apr_time_t now)
+{
+	struct brk_listed *vms = NULL;
+	const size_t count =
+		permit_listed(view->vml, strbuf_str(&local->service),
+			      strbuf_str(&local->domain), &vms);
+	uint32_t pct[RANK_COUNT];
+
+	if (by_share(local)) {
+		cut_to_share(local, view->vml, vms, count);
+		permit_reserves(view->tbl, strbuf_str(&local->service), pct);
+		brk_set_reserves(local->brk, pct, now);
+		brk_set_upstreams(local->brk, vms, count, now);
+	} else {
+		set_targets(local, vms, count);
+	}
+	free(vms);
+}
+
+void permit_local_ask(struct permit_local *local, const struct brk_ask *ask,
+		      apr_time_t now)
+{
+	struct brk_entry *entry;
+
+	if (!by_share(local)) {
+		choose(local, ask);
+		return;
+	}
+	entry = self(local, now);
+	if (entry)
+		brk_ask(local->brk, entry, ask, now);
+}
+
+void permit_local_cancel(struct permit_local *local, uint64_t ask,
+			 apr_time_t now)
+{
+	struct brk_entry *entry = by_share(local) ? self(local, now) : NULL;
+
+	if (entry)
+		brk_cancel(local->brk, entry, ask, now);
+}
+
+void permit_local_release(struct permit_local *local, uint64_t permit,
+			  enum permit_outcome outcome, apr_time_t now)
+{
+	struct brk_entry *entry;
+
+	if (!by_share(local)) {
+		end_choice(local, permit);
+		return;
+	}
+	entry = self(local, now);
+	if (entry)
+		brk_release(local->brk, entry, permit, outcome, now);
+}
+
+void permit_local_claim(struct permit_local *local,
+			const struct brk_claim *claims, size_t count,
+			apr_time_t now)
+{
+	struct brk_entry *entry = by_share(local) ? self(local, now) : NULL;
+
+	if (entry)
+		brk_sync(local->brk, entry, claims, count, 0, now);
+}
+
+void permit_local_report(struct permit_local *local, struct str upstream,
+			 const struct permit_report *report, apr_time_t now)
+{
+	const int at = find_target(local->ups, local->count, upstream);
+
+	if (by_share(local))
+		brk_report(local->brk, upstream, report, now);
+	else if (at >= 0)
+		local->targets[at].load_permille = report->load_permille;
+}
+
+void permit_local_tick(struct permit_local *local, apr_time_t now)
+{
+	if (by_share(local) && self(local, now))
+		brk_tick(local->brk, now);
+}
+
+size_t permit_listed(const struct vml *vml, struct str service,
+		     struct str domain, struct brk_listed **out)
+{
+	struct brk_listed *vms = calloc(vml->count + 1, sizeof(*vms));
+	size_t count = 0;
+
+	*out = vms;
+	for (size_t i = 0; vms && i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+
+		if (vm->kind != VM_UPSTREAM ||
+		    !str_eq(strbuf_str(&vm->service), service) ||
+		    !str_eq(strbuf_str(&vm->domain), domain))
+			continue;
+		vms[count++] = (struct brk_listed){
+			.name = vm->id,
+			.address = vm->address,
+			.port = vm->port,
+			.slots = vm->slots,
+			.leaving = vm->state == VM_LEAVING,
+		};
+	}
+	return count;
+}
+
+void permit_reserves(const struct tbl *tbl, struct str service,
+		     uint32_t pct[RANK_COUNT])
+{
+	const int at = tbl_service_find(tbl, service);
+
+	for (int r = 0; r < RANK_COUNT; r++)
+		pct[r] = at < 0 ? 0
+				: tbl_row(tbl, (uint32_t)at, (enum rank)r)
+					  ->reserved_pct;
+}
--- /dev/null
+++ b/agent/permit_peer.c
@@ -0,0 +1,153 @@
+#include "agent/permit_peer.h"
+
+#include <stdlib.h>
+
+#include "agent/permit_batch.h"
+
+/* A silent peer is asked this many times within the time for silence. */
+#define PINGS_PER_TIMEOUT 2
+
+struct permit_peer *permit_peer_create(const struct vm *vm)
+{
+	struct permit_peer *peer = calloc(1, sizeof(*peer));
+
+	if (!peer)
+		return NULL;
+	peer->vm = vm->id;
+	peer->address = vm->address;
+	peer->region = vm->region;
+	return peer;
+}
+
+static void drop_batch(struct permit_peer *peer)
+{
+	if (!peer->batch)
+		return;
+	xdr_free((xdrproc_t)xdr_pmt_batch, peer->batch);
+	free(peer->batch);
+	peer->batch = NULL;
+}
+
+void permit_peer_destroy(struct permit_peer *peer)
+{
+	drop_batch(peer);
+	free(peer);
+}
+
+pmt_batch *permit_peer_batch(struct permit_peer *peer,
+			     const struct permit_state_cfg *cfg)
+{
+	if (peer->batch)
+		return peer->batch;
+	peer->round++;
+	peer->batch =
+		permit_batch_new(cfg->entry, cfg->region, cfg->incarnation);
+	return peer->batch;
+}
+
+enum permit_peer_change permit_peer_heard(struct permit_peer *peer,
+					  const pmt_answers *answers)
+{
+	enum permit_peer_change change = PERMIT_PEER_SAME;
+
+	if (answers->resync)
+		change = PERMIT_PEER_RESYNC;
+	if (peer->incarnation != answers->incarnation) {
+		if (peer->incarnation)
+			change = PERMIT_PEER_RESYNC;
+		peer->incarnation = answers->incarnation;
+		peer->heard_seq = answers->seq;
+	}
+	if (answers->seq > peer->heard_seq + 1)
+		change = PERMIT_PEER_RESYNC;
+	if (answers->seq > peer->heard_seq)
+		peer->heard_seq = answers->seq;
+	peer->owed_since = 0;
+	if (peer->silent)
+		change = PERMIT_PEER_BACK;
+	if (peer->probed || peer->silent)
+		peer->reconnect = true;
+	peer->probed = false;
+	peer->silent = false;
+	return change;
+}
+
+static void ping(struct permit_peer *peer, apr_time_t now)
+{
+	peer->ping = true;
+	peer->suspect = true;
+	peer->reconnect = true;
+	peer->pinged_at = now;
+}
+
+enum permit_peer_change permit_peer_tick(struct permit_peer *peer,
+					 const struct permit_state_cfg *cfg,
+					 apr_time_t now)
+{
+	const apr_interval_time_t trial =
+		cfg->silent_timeout / PINGS_PER_TIMEOUT;
+
+	if (peer->silent) {
+		if (now - peer->pinged_at >= trial)
+			ping(peer, now);
+		return PERMIT_PEER_SAME;
+	}
+	if (!peer->owed_since)
+		return PERMIT_PEER_SAME;
+	if (now - peer->owed_since >= cfg->silent_timeout) {
+		peer->silent = true;
+		peer->silent_since = peer->owed_since;
+		drop_batch(peer);
+		ping(peer, now);
+		return PERMIT_PEER_SILENT;
+	}
+	if (!peer->probed && now - peer->owed_since >= trial) {
+		peer->probed = true;
+		ping(peer, now);
+	}
+	return PERMIT_PEER_SAME;
+}
+
+static bool wants_answer(const pmt_batch *batch)
+{
+	if (batch->ping)
+		return true;
+	for (u_int i = 0; i < batch->parts.parts_len; i++) {
+		if (batch->parts.parts_val[i].asks.asks_len)
+			return true;
+	}
+	return false;
+}
+
+void permit_peer_flush(struct permit_peer *peer,
+		       const struct permit_state_cfg *cfg,
+		       const struct permit_io *io, apr_time_t now)
+{
+	struct permit_mail mail = {
+		.address = peer->address,
+		.port = cfg->broker_port,
+		.region = peer->region,
+		.prog = PMT_PROG_BROKER,
+		.vers = PMT_VERS,
+		.proc = PMT_PROC_BATCH,
+		.xargs = (xdrproc_t)xdr_pmt_batch,
+		.suspect = peer->suspect,
+		.reconnect = peer->reconnect,
+	};
+
+	if (peer->ping)
+		permit_peer_batch(peer, cfg);
+	if (!peer->batch)
+		return;
+	peer->batch->seq = ++peer->sent_seq;
+	peer->batch->heard = peer->heard_seq;
+	peer->batch->ping = peer->ping;
+	if (!peer->owed_since && wants_answer(peer->batch))
+		peer->owed_since = now;
+	mail.args = peer->batch;
+	peer->batch = NULL;
+	peer->ping = false;
+	peer->suspect = false;
+	peer->reconnect = false;
+	io->send(io->ctx, &mail);
+}
--- /dev/null
+++ b/controld/brk_host.c
@@ -0,0 +1,565 @@
+#include "controld/brk_host.h"
+
+#include <stdlib.h>
+
+#include "agent/permit_batch.h"
+#include "agent/permit_local.h"
+#include "common/err.h"
+#include "common/evt.h"
+#include "policy/brk_core.h"
+
+#define LOG_MODULE "broker"
+
+/* Time after which unconfirmed answers are sent on a new connection. */
+#define CONFIRM_TIMEOUT CLK_MS(1000)
+
+/* Time without entry VMs after which a broker ends. */
+#define BROKER_IDLE CLK_SEC(30)
+
+/* The broker of one service and failure domain. */
+struct role {
+	struct role *next;
+	struct brk_host *host;
+	struct strbuf service;
+	struct strbuf domain;
+	struct brk *brk;
+	bool learning;
+	apr_time_t used_at;
+};
+
+/* An entry VM that has sent something. */
+struct client {
+	struct client *next;
+	struct strbuf entry;
+	struct strbuf region;
+	struct strbuf address;
+	uint64_t incarnation;
+	uint64_t got_seq;
+	uint64_t sent_seq;
+	/* When the first answer without confirmation was sent, or 0. */
+	apr_time_t unconfirmed_since;
+	bool reconnect;
+	bool wanted;
+	bool resync;
+	apr_time_t heard_at;
+	pmt_answers *answers;
+};
+
+struct brk_host {
+	const struct settings *set;
+	uint64_t incarnation;
+	struct brk_host_io io;
+	struct ctl_view *view;
+	struct role *roles;
+	struct client *clients;
+	bool targets_changed;
+	uint32_t epochs;
+	apr_time_t now;
+};
+
+static struct client *find_client(const struct brk_host *host, struct str entry)
+{
+	struct client *c = host->clients;
+
+	while (c && !str_eq(strbuf_str(&c->entry), entry))
+		c = c->next;
+	return c;
+}
+
+static pmt_answers *answers_for(const struct brk_host *host, struct client *c)
+{
+	if (!c->answers)
+		c->answers = permit_answers_new(
+			host->set->vm.id, host->incarnation, c->incarnation);
+	return c->answers;
+}
+
+static void log_answer(const struct role *role, const struct brk_answer *a)
+{
+	if (a->result == PERMIT_GRANTED)
+		evt_log(PERMIT_GRANTED,
+			"service=%s domain=%s entry=%s ask=%llu rank=%s "
+			"upstream=%s permit=%llx among=%u free=%u waiting=%u "
+			"waited_us=%lld why=%s",
+			role->service.ptr, role->domain.ptr, a->entry->ptr,
+			(unsigned long long)a->ask, rank_name(a->rank),
+			a->up->vm.name.ptr, (unsigned long long)a->permit,
+			a->among, a->free, a->waiting, (long long)a->waited,
+			brk_why_name(a->why));
+	else
+		evt_log(PERMIT_REFUSED,
+			"service=%s domain=%s entry=%s ask=%llu rank=%s "
+			"result=%d waiting=%u retry_ms=%lld",
+			role->service.ptr, role->domain.ptr, a->entry->ptr,
+			(unsigned long long)a->ask, rank_name(a->rank),
+			(int)a->result, a->waiting,
+			(long long)a->retry_after / 1000);
+}
+
+static void on_answer(void *ctx, const struct brk_answer *a)
+{
+	struct role *role = ctx;
+	struct client *c = find_client(role->host, strbuf_str(a->entry));
+	pmt_answers *answers = c ? answers_for(role->host, c) : NULL;
+	const pmt_answer answer = {
+		.ask = a->ask,
+		.result = a->result,
+		.permit = a->permit,
+		.grant = a->grant,
+		.port = a->up ? a->up->vm.port : 0,
+		.retry_ms = (u_int)(a->retry_after / 1000),
+	};
+
+	/* What is lost here is asked for again. */
+	if (answers)
+		permit_answers_add(
+			answers, &answer, strbuf_str(&role->service),
+			strbuf_str(&role->domain),
+			a->up ? strbuf_str(&a->up->vm.name) : STR_LIT(""),
+			a->up ? strbuf_str(&a->up->vm.address) : STR_LIT(""));
+	log_answer(role, a);
+}
+
+static void on_capacity(void *ctx, const struct brk_up *up)
+{
+	const struct role *role = ctx;
+
+	evt_log(UPSTREAM_CAPACITY,
+		"service=%s domain=%s upstream=%s slots=%u usable=%u why=%s",
+		role->service.ptr, role->domain.ptr, up->vm.name.ptr,
+		up->vm.slots, up->usable, brk_up_why_name(up->why));
+}
+
+static void on_expired(void *ctx, const struct strbuf *entry, size_t permits)
+{
+	const struct role *role = ctx;
+
+	evt_log(PERMIT_EXPIRED, "service=%s domain=%s entry=%s permits=%zu",
+		role->service.ptr, role->domain.ptr, entry->ptr, permits);
+}
+
+static size_t live_entries(const struct vml *vml)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < vml->count; i++)
+		count += vml->vms[i].kind == VM_ENTRY &&
+			 vml->vms[i].state == VM_LIVE;
+	return count;
+}
+
+static void role_view(struct role *role)
+{
+	const struct ctl_view *view = role->host->view;
+	const apr_time_t now = role->host->now;
+	struct brk_listed *vms = NULL;
+	uint32_t pct[RANK_COUNT];
+	size_t count;
+
+	if (!view)
+		return;
+	count = permit_listed(view->vml, strbuf_str(&role->service),
+			      strbuf_str(&role->domain), &vms);
+	permit_reserves(view->tbl, strbuf_str(&role->service), pct);
+	brk_expect(role->brk, live_entries(view->vml));
+	brk_set_reserves(role->brk, pct, now);
+	/* After a failure the next view brings what is missing. */
+	if (vms)
+		(void)brk_set_upstreams(role->brk, vms, count, now);
+	free(vms);
+	role->host->targets_changed = true;
+}
+
+static struct brk_cfg broker_cfg(struct brk_host *host)
+{
+	const struct set_broker *set = &host->set->broker;
+
+	return (struct brk_cfg){
+		.up = {.ramp = CLK_MS(set->ramp_ms),
+		       .ramp_start_pct = (uint32_t)set->ramp_start_pct,
+		       .shed_hold = CLK_MS(set->shed_hold_ms),
+		       .silent_hold = CLK_MS(set->silent_hold_ms),
+		       .drain_hold = CLK_MS(set->drain_hold_ms)},
+		.permit_ttl = CLK_MS(set->permit_ttl_ms),
+		.learn = CLK_MS(set->learn_ms),
+		.line_max = (uint32_t)set->line_max,
+		/* The highest bit marks permits that entry VMs give. */
+		.epoch = (uint32_t)(host->incarnation + ++host->epochs) >> 1,
+	};
+}
+
+static struct role *new_role(struct brk_host *host, struct str service,
+			     struct str domain)
+{
+	const struct brk_cfg cfg = broker_cfg(host);
+	struct role *role = calloc(1, sizeof(*role));
+	struct brk_sink sink = {
+		.answer = on_answer,
+		.capacity = on_capacity,
+		.expired = on_expired,
+		.ctx = role,
+	};
+
+	if (!role || strbuf_set(&role->service, service) ||
+	    strbuf_set(&role->domain, domain) ||
+	    brk_create(&role->brk, &cfg, sink, host->now)) {
+		free(role);
+		return NULL;
+	}
+	role->host = host;
+	role->learning = cfg.learn > 0;
+	role->next = host->roles;
+	host->roles = role;
+	evt_log(BROKER_START, "service=%s domain=%s entries=%zu",
+		role->service.ptr, role->domain.ptr,
+		host->view ? live_entries(host->view->vml) : 0);
+	role_view(role);
+	return role;
+}
+
+static struct role *role_for(struct brk_host *host, struct str service,
+			     struct str domain)
+{
+	for (struct role *role = host->roles; role; role = role->next) {
+		if (str_eq(strbuf_str(&role->service), service) &&
+		    str_eq(strbuf_str(&role->domain), domain))
+			return role;
+	}
+	if (host->view && (tbl_service_find(host->view->tbl, service) < 0 ||
+			   tbl_domain_find(host->view->tbl, domain) < 0))
+		return NULL;
+	return new_role(host, service, domain);
+}
+
+static void note_learned(struct role *role)
+{
+	struct brk_stats stats;
+
+	if (!role->learning || brk_learning(role->brk))
+		return;
+	role->learning = false;
+	brk_stats(role->brk, &stats);
+	evt_log(BROKER_LEARNED, "service=%s domain=%s entries=%zu permits=%zu",
+		role->service.ptr, role->domain.ptr, stats.entries,
+		stats.permits);
+}
+
+static void take_full(struct role *role, struct brk_entry *entry,
+		      const pmt_part *part)
+{
+	const u_int count = part->held.held_len;
+	struct brk_claim *claims = calloc(count + 1, sizeof(*claims));
+
+	if (!claims)
+		return;
+	for (u_int i = 0; i < count; i++) {
+		const pmt_held *held = &part->held.held_val[i];
+
+		claims[i] = (struct brk_claim){
+			.permit = held->permit,
+			.ask = held->ask,
+			.rank = held->rank < RANK_COUNT ? (enum rank)held->rank
+							: RANK_BULK,
+			.age = (apr_interval_time_t)held->age_us,
+		};
+		strbuf_set(&claims[i].upstream, str_from_c(held->upstream));
+	}
+	brk_sync(role->brk, entry, claims, count, part->seen, role->host->now);
+	free(claims);
+}
+
+static void take_releases(struct role *role, struct brk_entry *entry,
+			  const pmt_part *part)
+{
+	for (u_int i = 0; i < part->releases.releases_len; i++) {
+		const pmt_release *r = &part->releases.releases_val[i];
+
+		brk_release(role->brk, entry, r->permit,
+			    r->outcome < PERMIT_OUTCOMES
+				    ? (enum permit_outcome)r->outcome
+				    : PERMIT_FAILED,
+			    role->host->now);
+	}
+}
+
+static void take_reports(struct role *role, const pmt_part *part)
+{
+	for (u_int i = 0; i < part->reports.reports_len; i++) {
+		const pmt_report *r = &part->reports.reports_val[i];
+		const struct permit_report report = {
+			.load_permille = r->load_permille,
+			.draining = r->draining,
+			.cold = r->cold,
+		};
+
+		brk_report(role->brk, str_from_c(r->upstream), &report,
+			   role->host->now);
+	}
+}
+
+static void take_part(struct brk_host *host, const struct client *c,
+		      const pmt_part *part)
+{
+	struct role *role = role_for(host, str_from_c(part->service),
+				     str_from_c(part->domain));
+	struct brk_entry *entry;
+
+	if (!role)
+		return;
+	entry = brk_hello(role->brk, strbuf_str(&c->entry), c->incarnation,
+			  host->now);
+	if (!entry)
+		return;
+	role->used_at = host->now;
+	take_reports(role, part);
+	take_releases(role, entry, part);
+	for (u_int i = 0; i < part->cancels.cancels_len; i++)
+		brk_cancel(role->brk, entry, part->cancels.cancels_val[i],
+			   host->now);
+	if (part->full)
+		take_full(role, entry, part);
+	for (u_int i = 0; i < part->asks.asks_len; i++) {
+		const pmt_ask *a = &part->asks.asks_val[i];
+		const struct brk_ask ask = {
+			.id = a->id,
+			.rank = a->rank < RANK_COUNT ? (enum rank)a->rank
+						     : RANK_BULK,
+			.deadline = host->now + (apr_interval_time_t)a->left_us,
+		};
+
+		brk_ask(role->brk, entry, &ask, host->now);
+	}
+	note_learned(role);
+}
+
+static struct client *client_for(struct brk_host *host, const pmt_batch *batch,
+				 const struct strbuf *address)
+{
+	struct client *c = find_client(host, str_from_c(batch->entry));
+
+	if (!c) {
+		c = calloc(1, sizeof(*c));
+		if (!c || strbuf_set(&c->entry, str_from_c(batch->entry))) {
+			free(c);
+			return NULL;
+		}
+		c->next = host->clients;
+		host->clients = c;
+	}
+	if (c->incarnation != batch->incarnation) {
+		c->incarnation = batch->incarnation;
+		c->got_seq = batch->seq - 1;
+		c->unconfirmed_since = 0;
+		c->resync = false;
+	}
+	strbuf_set(&c->region, str_from_c(batch->region));
+	c->address = *address;
+	return c;
+}
+
+static void confirm(struct brk_host *host, struct client *c, uint64_t heard)
+{
+	if (heard >= c->sent_seq)
+		c->unconfirmed_since = 0;
+	else if (c->unconfirmed_since &&
+		 host->now - c->unconfirmed_since > CONFIRM_TIMEOUT)
+		c->reconnect = true;
+}
+
+static bool wants_answer(const pmt_batch *batch)
+{
+	for (u_int i = 0; i < batch->parts.parts_len; i++) {
+		if (batch->parts.parts_val[i].asks.asks_len)
+			return true;
+	}
+	return batch->ping;
+}
+
+static void drop_role(struct role **link, const char *reason)
+{
+	struct role *role = *link;
+
+	evt_log(BROKER_STOP, "service=%s domain=%s reason=%s",
+		role->service.ptr, role->domain.ptr, reason);
+	*link = role->next;
+	role->host->targets_changed = true;
+	brk_destroy(role->brk);
+	free(role);
+}
+
+static void drop_client(struct client **link)
+{
+	struct client *c = *link;
+
+	*link = c->next;
+	if (c->answers)
+		xdr_free((xdrproc_t)xdr_pmt_answers, c->answers);
+	free(c->answers);
+	free(c);
+}
+
+static void send_answers(struct brk_host *host, struct client *c)
+{
+	struct permit_mail mail = {
+		.address = c->address,
+		.port = (uint16_t)host->set->entry.rpc_port,
+		.region = c->region,
+		.prog = PMT_PROG_ENTRY,
+		.vers = PMT_VERS,
+		.proc = PMT_PROC_ANSWERS,
+		.xargs = (xdrproc_t)xdr_pmt_answers,
+		.reconnect = c->reconnect,
+		/* An entry VM that has gone quiet may be slow to connect to. */
+		.suspect = host->now - c->heard_at > CONFIRM_TIMEOUT * 2,
+	};
+
+	c->answers->seq = ++c->sent_seq;
+	c->answers->resync = c->resync;
+	if (!c->unconfirmed_since || c->reconnect)
+		c->unconfirmed_since = host->now;
+	mail.args = c->answers;
+	c->answers = NULL;
+	c->reconnect = false;
+	c->resync = false;
+	c->wanted = false;
+	host->io.send(host->io.ctx, &mail);
+}
+
+int brk_host_create(struct brk_host **out, const struct settings *set,
+		    uint64_t incarnation, struct brk_host_io io)
+{
+	struct brk_host *host = calloc(1, sizeof(*host));
+
+	if (!host)
+		return PST_ERR_NOMEM;
+	host->set = set;
+	host->incarnation = incarnation;
+	host->io = io;
+	*out = host;
+	return 0;
+}
+
+void brk_host_destroy(struct brk_host *host)
+{
+	if (!host)
+		return;
+	while (host->roles)
+		drop_role(&host->roles, "exit");
+	while (host->clients)
+		drop_client(&host->clients);
+	if (host->view)
+		ctl_view_put(host->view);
+	free(host);
+}
+
+void brk_host_view(struct brk_host *host, struct ctl_view *view, apr_time_t now)
+{
+	host->now = now;
+	ref_get(&view->ref);
+	if (host->view)
+		ctl_view_put(host->view);
+	host->view = view;
+	for (struct role *role = host->roles; role; role = role->next)
+		role_view(role);
+}
+
+void brk_host_batch(struct brk_host *host, const pmt_batch *batch,
+		    const struct strbuf *address, apr_time_t now)
+{
+	struct client *c;
+
+	host->now = now;
+	c = client_for(host, batch, address);
+	if (!c)
+		return;
+	c->heard_at = now;
+	if (batch->seq <= c->got_seq) {
+		evt_log(BROKER_BATCH_REFUSED, "peer=%s err=%s", address->ptr,
+			err_name(PST_ERR_STALE));
+		return;
+	}
+	if (batch->seq > c->got_seq + 1)
+		c->resync = true;
+	c->got_seq = batch->seq;
+	confirm(host, c, batch->heard);
+	c->wanted = c->wanted || c->resync || wants_answer(batch);
+	for (u_int i = 0; i < batch->parts.parts_len; i++)
+		take_part(host, c, &batch->parts.parts_val[i]);
+}
+
+void brk_host_report(struct brk_host *host, const struct strbuf *upstream,
+		     const struct permit_report *report, apr_time_t now)
+{
+	host->now = now;
+	for (struct role *role = host->roles; role; role = role->next)
+		brk_report(role->brk, strbuf_str(upstream), report, now);
+}
+
+void brk_host_tick(struct brk_host *host, apr_time_t now)
+{
+	struct role **link = &host->roles;
+	struct client **client = &host->clients;
+
+	host->now = now;
+	while (*link) {
+		brk_tick((*link)->brk, now);
+		note_learned(*link);
+		if (now - (*link)->used_at > BROKER_IDLE)
+			drop_role(link, "idle");
+		else
+			link = &(*link)->next;
+	}
+	while (*client) {
+		if (now - (*client)->heard_at > BROKER_IDLE)
+			drop_client(client);
+		else
+			client = &(*client)->next;
+	}
+}
+
+void brk_host_flush(struct brk_host *host, apr_time_t now)
+{
+	host->now = now;
+	for (struct client *c = host->clients; c; c = c->next) {
+		if (c->wanted)
+			answers_for(host, c);
+		if (c->answers)
+			send_answers(host, c);
+	}
+}
+
+bool brk_host_busy(const struct brk_host *host)
+{
+	return host->roles != NULL;
+}
+
+bool brk_host_targets(struct brk_host *host, struct brk_poll_target **out,
+		      size_t *count)
+{
+	struct brk_poll_target *targets = NULL;
+	size_t made = 0;
+
+	if (!host->targets_changed || !host->view)
+		return false;
+	targets = calloc(host->view->vml->count + 1, sizeof(*targets));
+	if (!targets)
+		return false;
+	for (struct role *role = host->roles; role; role = role->next) {
+		struct brk_listed *vms = NULL;
+		const size_t n = permit_listed(host->view->vml,
+					       strbuf_str(&role->service),
+					       strbuf_str(&role->domain), &vms);
+
+		for (size_t i = 0; i < n; i++)
+			targets[made++] = (struct brk_poll_target){
+				.upstream = vms[i].name,
+				.address = vms[i].address,
+				.port = vms[i].port,
+			};
+		free(vms);
+	}
+	host->targets_changed = false;
+	*out = targets;
+	*count = made;
+	return true;
+}
--- /dev/null
+++ b/controld/brk_poll.c
@@ -0,0 +1,315 @@
+#include "controld/brk_poll.h"
+
+#include <pthread.h>
+#include <stdatomic.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+#include <jansson.h>
+
+#include "common/err.h"
+
+/* Largest report read, in bytes. */
+#define REPORT_MAX 4096
+
+/* Longest wait for connections, in ms. */
+#define WAIT_MS 50
+
+#define URL_MAX 128
+
+struct probe {
+	struct brk_poll *poll;
+	struct brk_poll_target target;
+	CURL *easy;
+	bool busy;
+	bool kept;
+	apr_time_t next_at;
+	size_t len;
+	char body[REPORT_MAX];
+};
+
+struct brk_poll {
+	const struct settings *set;
+	const struct clk *clk;
+	void (*on_report)(void *ctx, const struct strbuf *upstream,
+			  const struct permit_report *report);
+	void *ctx;
+	CURLM *multi;
+	struct probe **probes;
+	size_t probe_count;
+	/* Targets that the thread has not taken over yet. */
+	pthread_mutex_t lock;
+	struct brk_poll_target *wanted;
+	size_t wanted_count;
+	bool changed;
+	atomic_bool stopping;
+	pthread_t thread;
+	bool started;
+};
+
+static size_t take_body(char *data, size_t size, size_t count, void *arg)
+{
+	struct probe *probe = arg;
+	const size_t len = size * count;
+
+	if (len > sizeof(probe->body) - probe->len)
+		return 0;
+	memcpy(probe->body + probe->len, data, len);
+	probe->len += len;
+	return len;
+}
+
+static void free_probe(struct probe *probe)
+{
+	if (probe->busy)
+		curl_multi_remove_handle(probe->poll->multi, probe->easy);
+	curl_easy_cleanup(probe->easy);
+	free(probe);
+}
+
+static struct probe *new_probe(struct brk_poll *poll,
+			       const struct brk_poll_target *target)
+{
+	const struct settings *set = poll->set;
+	struct probe *probe = calloc(1, sizeof(*probe));
+	char url[URL_MAX];
+
+	if (!probe)
+		return NULL;
+	probe->easy = curl_easy_init();
+	if (!probe->easy) {
+		free(probe);
+		return NULL;
+	}
+	probe->poll = poll;
+	probe->target = *target;
+	snprintf(url, sizeof(url),
+		 strchr(target->address.ptr, ':') ? "http://[%s]:%u/load"
+						  : "http://%s:%u/load",
+		 target->address.ptr, target->port);
+	curl_easy_setopt(probe->easy, CURLOPT_URL, url);
+	curl_easy_setopt(probe->easy, CURLOPT_INTERFACE, set->vm.address.ptr);
+	curl_easy_setopt(probe->easy, CURLOPT_TIMEOUT_MS,
+			 (long)set->broker.poll_timeout_ms);
+	curl_easy_setopt(probe->easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(probe->easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(probe->easy, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(probe->easy, CURLOPT_WRITEFUNCTION, take_body);
+	curl_easy_setopt(probe->easy, CURLOPT_WRITEDATA, probe);
+	curl_easy_setopt(probe->easy, CURLOPT_PRIVATE, probe);
+	return probe;
+}
+
+static bool same_target(const struct brk_poll_target *a,
+			const struct brk_poll_target *b)
+{
+	return strbuf_eq(&a->upstream, &b->upstream) &&
+	       strbuf_eq(&a->address, &b->address) && a->port == b->port;
+}
+
+static struct probe *keep_probe(struct brk_poll *poll,
+				const struct brk_poll_target *target)
+{
+	for (size_t i = 0; i < poll->probe_count; i++) {
+		struct probe *probe = poll->probes[i];
+
+		if (same_target(&probe->target, target)) {
+			probe->kept = true;
+			return probe;
+		}
+	}
+	return new_probe(poll, target);
+}
+
+/* Keeps the probes of targets that stay, with their connections. */
+static void replace_probes(struct brk_poll *poll,
+			   const struct brk_poll_target *wanted, size_t count)
+{
+	struct probe **probes = calloc(count + 1, sizeof(struct probe *));
+	size_t made = 0;
+
+	if (!probes)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		struct probe *probe = keep_probe(poll, &wanted[i]);
+
+		if (probe)
+			probes[made++] = probe;
+	}
+	for (size_t i = 0; i < poll->probe_count; i++) {
+		if (!poll->probes[i]->kept)
+			free_probe(poll->probes[i]);
+	}
+	for (size_t i = 0; i < made; i++)
+		probes[i]->kept = false;
+	free(poll->probes);
+	poll->probes = probes;
+	poll->probe_count = made;
+}
+
+static void take_targets(struct brk_poll *poll)
+{
+	struct brk_poll_target *wanted = NULL;
+	size_t count = 0;
+	bool changed;
+
+	pthread_mutex_lock(&poll->lock);
+	changed = poll->changed;
+	if (changed) {
+		wanted = poll->wanted;
+		count = poll->wanted_count;
+		poll->wanted = NULL;
+		poll->changed = false;
+	}
+	pthread_mutex_unlock(&poll->lock);
+	if (changed)
+		replace_probes(poll, wanted, count);
+	free(wanted);
+}
+
+static void begin_due(struct brk_poll *poll)
+{
+	const apr_time_t now = clk_now(poll->clk);
+
+	for (size_t i = 0; i < poll->probe_count; i++) {
+		struct probe *probe = poll->probes[i];
+
+		if (probe->busy || now < probe->next_at)
+			continue;
+		probe->next_at =
+			now + CLK_MS(poll->set->broker.poll_interval_ms);
+		probe->len = 0;
+		probe->busy = !curl_multi_add_handle(poll->multi, probe->easy);
+	}
+}
+
+static void finish(struct brk_poll *poll, struct probe *probe, CURLcode code)
+{
+	const struct str body = {.ptr = probe->body, .len = probe->len};
+	struct permit_report report;
+	long status = 0;
+
+	curl_easy_getinfo(probe->easy, CURLINFO_RESPONSE_CODE, &status);
+	curl_multi_remove_handle(poll->multi, probe->easy);
+	probe->busy = false;
+	if (code || status != 200 || brk_poll_parse(body, &report))
+		return;
+	poll->on_report(poll->ctx, &probe->target.upstream, &report);
+}
+
+static void finish_done(struct brk_poll *poll)
+{
+	CURLMsg *msg;
+	int left;
+
+	while ((msg = curl_multi_info_read(poll->multi, &left))) {
+		struct probe *probe = NULL;
+
+		if (msg->msg != CURLMSG_DONE)
+			continue;
+		curl_easy_getinfo(msg->easy_handle, CURLINFO_PRIVATE, &probe);
+		finish(poll, probe, msg->data.result);
+	}
+}
+
+static void *run(void *arg)
+{
+	struct brk_poll *poll = arg;
+	int running;
+
+	while (!poll->stopping) {
+		take_targets(poll);
+		begin_due(poll);
+		curl_multi_perform(poll->multi, &running);
+		finish_done(poll);
+		curl_multi_poll(poll->multi, NULL, 0, WAIT_MS, NULL);
+	}
+	return NULL;
+}
+
+int brk_poll_start(struct brk_poll **out, const struct settings *set,
+		   const struct clk *clk,
+		   void (*on_report)(void *ctx, const struct strbuf *upstream,
+				     const struct permit_report *report),
+		   void *ctx)
+{
+	struct brk_poll *poll = calloc(1, sizeof(*poll));
+
+	if (!poll)
+		return PST_ERR_NOMEM;
+	poll->set = set;
+	poll->clk = clk;
+	poll->on_report = on_report;
+	poll->ctx = ctx;
+	pthread_mutex_init(&poll->lock, NULL);
+	poll->multi = curl_multi_init();
+	if (!poll->multi) {
+		brk_poll_stop(poll);
+		return PST_ERR_HTTP;
+	}
+	if (pthread_create(&poll->thread, NULL, run, poll)) {
+		brk_poll_stop(poll);
+		return PST_ERR_THREAD;
+	}
+	poll->started = true;
+	*out = poll;
+	return 0;
+}
+
+void brk_poll_stop(struct brk_poll *poll)
+{
+	if (!poll)
+		return;
+	poll->stopping = true;
+	if (poll->started) {
+		curl_multi_wakeup(poll->multi);
+		pthread_join(poll->thread, NULL);
+	}
+	for (size_t i = 0; i < poll->probe_count; i++)
+		free_probe(poll->probes[i]);
+	free(poll->probes);
+	free(poll->wanted);
+	curl_multi_cleanup(poll->multi);
+	pthread_mutex_destroy(&poll->lock);
+	free(poll);
+}
+
+int brk_poll_set(struct brk_poll *poll, struct brk_poll_target *targets,
+		 size_t count)
+{
+	if (count && !targets)
+		return PST_ERR_NOMEM;
+	pthread_mutex_lock(&poll->lock);
+	free(poll->wanted);
+	poll->wanted = targets;
+	poll->wanted_count = count;
+	poll->changed = true;
+	pthread_mutex_unlock(&poll->lock);
+	curl_multi_wakeup(poll->multi);
+	return 0;
+}
+
+int brk_poll_parse(struct str json, struct permit_report *out)
+{
+	json_t *root = json_loadb(json.ptr, json.len, 0, NULL);
+	const json_t *named = json_object_get(root, "named_metrics");
+	const double load = json_number_value(
+		json_object_get(root, "application_utilization"));
+
+	if (!json_is_object(root)) {
+		json_decref(root);
+		return PST_ERR_INVALID;
+	}
+	*out = (struct permit_report){
+		.draining = json_number_value(
+				    json_object_get(named, "draining")) > 0,
+		.cold = json_number_value(json_object_get(named, "cold")) > 0,
+	};
+	if (load > 0)
+		out->load_permille =
+			load < 1000 ? (unsigned)(load * 1000) : 1000000;
+	json_decref(root);
+	return 0;
+}
--- /dev/null
+++ b/controld/brk_poll.h
@@ -0,0 +1,44 @@
+/*
+ * Reads the load reports of upstreams (GET /load, ORCA as JSON) at an
+ * interval, all side by side, on a thread of its own.
+ */
+#ifndef CONTROLD_BRK_POLL_H
+#define CONTROLD_BRK_POLL_H
+
+#include "common/clk.h"
+#include "common/settings.h"
+#include "policy/brk_types.h"
+
+struct brk_poll;
+
+/* An upstream to be asked. */
+struct brk_poll_target {
+	struct strbuf upstream;
+	struct strbuf address;
+	uint16_t port;
+};
+
+/*
+ * on_report runs on the thread and must not block. Borrows set and clk.
+ * Returns 0, PST_ERR_NOMEM, PST_ERR_HTTP or PST_ERR_THREAD.
+ */
+int brk_poll_start(struct brk_poll **out, const struct settings *set,
+		   const struct clk *clk,
+		   void (*on_report)(void *ctx, const struct strbuf *upstream,
+				     const struct permit_report *report),
+		   void *ctx);
+
+/* NULL is allowed. */
+void brk_poll_stop(struct brk_poll *poll);
+
+/*
+ * Replaces the targets; takes over the array from malloc(), also when it
+ * fails. Returns 0 or PST_ERR_NOMEM. Thread-safe.
+ */
+int brk_poll_set(struct brk_poll *poll, struct brk_poll_target *targets,
+		 size_t count);
+
+/* Parses a report; returns 0 or PST_ERR_INVALID. */
+int brk_poll_parse(struct str json, struct permit_report *out);
+
+#endif
--- /dev/null
+++ b/policy/brk_hold.c
@@ -0,0 +1,191 @@
+#include "policy/brk_hold.h"
+
+#include <stddef.h>
+#include <stdlib.h>
+
+#include "common/err.h"
+
+#define FROM_NODE(node, type, member) \
+	((type *)(void *)((char *)(node)-offsetof(type, member)))
+
+#define NAME_SEED 0
+
+static void free_all(struct brk_map *map, size_t offset)
+{
+	for (size_t i = 0; map->buckets && i < map->bucket_count; i++) {
+		struct brk_node *node = map->buckets[i];
+
+		while (node) {
+			struct brk_node *next = node->next;
+
+			free((char *)node - offset);
+			node = next;
+		}
+	}
+}
+
+int brk_hold_init(struct brk_hold *hold)
+{
+	*hold = (struct brk_hold){0};
+	if (brk_map_init(&hold->entries) || brk_map_init(&hold->permits) ||
+	    brk_map_init(&hold->granted) || brk_map_init(&hold->waits))
+		return PST_ERR_NOMEM;
+	return 0;
+}
+
+void brk_hold_done(struct brk_hold *hold)
+{
+	free_all(&hold->permits, offsetof(struct brk_permit, by_id));
+	free_all(&hold->waits, offsetof(struct brk_wait, by_ask));
+	free_all(&hold->entries, offsetof(struct brk_entry, by_name));
+	brk_map_done(&hold->entries);
+	brk_map_done(&hold->permits);
+	brk_map_done(&hold->granted);
+	brk_map_done(&hold->waits);
+}
+
+struct brk_entry *brk_hold_entry(const struct brk_hold *hold, struct str name)
+{
+	struct brk_node *node = brk_map_find(
+		&hold->entries, str_hash(name, NAME_SEED), name.len);
+
+	return node ? FROM_NODE(node, struct brk_entry, by_name) : NULL;
+}
+
+struct brk_entry *brk_hold_add_entry(struct brk_hold *hold, struct str name)
+{
+	struct brk_entry *entry = calloc(1, sizeof(*entry));
+
+	if (!entry || strbuf_set(&entry->name, name)) {
+		free(entry);
+		return NULL;
+	}
+	entry->serial = ++hold->serials;
+	brk_map_add(&hold->entries, &entry->by_name, str_hash(name, NAME_SEED),
+		    name.len);
+	return entry;
+}
+
+void brk_hold_drop_entry(struct brk_hold *hold, struct brk_entry *entry)
+{
+	brk_map_remove(&hold->entries, &entry->by_name);
+	free(entry);
+}
+
+void brk_hold_renumber(struct brk_hold *hold, struct brk_entry *entry)
+{
+	entry->serial = ++hold->serials;
+	entry->grants = 0;
+	entry->syncs = 0;
+}
+
+struct brk_permit *brk_hold_permit(const struct brk_hold *hold,
+				   const struct brk_entry *entry, uint64_t id)
+{
+	struct brk_node *node = brk_map_find(&hold->permits, id, entry->serial);
+
+	return node ? FROM_NODE(node, struct brk_permit, by_id) : NULL;
+}
+
+struct brk_permit *brk_hold_granted(const struct brk_hold *hold,
+				    const struct brk_entry *entry, uint64_t ask)
+{
+	struct brk_node *node =
+		brk_map_find(&hold->granted, ask, entry->serial);
+
+	return node ? FROM_NODE(node, struct brk_permit, by_ask) : NULL;
+}
+
+struct brk_permit *brk_hold_add_permit(struct brk_hold *hold,
+				       struct brk_entry *entry, uint64_t id,
+				       uint64_t ask)
+{
+	struct brk_permit *permit = calloc(1, sizeof(*permit));
+
+	if (!permit)
+		return NULL;
+	permit->entry = entry;
+	brk_map_add(&hold->permits, &permit->by_id, id, entry->serial);
+	brk_map_add(&hold->granted, &permit->by_ask, ask, entry->serial);
+	permit->next = entry->permits;
+	if (permit->next)
+		permit->next->prev = permit;
+	entry->permits = permit;
+	entry->permit_count++;
+	return permit;
+}
+
+void brk_hold_drop_permit(struct brk_hold *hold, struct brk_permit *permit)
+{
+	brk_map_remove(&hold->permits, &permit->by_id);
+	brk_map_remove(&hold->granted, &permit->by_ask);
+	if (permit->prev)
+		permit->prev->next = permit->next;
+	else
+		permit->entry->permits = permit->next;
+	if (permit->next)
+		permit->next->prev = permit->prev;
+	permit->entry->permit_count--;
+	free(permit);
+}
+
+struct brk_wait *brk_hold_wait(const struct brk_hold *hold,
+			       const struct brk_entry *entry, uint64_t ask)
+{
+	struct brk_node *node = brk_map_find(&hold->waits, ask, entry->serial);
+
+	return node ? FROM_NODE(node, struct brk_wait, by_ask) : NULL;
+}
+
+struct brk_wait *brk_hold_add_wait(struct brk_hold *hold,
+				   struct brk_entry *entry, uint64_t ask,
+				   enum rank rank)
+{
+	struct brk_queue *queue = &hold->queues[rank];
+	struct brk_wait *wait = calloc(1, sizeof(*wait));
+
+	if (!wait)
+		return NULL;
+	wait->entry = entry;
+	wait->rank = rank;
+	wait->prev = queue->last;
+	if (queue->last)
+		queue->last->next = wait;
+	else
+		queue->first = wait;
+	queue->last = wait;
+	brk_map_add(&hold->waits, &wait->by_ask, ask, entry->serial);
+	return wait;
+}
+
+void brk_hold_drop_wait(struct brk_hold *hold, struct brk_wait *wait)
+{
+	struct brk_queue *queue = &hold->queues[wait->rank];
+
+	brk_map_remove(&hold->waits, &wait->by_ask);
+	if (wait->prev)
+		wait->prev->next = wait->next;
+	else
+		queue->first = wait->next;
+	if (wait->next)
+		wait->next->prev = wait->prev;
+	else
+		queue->last = wait->prev;
+	free(wait);
+}
+
+void brk_hold_each_entry(struct brk_hold *hold,
+			 void (*visit)(void *ctx, struct brk_entry *entry),
+			 void *ctx)
+{
+	for (size_t i = 0; i < hold->entries.bucket_count; i++) {
+		struct brk_node *node = hold->entries.buckets[i];
+
+		while (node) {
+			struct brk_node *next = node->next;
+
+			visit(ctx, FROM_NODE(node, struct brk_entry, by_name));
+			node = next;
+		}
+	}
+}
--- /dev/null
+++ b/policy/brk_map.c
@@ -0,0 +1,92 @@
+#include "policy/brk_map.h"
+
+#include <stdlib.h>
+
+#include "common/err.h"
+
+#define FIRST_BUCKETS 16
+
+static size_t bucket_of(size_t bucket_count, uint64_t a, uint64_t b)
+{
+	uint64_t h = (a ^ (b * 0x9e3779b97f4a7c15u)) * 0xff51afd7ed558ccdu;
+
+	h ^= h >> 32;
+	h *= 0xc4ceb9fe1a85ec53u;
+	return (h ^ (h >> 29)) & (bucket_count - 1);
+}
+
+/* Without memory the chains just grow longer. */
+static void grow(struct brk_map *map)
+{
+	const size_t wanted = map->bucket_count * 2;
+	struct brk_node **buckets = calloc(wanted, sizeof(*buckets));
+
+	if (!buckets)
+		return;
+	for (size_t i = 0; i < map->bucket_count; i++) {
+		struct brk_node *node = map->buckets[i];
+
+		while (node) {
+			struct brk_node *next = node->next;
+			const size_t to =
+				bucket_of(wanted, node->key[0], node->key[1]);
+
+			node->next = buckets[to];
+			buckets[to] = node;
+			node = next;
+		}
+	}
+	free(map->buckets);
+	map->buckets = buckets;
+	map->bucket_count = wanted;
+}
+
+int brk_map_init(struct brk_map *map)
+{
+	*map = (struct brk_map){.bucket_count = FIRST_BUCKETS};
+	map->buckets = calloc(map->bucket_count, sizeof(*map->buckets));
+	return map->buckets ? 0 : PST_ERR_NOMEM;
+}
+
+void brk_map_done(struct brk_map *map)
+{
+	free(map->buckets);
+	map->buckets = NULL;
+}
+
+struct brk_node *brk_map_find(const struct brk_map *map, uint64_t a, uint64_t b)
+{
+	struct brk_node *node =
+		map->buckets[bucket_of(map->bucket_count, a, b)];
+
+	while (node && (node->key[0] != a || node->key[1] != b))
+		node = node->next;
+	return node;
+}
+
+void brk_map_add(struct brk_map *map, struct brk_node *node, uint64_t a,
+		 uint64_t b)
+{
+	size_t at;
+
+	if (map->count >= map->bucket_count)
+		grow(map);
+	at = bucket_of(map->bucket_count, a, b);
+	node->key[0] = a;
+	node->key[1] = b;
+	node->next = map->buckets[at];
+	map->buckets[at] = node;
+	map->count++;
+}
+
+void brk_map_remove(struct brk_map *map, struct brk_node *node)
+{
+	const size_t at =
+		bucket_of(map->bucket_count, node->key[0], node->key[1]);
+	struct brk_node **link = &map->buckets[at];
+
+	while (*link != node)
+		link = &(*link)->next;
+	*link = node->next;
+	map->count--;
+}
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -143,6 +143,17 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_permit {
+	uint64_t *heartbeat_ms;
+	uint64_t *silent_timeout_ms;
+};
+
+static const cyaml_schema_field_t fields_permit[] = {
+	CYAML_FIELD_UINT_PTR("heartbeat_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_permit, heartbeat_ms),
+	CYAML_FIELD_UINT_PTR("silent_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_permit, silent_timeout_ms),
+	CYAML_FIELD_END,
+};
+
 struct raw_control {
 	uint64_t *rpc_port;
 	uint64_t *admin_port;
@@ -158,6 +169,33 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_broker {
+	uint64_t *permit_ttl_ms;
+	uint64_t *learn_ms;
+	uint64_t *ramp_ms;
+	uint64_t *ramp_start_pct;
+	uint64_t *shed_hold_ms;
+	uint64_t *silent_hold_ms;
+	uint64_t *drain_hold_ms;
+	uint64_t *poll_interval_ms;
+	uint64_t *poll_timeout_ms;
+	uint64_t *line_max;
+};
+
+static const cyaml_schema_field_t fields_broker[] = {
+	CYAML_FIELD_UINT_PTR("permit_ttl_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, permit_ttl_ms),
+	CYAML_FIELD_UINT_PTR("learn_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, learn_ms),
+	CYAML_FIELD_UINT_PTR("ramp_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, ramp_ms),
+	CYAML_FIELD_UINT_PTR("ramp_start_pct", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, ramp_start_pct),
+	CYAML_FIELD_UINT_PTR("shed_hold_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, shed_hold_ms),
+	CYAML_FIELD_UINT_PTR("silent_hold_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, silent_hold_ms),
+	CYAML_FIELD_UINT_PTR("drain_hold_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, drain_hold_ms),
+	CYAML_FIELD_UINT_PTR("poll_interval_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, poll_interval_ms),
+	CYAML_FIELD_UINT_PTR("poll_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, poll_timeout_ms),
+	CYAML_FIELD_UINT_PTR("line_max", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, line_max),
+	CYAML_FIELD_END,
+};
+
 struct raw_lookup {
 	uint64_t *port;
 	uint64_t *admin_port;
@@ -201,7 +239,9 @@
 	struct raw_vm *vm;
 	struct raw_platform *platform;
 	struct raw_entry *entry;
+	struct raw_permit *permit;
 	struct raw_control *control;
+	struct raw_broker *broker;
 	struct raw_lookup *lookup;
 	struct raw_net *net;
 	struct raw_log *log;
@@ -211,7 +251,9 @@
 	CYAML_FIELD_MAPPING_PTR("vm", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, vm, fields_vm),
 	CYAML_FIELD_MAPPING_PTR("platform", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, platform, fields_platform),
 	CYAML_FIELD_MAPPING_PTR("entry", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, entry, fields_entry),
+	CYAML_FIELD_MAPPING_PTR("permit", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, permit, fields_permit),
 	CYAML_FIELD_MAPPING_PTR("control", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, control, fields_control),
+	CYAML_FIELD_MAPPING_PTR("broker", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, broker, fields_broker),
 	CYAML_FIELD_MAPPING_PTR("lookup", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, lookup, fields_lookup),
 	CYAML_FIELD_MAPPING_PTR("net", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, net, fields_net),
 	CYAML_FIELD_MAPPING_PTR("log", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, log, fields_log),
@@ -282,6 +324,16 @@
 	return 0;
 }
 
+static int convert_permit(const struct raw_permit *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->heartbeat_ms : NULL, UINT64_C(1000), UINT64_C(50), UINT64_C(10000), &out->permit.heartbeat_ms))
+		return refuse(bad, "permit", "heartbeat_ms", "a number from 50 to 10000");
+	if (conv_uint(r ? r->silent_timeout_ms : NULL, UINT64_C(400), UINT64_C(20), UINT64_C(10000), &out->permit.silent_timeout_ms))
+		return refuse(bad, "permit", "silent_timeout_ms", "a number from 20 to 10000");
+	return 0;
+}
+
 static int convert_control(const struct raw_control *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -296,6 +348,32 @@
 	return 0;
 }
 
+static int convert_broker(const struct raw_broker *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->permit_ttl_ms : NULL, UINT64_C(3500), UINT64_C(200), UINT64_C(60000), &out->broker.permit_ttl_ms))
+		return refuse(bad, "broker", "permit_ttl_ms", "a number from 200 to 60000");
+	if (conv_uint(r ? r->learn_ms : NULL, UINT64_C(600), UINT64_C(0), UINT64_C(10000), &out->broker.learn_ms))
+		return refuse(bad, "broker", "learn_ms", "a number from 0 to 10000");
+	if (conv_uint(r ? r->ramp_ms : NULL, UINT64_C(10000), UINT64_C(0), UINT64_C(600000), &out->broker.ramp_ms))
+		return refuse(bad, "broker", "ramp_ms", "a number from 0 to 600000");
+	if (conv_uint(r ? r->ramp_start_pct : NULL, UINT64_C(25), UINT64_C(1), UINT64_C(100), &out->broker.ramp_start_pct))
+		return refuse(bad, "broker", "ramp_start_pct", "a number from 1 to 100");
+	if (conv_uint(r ? r->shed_hold_ms : NULL, UINT64_C(100), UINT64_C(1), UINT64_C(60000), &out->broker.shed_hold_ms))
+		return refuse(bad, "broker", "shed_hold_ms", "a number from 1 to 60000");
+	if (conv_uint(r ? r->silent_hold_ms : NULL, UINT64_C(500), UINT64_C(1), UINT64_C(60000), &out->broker.silent_hold_ms))
+		return refuse(bad, "broker", "silent_hold_ms", "a number from 1 to 60000");
+	if (conv_uint(r ? r->drain_hold_ms : NULL, UINT64_C(10000), UINT64_C(100), UINT64_C(600000), &out->broker.drain_hold_ms))
+		return refuse(bad, "broker", "drain_hold_ms", "a number from 100 to 600000");
+	if (conv_uint(r ? r->poll_interval_ms : NULL, UINT64_C(500), UINT64_C(20), UINT64_C(60000), &out->broker.poll_interval_ms))
+		return refuse(bad, "broker", "poll_interval_ms", "a number from 20 to 60000");
+	if (conv_uint(r ? r->poll_timeout_ms : NULL, UINT64_C(500), UINT64_C(10), UINT64_C(60000), &out->broker.poll_timeout_ms))
+		return refuse(bad, "broker", "poll_timeout_ms", "a number from 10 to 60000");
+	if (conv_uint(r ? r->line_max : NULL, UINT64_C(4096), UINT64_C(1), UINT64_C(1000000), &out->broker.line_max))
+		return refuse(bad, "broker", "line_max", "a number from 1 to 1000000");
+	return 0;
+}
+
 static int convert_lookup(const struct raw_lookup *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -342,8 +420,12 @@
 		err = convert_platform(r ? r->platform : NULL, out, bad);
 	if (!err)
 		err = convert_entry(r ? r->entry : NULL, out, bad);
+	if (!err)
+		err = convert_permit(r ? r->permit : NULL, out, bad);
 	if (!err)
 		err = convert_control(r ? r->control : NULL, out, bad);
+	if (!err)
+		err = convert_broker(r ? r->broker : NULL, out, bad);
 	if (!err)
 		err = convert_lookup(r ? r->lookup : NULL, out, bad);
 	if (!err)
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -63,6 +63,14 @@
 	struct str policy;
 };
 
+/* pst-entryd: permits for the slots of upstreams. */
+struct set_permit {
+	/* Time between two complete lists of held permits to each broker in use, in milliseconds. */
+	uint64_t heartbeat_ms;
+	/* Time without a sign of life from a broker that owes an answer after which local shares of the slots are used, in milliseconds; at least twice the round trip to the farthest region. */
+	uint64_t silent_timeout_ms;
+};
+
 /* pst-controld: table, members, limits and permits. */
 struct set_control {
 	/* Port for RPC from other processes of the system. */
@@ -75,6 +83,30 @@
 	uint64_t freshness_timeout_ms;
 };
 
+/* pst-controld: permits for the slots of upstreams. */
+struct set_broker {
+	/* Time after the last message of an entry VM after which its permits are free again, in milliseconds; more than three heartbeats. */
+	uint64_t permit_ttl_ms;
+	/* Longest time that a new broker collects the permits held before it grants any, in milliseconds. */
+	uint64_t learn_ms;
+	/* Time in which a cold or restarted upstream comes to its full number of slots, in milliseconds. */
+	uint64_t ramp_ms;
+	/* Part of its slots that a cold upstream starts with, in percent. */
+	uint64_t ramp_start_pct;
+	/* Time for which a refusal lowers the capacity believed of an upstream, in milliseconds; doubles with each refusal in a row, up to 16 times. */
+	uint64_t shed_hold_ms;
+	/* Time without new work after an upstream was silent, in milliseconds; doubles with each failed trial, up to 16 times. */
+	uint64_t silent_hold_ms;
+	/* Time without new work after an upstream refused as draining, whatever its reports say, in milliseconds. */
+	uint64_t drain_hold_ms;
+	/* Time between two reads of an upstream's load report, in milliseconds. */
+	uint64_t poll_interval_ms;
+	/* Time allowed for one read of a load report, in milliseconds. */
+	uint64_t poll_timeout_ms;
+	/* Asks that wait at one broker in one rank; more are refused as not run. */
+	uint64_t line_max;
+};
+
 /* pst-lookupd: which entry VMs a caller should use. */
 struct set_lookup {
 	/* Port for callers. */
@@ -109,7 +141,9 @@
 	struct set_vm vm;
 	struct set_platform platform;
 	struct set_entry entry;
+	struct set_permit permit;
 	struct set_control control;
+	struct set_broker broker;
 	struct set_lookup lookup;
 	struct set_net net;
 	struct set_log log;
