--- a/policy/brk_map.c
+++ b/policy/brk_map.c
@@ -19,7 +19,7 @@
 static void grow(struct brk_map *map)
 {
 	const size_t wanted = map->bucket_count * 2;
-	struct brk_node **buckets = calloc(wanted, sizeof(*buckets));
+	struct brk_node **buckets = calloc(wanted, sizeof(struct brk_node *));
 
 	if (!buckets)
 		return;
@@ -44,7 +44,7 @@
 int brk_map_init(struct brk_map *map)
 {
 	*map = (struct brk_map){.bucket_count = FIRST_BUCKETS};
-	map->buckets = calloc(map->bucket_count, sizeof(*map->buckets));
+	map->buckets = calloc(map->bucket_count, sizeof(struct brk_node *));
 	return map->buckets ? 0 : PST_ERR_NOMEM;
 }
 
