--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -125,6 +125,20 @@
 	free(permit);
 }
 
+static void free_key(struct key *key)
+{
+	struct permit *permit = key->permits;
+
+	while (permit) {
+		struct permit *next = permit->next;
+
+		free(permit);
+		permit = next;
+	}
+	permit_local_destroy(key->local);
+	free(key);
+}
+
 static bool reachable(const struct key *key)
 {
 	return key->peer && !key->peer->silent;
@@ -559,11 +573,8 @@
 	while (st->first_key) {
 		struct key *key = st->first_key;
 
-		while (key->permits)
-			drop_permit(st, key->permits);
 		st->first_key = key->next;
-		permit_local_destroy(key->local);
-		free(key);
+		free_key(key);
 	}
 	while (st->first_peer) {
 		struct permit_peer *peer = st->first_peer;
--- a/policy/pick.c
+++ b/policy/pick.c
@@ -66,12 +66,12 @@
 	const uint64_t low = random & UINT32_MAX;
 	const uint64_t high = random >> 32;
 	const int a = nth(targets, count, low % usable);
+	const uint64_t others = usable - 1;
 	int b;
 
-	if (usable == 1)
+	if (!others)
 		return a;
-	b = nth(targets, count,
-		(low % usable + 1 + high % (usable - 1)) % usable);
+	b = nth(targets, count, (low % usable + 1 + high % others) % usable);
 	return targets[b].outstanding < targets[a].outstanding ? b : a;
 }
 
