--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -238,19 +238,30 @@
 	return 0;
 }
 
+/* Restores the order of the whole heap. */
+static void order(struct brk_fleet *fleet)
+{
+	for (size_t i = fleet->count / 2; i-- > 0;)
+		sift(fleet, fleet->heap[i]);
+}
+
 /* Removes what the list no longer has, unless permits are still out. */
 static void sweep(struct brk_fleet *fleet)
 {
-	size_t i = 0;
+	size_t kept = 0;
 
-	while (i < fleet->count) {
+	for (size_t i = 0; i < fleet->count; i++) {
 		struct brk_up *up = fleet->heap[i];
 
-		if (!up->listed && !up->held)
-			drop(fleet, up);
-		else
-			i++;
+		if (up->listed || up->held) {
+			place(fleet, kept++, up);
+			continue;
+		}
+		count_out(fleet, up);
+		free(up);
 	}
+	fleet->count = kept;
+	order(fleet);
 }
 
 static void served(struct brk_fleet *fleet, struct brk_up *up, double pace,
@@ -339,8 +350,8 @@
 
 	for (size_t i = 0; i < fleet->count; i++)
 		changed = recount(fleet, fleet->heap[i], now) || changed;
-	for (size_t i = fleet->count / 2; changed && i-- > 0;)
-		sift(fleet, fleet->heap[i]);
+	if (changed)
+		order(fleet);
 }
 
 struct brk_up *brk_fleet_pick(const struct brk_fleet *fleet, enum rank rank)
--- a/tests/test_brk_core.c
+++ b/tests/test_brk_core.c
@@ -268,8 +268,7 @@
 	tcase_add_test(tc, slots_are_given_evenly_and_never_exceeded);
 	tcase_add_test(tc, urgent_goes_first_and_others_keep_their_reserve);
 	tcase_add_test(tc, an_ask_sent_again_gets_the_same_permit);
-	tcase_add_test(tc,
-		       permits_of_a_dead_or_restarted_entry_are_free_again);
+	tcase_add_test(tc, permits_of_a_dead_or_restarted_entry_are_free_again);
 	tcase_add_test(tc, complete_list_frees_what_the_entry_does_not_have);
 	tcase_add_test(tc, new_broker_learns_before_it_grants);
 	tcase_add_test(tc, learning_ends_by_itself);
