--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <sys/random.h>
+
 #include "agent/hold.h"
 #include "agent/tmsg.h"
 #include "common/err.h"
@@ -38,6 +40,10 @@
 	uint32_t next_other;
 	struct rpcc *own;
 	bool fresh;
+	/* A new table is in force that pst-controld does not know of yet. */
+	bool changed;
+	/* Random, to tell the processes of a VM apart. */
+	uint64_t id;
 };
 
 static void release_view(struct ref *ref)
@@ -107,8 +113,10 @@
 		return 0;
 	rev_heard(&agent->hold.rev, status->revision);
 	err = hold_apply(&agent->hold, status->revision, status->vm, &changed);
-	if (changed)
+	if (changed) {
 		publish(agent);
+		agent->changed = true;
+	}
 	if (err && err != PST_ERR_STALE && err != PST_ERR_INVALID)
 		return err;
 	if (status->confirmed_age_ms != TABLE_AGE_NEVER)
@@ -124,7 +132,7 @@
 	const apr_time_t asked_at = clk_now(agent->clk);
 	table_ask args = {
 		.from = (char *)agent->set->vm.id.ptr,
-		.from_domain = (char *)agent->set->vm.failure_domain.ptr,
+		.client = agent->id,
 		.held = agent->hold.rev.revision,
 		.after = *after,
 		.list_incarnation = agent->list_incarnation,
@@ -154,8 +162,11 @@
 	bool more = true;
 	int err = 0;
 
+	agent->changed = false;
 	for (int i = 0; !err && more && i < MAX_PAGES; i++)
 		err = ask(agent, rpcc, &after, &more);
+	if (!err && agent->changed)
+		err = ask(agent, rpcc, &after, &more);
 	return err;
 }
 
@@ -286,6 +297,8 @@
 		return PST_ERR_NOMEM;
 	agent->set = set;
 	agent->clk = clk;
+	if (getrandom(&agent->id, sizeof(agent->id), 0) < 0)
+		agent->id = (uint64_t)apr_time_now();
 	pthread_mutex_init(&agent->lock, NULL);
 	pthread_cond_init(&agent->wake, NULL);
 	err = hold_init(&agent->hold, set, clk);
--- /dev/null
+++ b/agent/lst.c
@@ -0,0 +1,77 @@
+#include "agent/lst.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "common/err.h"
+
+/* Largest list accepted, in bytes. */
+#define MAX_LIST ((size_t)32 * 1024 * 1024)
+
+#define HTTP_OK	 200
+#define TEXT_MAX 512
+
+struct body {
+	char *ptr;
+	size_t len;
+};
+
+static size_t keep(char *data, size_t size, size_t count, void *ctx)
+{
+	struct body *body = ctx;
+	const size_t add = size * count;
+	char *grown;
+
+	if (add > MAX_LIST - body->len)
+		return 0;
+	grown = realloc(body->ptr, body->len + add + 1);
+	if (!grown)
+		return 0;
+	memcpy(grown + body->len, data, add);
+	body->ptr = grown;
+	body->len += add;
+	return add;
+}
+
+static int fetch(CURL *easy, const struct settings *set, struct body *body,
+		 long *status)
+{
+	char url[TEXT_MAX];
+	char from[TEXT_MAX];
+
+	snprintf(url, sizeof(url), "%.*s", STR_ARG(set->platform.list_url));
+	snprintf(from, sizeof(from), "host!%.*s", STR_ARG(set->vm.address));
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_INTERFACE, from);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)set->platform.call_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, keep);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
+	if (curl_easy_perform(easy) != CURLE_OK)
+		return PST_ERR_UNAVAILABLE;
+	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
+	return *status == HTTP_OK ? 0 : PST_ERR_UNAVAILABLE;
+}
+
+int lst_read(const struct settings *set, struct vml **out, long *status)
+{
+	CURL *easy = curl_easy_init();
+	struct body body = {0};
+	int err;
+
+	*status = 0;
+	if (!easy)
+		return PST_ERR_NOMEM;
+	err = fetch(easy, set, &body, status);
+	if (!err)
+		err = vml_parse(out,
+				(struct str){.ptr = body.ptr, .len = body.len});
+	free(body.ptr);
+	curl_easy_cleanup(easy);
+	return err;
+}
--- a/agent/stc.c
+++ b/agent/stc.c
@@ -1,6 +1,7 @@
 #include "agent/stc.h"
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -36,6 +37,7 @@
 	char base[URL_MAX];
 	/* Whether the last call failed, to log changes only. */
 	bool down;
+	atomic_bool cancelled;
 };
 
 struct body {
@@ -86,6 +88,18 @@
 	return add;
 }
 
+static int on_progress(void *ctx, curl_off_t down_total, curl_off_t down,
+		       curl_off_t up_total, curl_off_t up)
+{
+	const struct stc *stc = ctx;
+
+	(void)down_total;
+	(void)down;
+	(void)up_total;
+	(void)up;
+	return stc->cancelled;
+}
+
 static json_t *json_b64(struct str s)
 {
 	const int need = apr_base64_encode_len((int)s.len);
@@ -209,6 +223,9 @@
 	curl_easy_setopt(stc->easy, CURLOPT_INTERFACE, interface);
 	curl_easy_setopt(stc->easy, CURLOPT_FRESH_CONNECT, once);
 	curl_easy_setopt(stc->easy, CURLOPT_FORBID_REUSE, once);
+	curl_easy_setopt(stc->easy, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(stc->easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(stc->easy, CURLOPT_XFERINFODATA, stc);
 	curl_easy_setopt(stc->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(stc->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(stc->easy, CURLOPT_TCP_NODELAY, 1L);
@@ -465,6 +482,11 @@
 	free(stc);
 }
 
+void stc_cancel(struct stc *stc)
+{
+	stc->cancelled = true;
+}
+
 int stc_read(struct stc *stc, struct str prefix, struct stc_list *out)
 {
 	if (prefix.len > STC_KEY_MAX)
--- a/agent/stc.h
+++ b/agent/stc.h
@@ -37,6 +37,12 @@
 	       const struct clk *clk);
 void stc_destroy(struct stc *stc);
 
+/*
+ * Makes a call in progress and all later ones fail within about a second;
+ * the only function that another thread may call.
+ */
+void stc_cancel(struct stc *stc);
+
 /*
  * Reads every key with the prefix; the caller frees with stc_list_free().
  * Returns 0 or PST_ERR_UNAVAILABLE.
--- a/agent/tmsg.c
+++ b/agent/tmsg.c
@@ -134,6 +134,12 @@
 	return count ? answer->parts.parts_val[count - 1].mod_revision : after;
 }
 
+bool_t tmsg_xdr_nothing(XDR *xdrs, ...)
+{
+	(void)xdrs;
+	return TRUE;
+}
+
 u_int tmsg_age_ms(apr_interval_time_t age)
 {
 	const apr_interval_time_t ms =
--- a/agent/tmsg.h
+++ b/agent/tmsg.h
@@ -24,6 +24,9 @@
 /* Revision of the last part of a page, or after when it has none. */
 uint64_t tmsg_last_revision(const table_answer *answer, uint64_t after);
 
+/* Codec of a call without arguments. */
+bool_t tmsg_xdr_nothing(XDR *xdrs, ...);
+
 /* An age for a message: milliseconds rounded up, TABLE_AGE_NEVER at most. */
 u_int tmsg_age_ms(apr_interval_time_t age);
 
--- /dev/null
+++ b/controld/drains.c
@@ -0,0 +1,40 @@
+#include "controld/drains.h"
+
+#include <stdlib.h>
+
+#include "common/err.h"
+#include "policy/jsn.h"
+
+static bool marked(struct str value)
+{
+	json_t *root = jsn_parse(value);
+	const bool mark = json_is_true(json_object_get(root, "drain"));
+
+	json_decref(root);
+	return mark;
+}
+
+int drains_list(const struct pts *pts, struct mbr_drain **out, size_t *count)
+{
+	const struct str prefix = STR_LIT(DRAINS_PREFIX);
+	struct tbl_part *parts;
+	size_t part_count;
+	int err = pts_prefix(pts, prefix, &parts, &part_count);
+
+	*count = 0;
+	if (err)
+		return err;
+	*out = calloc(part_count + 1, sizeof(**out));
+	for (size_t i = 0; *out && i < part_count; i++) {
+		const struct str key = parts[i].key;
+
+		if (!marked(parts[i].value))
+			continue;
+		(*out)[(*count)++].id = (struct str){
+			.ptr = key.ptr + prefix.len,
+			.len = key.len - prefix.len,
+		};
+	}
+	free(parts);
+	return *out ? 0 : PST_ERR_NOMEM;
+}
--- /dev/null
+++ b/controld/drains.h
@@ -0,0 +1,16 @@
+/* Operators' drain marks, kept in the store below /pst/drain/. */
+#ifndef CONTROLD_DRAINS_H
+#define CONTROLD_DRAINS_H
+
+#include "policy/mbr.h"
+#include "policy/pts.h"
+
+#define DRAINS_PREFIX "/pst/drain/"
+
+/*
+ * Lists the VMs marked now; the array is owned by the caller (free()), the
+ * names borrow from pts. Returns 0 or PST_ERR_NOMEM.
+ */
+int drains_list(const struct pts *pts, struct mbr_drain **out, size_t *count);
+
+#endif
--- /dev/null
+++ b/controld/duty.c
@@ -0,0 +1,92 @@
+#include "controld/duty.h"
+
+#include <sys/random.h>
+
+#include "common/err.h"
+
+/* Doublings after which the wait no longer grows. */
+#define MAX_DOUBLINGS 16
+
+/* Returns false when the duty is to end. */
+static bool wait_for(struct duty *duty, apr_interval_time_t wait)
+{
+	const apr_time_t until = apr_time_now() + wait;
+	const struct timespec ts = {
+		.tv_sec = until / APR_USEC_PER_SEC,
+		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
+	};
+	bool go_on;
+	int stat = 0;
+
+	pthread_mutex_lock(&duty->lock);
+	while (!duty->stopping && !duty->poked && !stat)
+		stat = pthread_cond_timedwait(&duty->wake, &duty->lock, &ts);
+	duty->poked = false;
+	go_on = !duty->stopping;
+	pthread_mutex_unlock(&duty->lock);
+	return go_on;
+}
+
+static void *loop(void *arg)
+{
+	struct duty *duty = arg;
+	apr_interval_time_t wait;
+
+	do
+		wait = duty->run(duty->ctx);
+	while (wait_for(duty, wait));
+	return NULL;
+}
+
+int duty_start(struct duty *duty, apr_interval_time_t (*run)(void *ctx),
+	       void *ctx)
+{
+	*duty = (struct duty){.run = run, .ctx = ctx};
+	pthread_mutex_init(&duty->lock, NULL);
+	pthread_cond_init(&duty->wake, NULL);
+	if (pthread_create(&duty->thread, NULL, loop, duty))
+		return PST_ERR_THREAD;
+	duty->started = true;
+	return 0;
+}
+
+void duty_poke(struct duty *duty)
+{
+	pthread_mutex_lock(&duty->lock);
+	duty->poked = true;
+	pthread_cond_signal(&duty->wake);
+	pthread_mutex_unlock(&duty->lock);
+}
+
+void duty_stop(struct duty *duty)
+{
+	if (!duty->started)
+		return;
+	pthread_mutex_lock(&duty->lock);
+	duty->stopping = true;
+	pthread_cond_signal(&duty->wake);
+	pthread_mutex_unlock(&duty->lock);
+	pthread_join(duty->thread, NULL);
+	pthread_cond_destroy(&duty->wake);
+	pthread_mutex_destroy(&duty->lock);
+	duty->started = false;
+}
+
+apr_interval_time_t duty_jitter(apr_interval_time_t wait)
+{
+	uint64_t random = 0;
+
+	if (wait <= 0 || getrandom(&random, sizeof(random), 0) < 0)
+		return wait;
+	return wait / 2 + (apr_interval_time_t)(random % (uint64_t)(wait + 1));
+}
+
+apr_interval_time_t duty_backoff(apr_interval_time_t base, uint32_t failures,
+				 apr_interval_time_t max)
+{
+	const uint32_t doublings =
+		failures < MAX_DOUBLINGS ? failures : MAX_DOUBLINGS;
+	const apr_interval_time_t wait = base << doublings;
+
+	return duty_jitter(wait < max ? wait : max);
+}
--- /dev/null
+++ b/controld/main.c
@@ -0,0 +1,137 @@
+/* pst-controld: table, members, limits and permits of one VM. */
+#include <signal.h>
+#include <stdio.h>
+
+#include "common/admin.h"
+#include "common/cli.h"
+#include "common/err.h"
+#include "common/evt.h"
+#include "common/rpcs.h"
+#include "controld/list_duty.h"
+#include "controld/node.h"
+#include "controld/peer_duty.h"
+#include "controld/store_duty.h"
+#include "controld/sync.h"
+#include "controld/vote_duty.h"
+
+#define LOG_MODULE "main"
+
+#define PROGRAM	   "pst-controld"
+
+#define US_PER_MS  1000
+
+struct app {
+	struct settings *set;
+	const struct clk *clk;
+	struct cview *cview;
+	struct node *node;
+	struct admin *admin;
+	struct store_duty *store;
+	struct list_duty *list;
+	struct peer_duty *peer;
+	struct vote_duty *vote;
+	bool serving;
+};
+
+static bool allow(void *ctx, struct str ip)
+{
+	const struct app *app = ctx;
+
+	return str_eq(ip, app->set->vm.address) ||
+	       rpcs_peer_listed(app->set, ip) ||
+	       node_knows_address(app->node, ip);
+}
+
+static int start_serving(struct app *app)
+{
+	const struct rpcs_gate gate = {.allow = allow, .ctx = app};
+	const int err = rpcs_start(app->set->vm.address,
+				   (uint16_t)app->set->control.rpc_port, gate);
+
+	app->serving = !err;
+	return err;
+}
+
+/* In this order; stop() goes the other way. */
+static int start(struct app *app)
+{
+	const struct settings *set = app->set;
+	int err = cview_create(&app->cview);
+
+	if (!err)
+		err = node_create(&app->node, set, app->clk, app->cview);
+	if (!err)
+		err = admin_start(&app->admin, set,
+				  (uint16_t)set->control.admin_port);
+	if (!err)
+		err = sync_register(app->node);
+	if (!err)
+		err = start_serving(app);
+	if (!err)
+		err = list_duty_start(&app->list, set, app->node);
+	if (!err)
+		err = store_duty_start(&app->store, set, app->clk, app->node);
+	if (!err)
+		err = peer_duty_start(&app->peer, set, app->clk, app->node);
+	if (!err)
+		err = vote_duty_start(&app->vote, set, app->clk, app->node);
+	return err;
+}
+
+static void stop(struct app *app)
+{
+	vote_duty_stop(app->vote);
+	peer_duty_stop(app->peer);
+	store_duty_stop(app->store);
+	list_duty_stop(app->list);
+	if (app->serving)
+		rpcs_stop();
+	admin_stop(app->admin);
+	node_destroy(app->node);
+	cview_destroy(app->cview);
+}
+
+static int run(struct app *app, const sigset_t *signals)
+{
+	apr_time_t began;
+	int signal = 0;
+	const int err = start(app);
+
+	if (err) {
+		fprintf(stderr, PROGRAM ": %s\n", err_text(err));
+		stop(app);
+		return err == PST_ERR_IO ? CLI_EXIT_UNAVAILABLE
+					 : CLI_EXIT_INTERNAL;
+	}
+	evt_log(PROCESS_READY, "program=" PROGRAM);
+	sigwait(signals, &signal);
+	began = clk_now(app->clk);
+	evt_log(PROCESS_STOP, "program=" PROGRAM " reason=%s",
+		signal == SIGTERM ? "SIGTERM" : "SIGINT");
+	stop(app);
+	evt_log(PROCESS_EXIT, "program=" PROGRAM " drain_ms=%lld",
+		(long long)(clk_now(app->clk) - began) / US_PER_MS);
+	return CLI_EXIT_OK;
+}
+
+int main(int argc, char **argv)
+{
+	struct app app = {.clk = clk_system()};
+	sigset_t signals;
+	int status;
+
+	if (cli_start(PROGRAM, "Keeps the table and the VM list of one VM.",
+		      argc, argv, &app.set, &status) == CLI_DONE)
+		return status;
+	sigemptyset(&signals);
+	sigaddset(&signals, SIGTERM);
+	sigaddset(&signals, SIGINT);
+	pthread_sigmask(SIG_BLOCK, &signals, NULL);
+	signal(SIGPIPE, SIG_IGN);
+	evt_log(PROCESS_START, "program=" PROGRAM " version=%s vm=%.*s",
+		PST_VERSION, STR_ARG(app.set->vm.id));
+	status = run(&app, &signals);
+	evt_done();
+	set_free(app.set);
+	return status;
+}
--- /dev/null
+++ b/controld/node.c
@@ -0,0 +1,643 @@
+#include "controld/node.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/hold.h"
+#include "agent/tmsg.h"
+#include "common/err.h"
+#include "common/evt.h"
+#include "controld/clients.h"
+#include "controld/drains.h"
+#include "policy/mbr.h"
+#include "policy/relay.h"
+
+#define LOG_MODULE "node"
+
+/* Longest time without a new look at who is absent. */
+#define CORRECT_INTERVAL CLK_MS(500)
+
+/* Bytes of values in one page of an answer. */
+#define PAGE_BYTES ((size_t)1024 * 1024)
+
+struct node {
+	const struct settings *set;
+	const struct clk *clk;
+	struct cview *cview;
+	uint64_t incarnation;
+	pthread_mutex_t lock;
+	pthread_cond_t newer;
+	struct hold hold;
+	bool fresh;
+	enum node_source source;
+	bool store_reachable;
+	/* The platform's list; NULL before the first. */
+	struct vml *listed;
+	apr_time_t listed_at;
+	/* The corrected list; its revision counts the corrections. */
+	struct vml *members;
+	apr_time_t corrected_at;
+	struct mbr *mbr;
+	bool relay;
+	apr_time_t relay_since;
+	/* Last exchange with a relay of the own domain, or the start. */
+	apr_time_t relay_heard_at;
+	struct clients clients;
+};
+
+static const char *const source_names[] = {
+	[NODE_SOURCE_NONE] = "none",
+	[NODE_SOURCE_STORE] = "store",
+	[NODE_SOURCE_PEER] = "peer",
+	[NODE_SOURCE_MAJORITY] = "majority",
+};
+
+static void publish(struct node *node)
+{
+	struct ctl_view *view;
+
+	if (!node->hold.tbl || !node->members)
+		return;
+	view = ctl_view_make(node->hold.tbl, node->members);
+	if (view)
+		cview_publish(node->cview, view);
+}
+
+static void log_vm(const struct vm *vm, const struct vml *listed)
+{
+	const struct vm *entry = vml_find(listed, strbuf_str(&vm->id));
+	const bool listed_live = entry && entry->state == VM_LIVE;
+
+	evt_log(VM_STATE, "vm=%s kind=%s domain=%s state=%s listed=%s",
+		vm->id.ptr, vm->kind == VM_ENTRY ? "entry" : "upstream",
+		vm->domain.ptr, vm->state == VM_LIVE ? "live" : "leaving",
+		!entry	      ? "gone"
+		: listed_live ? "live"
+			      : "leaving");
+}
+
+static void log_changes(const struct vml *before, const struct vml *after,
+			const struct vml *listed)
+{
+	if (!before)
+		return;
+	for (size_t i = 0; i < after->count; i++) {
+		const struct vm *vm = &after->vms[i];
+		const struct vm *old = vml_find(before, strbuf_str(&vm->id));
+
+		if (!old || old->state != vm->state)
+			log_vm(vm, listed);
+	}
+	for (size_t i = 0; i < before->count; i++) {
+		struct vm gone = before->vms[i];
+
+		if (vml_find(after, strbuf_str(&gone.id)))
+			continue;
+		gone.state = VM_LEAVING;
+		log_vm(&gone, listed);
+	}
+}
+
+static void update_role(struct node *node)
+{
+	const bool relay = relay_is(node->members, node->set->vm.failure_domain,
+				    node->set->vm.id);
+
+	if (relay == node->relay)
+		return;
+	node->relay = relay;
+	node->relay_since = clk_now(node->clk);
+	evt_log(RELAY_ROLE, "domain=%.*s relay=%d",
+		STR_ARG(node->set->vm.failure_domain), relay);
+}
+
+static void correct(struct node *node)
+{
+	const uint64_t next = node->members ? node->members->revision + 1 : 1;
+	struct mbr_drain *drains = NULL;
+	struct vml *members = NULL;
+	size_t count = 0;
+	int err;
+
+	if (!node->listed)
+		return;
+	node->corrected_at = clk_now(node->clk);
+	err = drains_list(node->hold.pts, &drains, &count);
+	if (!err)
+		err = mbr_correct(node->mbr, node->listed, node->set->vm.id,
+				  drains, count, next, clk_now(node->clk),
+				  &members);
+	free(drains);
+	if (err)
+		return;
+	if (node->members && mbr_same(node->members, members)) {
+		vml_put(members);
+		return;
+	}
+	log_changes(node->members, members, node->listed);
+	vml_put(node->members);
+	node->members = members;
+	update_role(node);
+	publish(node);
+}
+
+int node_create(struct node **out, const struct settings *set,
+		const struct clk *clk, struct cview *cview)
+{
+	struct node *node = calloc(1, sizeof(*node));
+	int err;
+
+	if (!node)
+		return PST_ERR_NOMEM;
+	node->set = set;
+	node->clk = clk;
+	node->cview = cview;
+	node->incarnation = (uint64_t)apr_time_now();
+	node->relay_heard_at = clk_now(clk);
+	pthread_mutex_init(&node->lock, NULL);
+	pthread_cond_init(&node->newer, NULL);
+	err = hold_init(&node->hold, set, clk);
+	if (!err)
+		err = mbr_create(&node->mbr,
+				 CLK_MS(set->table.heartbeat_timeout_ms));
+	if (err)
+		node_destroy(node);
+	else
+		*out = node;
+	return err;
+}
+
+void node_destroy(struct node *node)
+{
+	if (!node)
+		return;
+	hold_done(&node->hold);
+	mbr_destroy(node->mbr);
+	vml_put(node->listed);
+	vml_put(node->members);
+	pthread_cond_destroy(&node->newer);
+	pthread_mutex_destroy(&node->lock);
+	free(node);
+}
+
+int node_keep(struct node *node, const struct tbl_part *parts, size_t count)
+{
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	err = hold_keep(&node->hold, parts, count);
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
+
+static int apply_locked(struct node *node, uint64_t revision,
+			const char *source)
+{
+	bool changed = false;
+	const int err = hold_apply(&node->hold, revision, source, &changed);
+
+	if (err)
+		return err;
+	if (changed) {
+		correct(node);
+		publish(node);
+		pthread_cond_broadcast(&node->newer);
+	}
+	return 0;
+}
+
+int node_apply(struct node *node, uint64_t revision, const char *source)
+{
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	err = apply_locked(node, revision, source);
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
+
+int node_take_change(struct node *node, const struct tbl_part *parts,
+		     size_t count, uint64_t previous, uint64_t revision,
+		     const char *source)
+{
+	int err = 0;
+
+	pthread_mutex_lock(&node->lock);
+	rev_heard(&node->hold.rev, revision);
+	if (revision > node->hold.rev.revision) {
+		if (previous > node->hold.rev.revision)
+			err = PST_ERR_STALE;
+		if (!err)
+			err = hold_keep(&node->hold, parts, count);
+		if (!err)
+			err = apply_locked(node, revision, source);
+	}
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
+
+void node_confirm(struct node *node, uint64_t newest, apr_time_t at,
+		  enum node_source source)
+{
+	bool confirmed;
+
+	pthread_mutex_lock(&node->lock);
+	confirmed = rev_confirm(&node->hold.rev, newest, at);
+	if (confirmed && source != node->source) {
+		evt_log(TABLE_CONFIRM_BY, "source=%s revision=%llu",
+			source_names[source], (unsigned long long)newest);
+		node->source = source;
+	}
+	pthread_mutex_unlock(&node->lock);
+}
+
+uint64_t node_revision(struct node *node)
+{
+	uint64_t revision;
+
+	pthread_mutex_lock(&node->lock);
+	revision = node->hold.rev.revision;
+	pthread_mutex_unlock(&node->lock);
+	return revision;
+}
+
+bool node_behind(struct node *node)
+{
+	bool behind;
+
+	pthread_mutex_lock(&node->lock);
+	behind = node->hold.rev.heard > node->hold.rev.revision;
+	pthread_mutex_unlock(&node->lock);
+	return behind;
+}
+
+apr_interval_time_t node_age(struct node *node)
+{
+	apr_interval_time_t age;
+
+	pthread_mutex_lock(&node->lock);
+	age = rev_age(&node->hold.rev, clk_now(node->clk));
+	pthread_mutex_unlock(&node->lock);
+	return age;
+}
+
+enum node_source node_source(struct node *node)
+{
+	enum node_source source;
+
+	pthread_mutex_lock(&node->lock);
+	source = node->source;
+	pthread_mutex_unlock(&node->lock);
+	return source;
+}
+
+bool node_voter(struct node *node)
+{
+	bool voter;
+
+	pthread_mutex_lock(&node->lock);
+	voter = node->hold.rev.voter;
+	pthread_mutex_unlock(&node->lock);
+	return voter;
+}
+
+uint64_t node_wait_newer(struct node *node, uint64_t known,
+			 apr_interval_time_t timeout)
+{
+	const apr_time_t until = apr_time_now() + timeout;
+	const struct timespec ts = {
+		.tv_sec = until / APR_USEC_PER_SEC,
+		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
+	};
+	uint64_t revision;
+
+	pthread_mutex_lock(&node->lock);
+	if (node->hold.rev.revision <= known)
+		pthread_cond_timedwait(&node->newer, &node->lock, &ts);
+	revision = node->hold.rev.revision;
+	pthread_mutex_unlock(&node->lock);
+	return revision;
+}
+
+/* Whole groups of one revision; a page is never cut inside one. */
+static size_t page_size(const struct tbl_part *parts, size_t count)
+{
+	size_t bytes = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		if (i && bytes > PAGE_BYTES &&
+		    parts[i].mod_revision != parts[i - 1].mod_revision)
+			return i;
+		bytes += parts[i].value.len;
+	}
+	return count;
+}
+
+static int copy_parts(const struct node *node, uint64_t after, table_part **out,
+		      u_int *out_count, bool *more)
+{
+	struct tbl_part *parts;
+	size_t count;
+	size_t page;
+	int err = pts_since(node->hold.pts, after, &parts, &count);
+
+	if (err)
+		return err;
+	page = page_size(parts, count);
+	*more = page < count;
+	*out = tmsg_parts_copy(parts, page);
+	*out_count = *out ? (u_int)page : 0;
+	free(parts);
+	return page && !*out ? PST_ERR_NOMEM : 0;
+}
+
+int node_change_after(struct node *node, uint64_t after, table_change *out)
+{
+	bool more = false;
+	int err;
+
+	memset(out, 0, sizeof(*out));
+	out->from = strdup(node->set->vm.id.ptr);
+	out->previous = after;
+	pthread_mutex_lock(&node->lock);
+	out->revision = node->hold.rev.revision;
+	err = copy_parts(node, after, &out->parts.parts_val,
+			 &out->parts.parts_len, &more);
+	pthread_mutex_unlock(&node->lock);
+	if (!err && (more || !out->from))
+		err = PST_ERR_FULL;
+	return err;
+}
+
+struct tbl *node_table(struct node *node)
+{
+	struct tbl *tbl;
+
+	pthread_mutex_lock(&node->lock);
+	tbl = node->hold.tbl;
+	if (tbl)
+		tbl_get(tbl);
+	pthread_mutex_unlock(&node->lock);
+	return tbl;
+}
+
+void node_set_store(struct node *node, bool reachable)
+{
+	pthread_mutex_lock(&node->lock);
+	node->store_reachable = reachable;
+	pthread_mutex_unlock(&node->lock);
+}
+
+void node_take_list(struct node *node, struct vml *list)
+{
+	pthread_mutex_lock(&node->lock);
+	if (!node->listed || list->revision >= node->listed->revision) {
+		vml_put(node->listed);
+		node->listed = list;
+		node->listed_at = clk_now(node->clk);
+		correct(node);
+	} else {
+		vml_put(list);
+	}
+	pthread_mutex_unlock(&node->lock);
+}
+
+uint64_t node_listed_revision(struct node *node)
+{
+	uint64_t revision;
+
+	pthread_mutex_lock(&node->lock);
+	revision = node->listed ? node->listed->revision : 0;
+	pthread_mutex_unlock(&node->lock);
+	return revision;
+}
+
+apr_interval_time_t node_list_age(struct node *node)
+{
+	apr_interval_time_t age;
+
+	pthread_mutex_lock(&node->lock);
+	age = node->listed ? clk_now(node->clk) - node->listed_at : REV_NEVER;
+	pthread_mutex_unlock(&node->lock);
+	return age;
+}
+
+struct vml *node_members(struct node *node)
+{
+	struct vml *members;
+
+	pthread_mutex_lock(&node->lock);
+	members = node->members;
+	if (members)
+		vml_get(members);
+	pthread_mutex_unlock(&node->lock);
+	return members;
+}
+
+bool node_is_relay(struct node *node)
+{
+	bool relay;
+
+	pthread_mutex_lock(&node->lock);
+	relay = node->relay || !node->members;
+	pthread_mutex_unlock(&node->lock);
+	return relay;
+}
+
+void node_relay_heard(struct node *node)
+{
+	pthread_mutex_lock(&node->lock);
+	node->relay_heard_at = clk_now(node->clk);
+	pthread_mutex_unlock(&node->lock);
+}
+
+bool node_reads_platform(struct node *node)
+{
+	const apr_interval_time_t bound =
+		CLK_MS(node->set->table.heartbeat_timeout_ms);
+	bool reads;
+
+	pthread_mutex_lock(&node->lock);
+	reads = node->relay || !node->members ||
+		clk_now(node->clk) - node->relay_heard_at > bound;
+	pthread_mutex_unlock(&node->lock);
+	return reads;
+}
+
+void node_vm_heard(struct node *node, struct str id)
+{
+	pthread_mutex_lock(&node->lock);
+	mbr_heard(node->mbr, id, clk_now(node->clk));
+	pthread_mutex_unlock(&node->lock);
+}
+
+void node_vm_failed(struct node *node, struct str id)
+{
+	pthread_mutex_lock(&node->lock);
+	mbr_failed(node->mbr, id, clk_now(node->clk));
+	pthread_mutex_unlock(&node->lock);
+}
+
+static void merge_absent(struct node *node, const table_absent *report,
+			 apr_time_t now)
+{
+	const u_int count = report->vms.vms_len;
+	struct str *ids = calloc(count + 1, sizeof(*ids));
+
+	for (u_int i = 0; ids && i < count; i++)
+		ids[i] = str_from_c(report->vms.vms_val[i]);
+	if (ids)
+		mbr_merge(node->mbr, str_from_c(report->domain), ids, count,
+			  now - CLK_MS(report->age_ms));
+	free(ids);
+}
+
+void node_merge_absents(struct node *node, const table_answer *answer)
+{
+	pthread_mutex_lock(&node->lock);
+	for (u_int i = 0; i < answer->absents.absents_len; i++)
+		merge_absent(node, &answer->absents.absents_val[i],
+			     clk_now(node->clk));
+	pthread_mutex_unlock(&node->lock);
+}
+
+void node_tick(struct node *node)
+{
+	const apr_time_t now = clk_now(node->clk);
+
+	pthread_mutex_lock(&node->lock);
+	node->fresh = hold_tick(&node->hold, node->fresh);
+	if (now - node->corrected_at >= CORRECT_INTERVAL) {
+		if (node->relay && node->listed)
+			mbr_observe(node->mbr, node->listed, node->set->vm.id,
+				    node->set->vm.failure_domain,
+				    node->relay_since, now);
+		correct(node);
+	}
+	pthread_mutex_unlock(&node->lock);
+}
+
+bool node_knows_address(struct node *node, struct str ip)
+{
+	bool known;
+
+	pthread_mutex_lock(&node->lock);
+	known = node->listed && vml_has_entry_address(node->listed, ip);
+	pthread_mutex_unlock(&node->lock);
+	return known;
+}
+
+static int status_locked(struct node *node, table_status *out)
+{
+	const apr_time_t now = clk_now(node->clk);
+	const struct rev *rev = &node->hold.rev;
+
+	out->vm = strdup(node->set->vm.id.ptr);
+	out->incarnation = node->incarnation;
+	out->revision = rev->revision;
+	out->in_force = clients_lowest(&node->clients, rev->revision,
+				       now - rev->freshness_timeout);
+	out->confirmed_age_ms = tmsg_age_ms(rev_age(rev, now));
+	out->voter = rev->voter;
+	out->relay = node->relay;
+	out->store_reachable = node->store_reachable;
+	out->fresh = rev_fresh(rev, now);
+	return out->vm ? 0 : PST_ERR_NOMEM;
+}
+
+int node_status(struct node *node, table_status *out)
+{
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	err = status_locked(node, out);
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
+
+static int copy_report(const struct mbr_report *report, apr_time_t now,
+		       table_absent *out)
+{
+	out->domain = strdup(report->domain.ptr);
+	out->age_ms = tmsg_age_ms(now - report->observed_at);
+	out->vms.vms_val = calloc(report->count + 1, sizeof(pst_id));
+	if (!out->domain || !out->vms.vms_val)
+		return PST_ERR_NOMEM;
+	out->vms.vms_len = (u_int)report->count;
+	for (size_t i = 0; i < report->count; i++) {
+		out->vms.vms_val[i] = strdup(report->absent[i].ptr);
+		if (!out->vms.vms_val[i])
+			return PST_ERR_NOMEM;
+	}
+	return 0;
+}
+
+static int copy_reports(const struct node *node, table_answer *out)
+{
+	const apr_time_t now = clk_now(node->clk);
+	size_t count;
+	const struct mbr_report *reports = mbr_reports(node->mbr, &count);
+	int err = 0;
+
+	out->absents.absents_val = calloc(count + 1, sizeof(table_absent));
+	if (!out->absents.absents_val)
+		return PST_ERR_NOMEM;
+	out->absents.absents_len = (u_int)count;
+	for (size_t i = 0; !err && i < count; i++)
+		err = copy_report(&reports[i], now,
+				  &out->absents.absents_val[i]);
+	return err;
+}
+
+static int answer(struct node *node, const table_ask *ask,
+		  const struct vml *list, bool list_known, table_answer *out)
+{
+	bool more = false;
+	int err = status_locked(node, &out->status);
+
+	if (err)
+		return err;
+	out->list_incarnation = node->incarnation;
+	if (list && !list_known) {
+		out->list = tmsg_list_copy(list);
+		if (!out->list)
+			return PST_ERR_NOMEM;
+	}
+	err = copy_parts(node, ask->after, &out->parts.parts_val,
+			 &out->parts.parts_len, &more);
+	out->more = more;
+	return err;
+}
+
+int node_answer_sync(struct node *node, const table_ask *ask, table_answer *out)
+{
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	mbr_heard(node->mbr, str_from_c(ask->from), clk_now(node->clk));
+	rev_heard(&node->hold.rev, ask->held);
+	err = answer(node, ask, node->listed,
+		     node->listed &&
+			     ask->list_revision >= node->listed->revision,
+		     out);
+	if (!err)
+		err = copy_reports(node, out);
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
+
+int node_answer_view(struct node *node, const table_ask *ask, table_answer *out)
+{
+	bool known;
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	clients_note(&node->clients, ask->client, ask->held,
+		     clk_now(node->clk));
+	known = node->members && ask->list_incarnation == node->incarnation &&
+		ask->list_revision == node->members->revision;
+	err = answer(node, ask, node->members, known, out);
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
--- /dev/null
+++ b/controld/node.h
@@ -0,0 +1,118 @@
+/*
+ * What this pst-controld knows: the table with its freshness, the platform's
+ * VM list and its corrections. The duties feed it, the RPC server answers
+ * from it, and every change is published to the cview. Thread-safe.
+ */
+#ifndef CONTROLD_NODE_H
+#define CONTROLD_NODE_H
+
+#include "controld/cview.h"
+#include "policy/rev.h"
+#include "schema/gen/table.h"
+
+struct node;
+
+/* Where a confirmation of the table came from. */
+enum node_source {
+	NODE_SOURCE_NONE,
+	NODE_SOURCE_STORE,
+	NODE_SOURCE_PEER,
+	NODE_SOURCE_MAJORITY,
+};
+
+/* Borrows set, clk and cview. Returns 0 or PST_ERR_NOMEM. */
+int node_create(struct node **out, const struct settings *set,
+		const struct clk *clk, struct cview *cview);
+void node_destroy(struct node *node);
+
+/* Keeps parts of an exchange that goes on. */
+int node_keep(struct node *node, const struct tbl_part *parts, size_t count);
+
+/* Puts what is kept in force; see hold_apply(). */
+int node_apply(struct node *node, uint64_t revision, const char *source);
+
+/*
+ * Takes a change that leads from the revision previous to revision. Returns
+ * PST_ERR_STALE when an earlier change is missing here.
+ */
+int node_take_change(struct node *node, const struct tbl_part *parts,
+		     size_t count, uint64_t previous, uint64_t revision,
+		     const char *source);
+
+/* See rev_confirm(). */
+void node_confirm(struct node *node, uint64_t newest, apr_time_t at,
+		  enum node_source source);
+
+/* Held revision; 0 before the first. */
+uint64_t node_revision(struct node *node);
+
+/* Whether a higher revision than the held one has been heard of. */
+bool node_behind(struct node *node);
+
+/* Time since the last confirmation, or REV_NEVER. */
+apr_interval_time_t node_age(struct node *node);
+
+/* Where the last confirmation came from. */
+enum node_source node_source(struct node *node);
+
+/* Whether this node's revision may count in a majority. */
+bool node_voter(struct node *node);
+
+/* Waits until the held revision is above known, at most timeout. */
+uint64_t node_wait_newer(struct node *node, uint64_t known,
+			 apr_interval_time_t timeout);
+
+/* Parts changed after a revision, for a push; freed by xdr_free(). */
+int node_change_after(struct node *node, uint64_t after, table_change *out);
+
+/* The failure domains of the table, as a reference to it, or NULL. */
+struct tbl *node_table(struct node *node);
+
+/* Notes whether the store answers. */
+void node_set_store(struct node *node, bool reachable);
+
+/* Takes over the reference to a list from the platform or a peer. */
+void node_take_list(struct node *node, struct vml *list);
+
+/* Revision of the platform's list held; 0 before the first. */
+uint64_t node_listed_revision(struct node *node);
+
+/* Age of the list, or REV_NEVER. */
+apr_interval_time_t node_list_age(struct node *node);
+
+/* The corrected list as a new reference, or NULL before the first. */
+struct vml *node_members(struct node *node);
+
+/* Whether this VM is a relay of its failure domain; true without a list. */
+bool node_is_relay(struct node *node);
+
+void node_vm_heard(struct node *node, struct str id);
+void node_vm_failed(struct node *node, struct str id);
+void node_merge_absents(struct node *node, const table_answer *answer);
+
+/*
+ * Called often by one duty: detects pauses, lets confirmations lapse,
+ * corrects the list again.
+ */
+void node_tick(struct node *node);
+
+/* Whether an address belongs to a listed entry VM. */
+bool node_knows_address(struct node *node, struct str ip);
+
+/* Notes an exchange with a relay of the own failure domain. */
+void node_relay_heard(struct node *node);
+
+/*
+ * Whether this VM is to read from the platform itself: it is a relay, or no
+ * relay of its failure domain has been heard for the heartbeat timeout.
+ */
+bool node_reads_platform(struct node *node);
+
+/* Answers for the RPC server. */
+int node_status(struct node *node, table_status *out);
+int node_answer_sync(struct node *node, const table_ask *ask,
+		     table_answer *out);
+int node_answer_view(struct node *node, const table_ask *ask,
+		     table_answer *out);
+
+#endif
--- /dev/null
+++ b/controld/peer_duty.c
@@ -0,0 +1,182 @@
+#include "controld/peer_duty.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <sys/random.h>
+
+#include "common/err.h"
+#include "controld/duty.h"
+#include "controld/xchg.h"
+#include "policy/relay.h"
+
+/* Longest wait for a change before the stop flag is read. */
+#define CHANGE_WAIT CLK_MS(200)
+
+struct peer_duty {
+	const struct settings *set;
+	const struct clk *clk;
+	struct node *node;
+	struct duty asker;
+	struct duty pusher;
+	struct xchg *ask;
+	struct xchg *push;
+	/* Revision up to which changes were pushed. */
+	uint64_t pushed;
+};
+
+static bool is_self(const struct peer_duty *duty, const struct vm *vm)
+{
+	return str_eq(strbuf_str(&vm->id), duty->set->vm.id);
+}
+
+static uint64_t random_number(void)
+{
+	uint64_t number = 0;
+
+	if (getrandom(&number, sizeof(number), 0) < 0)
+		return (uint64_t)apr_time_now();
+	return number;
+}
+
+/* Before the list is known: addresses of net.peers that are no patterns. */
+static void ask_configured(struct peer_duty *duty)
+{
+	for (size_t i = 0; i < duty->set->net.peers_count; i++) {
+		const struct str ip = duty->set->net.peers[i];
+		struct vm vm = {.kind = VM_ENTRY};
+
+		if (!ip.len || ip.ptr[ip.len - 1] == '*' ||
+		    str_eq(ip, duty->set->vm.address) ||
+		    strbuf_set(&vm.id, ip) || strbuf_set(&vm.address, ip))
+			continue;
+		xchg_sync(duty->ask, &vm);
+	}
+}
+
+static void ask_relays(struct peer_duty *duty, const struct vml *members)
+{
+	const struct vm *relays[RELAY_PER_DOMAIN];
+	const size_t count =
+		relay_pick(members, duty->set->vm.failure_domain, relays);
+
+	for (size_t i = 0; i < count; i++) {
+		if (is_self(duty, relays[i]))
+			continue;
+		if (!xchg_sync(duty->ask, relays[i]))
+			node_relay_heard(duty->node);
+	}
+}
+
+/* Leaving VMs too: one that was found absent is found again this way. */
+static void ask_any(struct peer_duty *duty, const struct vml *members)
+{
+	const size_t first =
+		members->count ? random_number() % members->count : 0;
+
+	for (size_t i = 0; i < members->count; i++) {
+		const struct vm *vm =
+			&members->vms[(first + i) % members->count];
+
+		if (vm->kind != VM_ENTRY || is_self(duty, vm))
+			continue;
+		xchg_sync(duty->ask, vm);
+		return;
+	}
+}
+
+static apr_interval_time_t run_asker(void *ctx)
+{
+	struct peer_duty *duty = ctx;
+	struct vml *members = node_members(duty->node);
+
+	if (!members) {
+		ask_configured(duty);
+	} else {
+		ask_relays(duty, members);
+		ask_any(duty, members);
+		vml_put(members);
+	}
+	return duty_jitter(CLK_MS(duty->set->table.peer_interval_ms));
+}
+
+/* Those that answer go first, so that an absent one delays no other. */
+static void push_to(struct peer_duty *duty, const struct vml *members,
+		    enum vm_state state, table_change *change)
+{
+	for (size_t i = 0; i < members->count; i++) {
+		const struct vm *vm = &members->vms[i];
+
+		if (vm->kind == VM_ENTRY && vm->state == state &&
+		    !is_self(duty, vm) &&
+		    str_eq(strbuf_str(&vm->domain),
+			   duty->set->vm.failure_domain))
+			xchg_push(duty->push, vm, change);
+	}
+}
+
+static void push_change(struct peer_duty *duty, uint64_t revision)
+{
+	struct vml *members = node_members(duty->node);
+	table_change change;
+	int err = node_change_after(duty->node, duty->pushed, &change);
+
+	if (!err && members) {
+		push_to(duty, members, VM_LIVE, &change);
+		push_to(duty, members, VM_LEAVING, &change);
+	}
+	xdr_free((xdrproc_t)xdr_table_change, &change);
+	vml_put(members);
+	duty->pushed = revision;
+}
+
+/* The first table is not pushed: everybody else fetches its own. */
+static apr_interval_time_t run_pusher(void *ctx)
+{
+	struct peer_duty *duty = ctx;
+	const uint64_t revision =
+		node_wait_newer(duty->node, duty->pushed, CHANGE_WAIT);
+
+	if (revision <= duty->pushed)
+		return 0;
+	if (duty->pushed && node_is_relay(duty->node))
+		push_change(duty, revision);
+	duty->pushed = revision;
+	return 0;
+}
+
+int peer_duty_start(struct peer_duty **out, const struct settings *set,
+		    const struct clk *clk, struct node *node)
+{
+	struct peer_duty *duty = calloc(1, sizeof(*duty));
+	int err;
+
+	if (!duty)
+		return PST_ERR_NOMEM;
+	duty->set = set;
+	duty->clk = clk;
+	duty->node = node;
+	err = xchg_create(&duty->ask, set, clk, node);
+	if (!err)
+		err = xchg_create(&duty->push, set, clk, node);
+	if (!err)
+		err = duty_start(&duty->asker, run_asker, duty);
+	if (!err)
+		err = duty_start(&duty->pusher, run_pusher, duty);
+	if (err)
+		peer_duty_stop(duty);
+	else
+		*out = duty;
+	return err;
+}
+
+void peer_duty_stop(struct peer_duty *duty)
+{
+	if (!duty)
+		return;
+	duty_stop(&duty->pusher);
+	duty_stop(&duty->asker);
+	xchg_destroy(duty->push);
+	xchg_destroy(duty->ask);
+	free(duty);
+}
--- /dev/null
+++ b/controld/peer_duty.h
@@ -0,0 +1,20 @@
+/*
+ * Exchanges with other VMs' pst-controlds: with the relays of the own failure
+ * domain and one other VM at random each round; and, as a relay, a push of
+ * every change to the VMs of the own domain. One thread for each of the two.
+ */
+#ifndef CONTROLD_PEER_DUTY_H
+#define CONTROLD_PEER_DUTY_H
+
+#include "controld/node.h"
+
+struct peer_duty;
+
+/* Borrows set, clk and node. Returns 0, PST_ERR_NOMEM or PST_ERR_THREAD. */
+int peer_duty_start(struct peer_duty **out, const struct settings *set,
+		    const struct clk *clk, struct node *node);
+
+/* NULL is allowed. */
+void peer_duty_stop(struct peer_duty *duty);
+
+#endif
--- /dev/null
+++ b/controld/xchg.c
@@ -0,0 +1,206 @@
+#include "controld/xchg.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/tmsg.h"
+#include "common/err.h"
+#include "common/net.h"
+#include "common/rpcc.h"
+
+/* Connections kept; the one unused for longest makes room. */
+#define MAX_CLIENTS 128
+
+/* Pages of one exchange; a table has fewer. */
+#define MAX_PAGES 64
+
+struct client {
+	struct strbuf id;
+	struct strbuf address;
+	struct rpcc *rpcc;
+	uint64_t used;
+};
+
+struct xchg {
+	const struct settings *set;
+	const struct clk *clk;
+	struct node *node;
+	struct client clients[MAX_CLIENTS];
+	uint64_t uses;
+};
+
+static struct client *find_client(struct xchg *xchg, const struct vm *vm)
+{
+	struct client *oldest = &xchg->clients[0];
+
+	for (size_t i = 0; i < MAX_CLIENTS; i++) {
+		struct client *c = &xchg->clients[i];
+
+		if (c->rpcc && strbuf_eq(&c->id, &vm->id) &&
+		    strbuf_eq(&c->address, &vm->address))
+			return c;
+		if (c->used < oldest->used)
+			oldest = c;
+	}
+	return oldest;
+}
+
+static struct rpcc *client_for(struct xchg *xchg, const struct vm *vm)
+{
+	struct client *c = find_client(xchg, vm);
+	struct net_addr peer;
+
+	c->used = ++xchg->uses;
+	if (c->rpcc && strbuf_eq(&c->id, &vm->id) &&
+	    strbuf_eq(&c->address, &vm->address))
+		return c->rpcc;
+	rpcc_destroy(c->rpcc);
+	c->rpcc = NULL;
+	c->id = vm->id;
+	c->address = vm->address;
+	if (net_addr_make(&peer, strbuf_str(&vm->address),
+			  (uint16_t)xchg->set->control.rpc_port))
+		return NULL;
+	if (rpcc_create(&c->rpcc, xchg->set, xchg->clk, strbuf_str(&vm->region),
+			&peer, TABLE_PROGRAM, TABLE_VERSION))
+		c->rpcc = NULL;
+	return c->rpcc;
+}
+
+static void note(struct xchg *xchg, const struct vm *vm, int err)
+{
+	if (err)
+		node_vm_failed(xchg->node, strbuf_str(&vm->id));
+	else
+		node_vm_heard(xchg->node, strbuf_str(&vm->id));
+}
+
+static int call(struct xchg *xchg, const struct vm *vm, rpcproc_t proc,
+		xdrproc_t xargs, void *args, xdrproc_t xres, void *res)
+{
+	struct rpcc *rpcc = client_for(xchg, vm);
+	const int err = rpcc ? rpcc_call(rpcc, proc, xargs, args, xres, res,
+					 CLK_MS(xchg->set->net.rpc_timeout_ms))
+			     : PST_ERR_CONNECT;
+
+	note(xchg, vm, err);
+	return err;
+}
+
+static int keep_page(struct xchg *xchg, const table_answer *answer)
+{
+	struct tbl_part *parts = tmsg_parts_borrow(answer->parts.parts_val,
+						   answer->parts.parts_len);
+	const int err =
+		parts ? node_keep(xchg->node, parts, answer->parts.parts_len)
+		      : PST_ERR_NOMEM;
+
+	free(parts);
+	return err;
+}
+
+static void finish(struct xchg *xchg, const table_answer *answer,
+		   apr_time_t asked_at)
+{
+	const table_status *status = &answer->status;
+
+	if (!status->revision)
+		return;
+	if (status->revision > node_revision(xchg->node))
+		node_apply(xchg->node, status->revision, status->vm);
+	if (status->confirmed_age_ms != TABLE_AGE_NEVER)
+		node_confirm(xchg->node, status->revision,
+			     asked_at - CLK_MS(status->confirmed_age_ms),
+			     NODE_SOURCE_PEER);
+}
+
+static void take_list(struct xchg *xchg, const table_answer *answer)
+{
+	struct vml *list = NULL;
+
+	node_merge_absents(xchg->node, answer);
+	if (answer->list && !tmsg_list_take(&list, answer->list))
+		node_take_list(xchg->node, list);
+}
+
+/* after moves on from page to page; all pages come from one process. */
+static int sync_page(struct xchg *xchg, const struct vm *vm, uint64_t *after,
+		     bool *more)
+{
+	const apr_time_t asked_at = clk_now(xchg->clk);
+	table_ask ask = {
+		.from = (char *)xchg->set->vm.id.ptr,
+		.held = node_revision(xchg->node),
+		.after = *after,
+		.list_revision = node_listed_revision(xchg->node),
+	};
+	table_answer answer = {0};
+	int err = call(xchg, vm, TABLE_SYNC, (xdrproc_t)xdr_table_ask, &ask,
+		       (xdrproc_t)xdr_table_answer, &answer);
+
+	if (err)
+		return err;
+	*more = answer.more;
+	*after = tmsg_last_revision(&answer, *after);
+	take_list(xchg, &answer);
+	err = keep_page(xchg, &answer);
+	if (!err && !answer.more)
+		finish(xchg, &answer, asked_at);
+	xdr_free((xdrproc_t)xdr_table_answer, &answer);
+	return err;
+}
+
+int xchg_create(struct xchg **out, const struct settings *set,
+		const struct clk *clk, struct node *node)
+{
+	struct xchg *xchg = calloc(1, sizeof(*xchg));
+
+	if (!xchg)
+		return PST_ERR_NOMEM;
+	xchg->set = set;
+	xchg->clk = clk;
+	xchg->node = node;
+	*out = xchg;
+	return 0;
+}
+
+void xchg_destroy(struct xchg *xchg)
+{
+	if (!xchg)
+		return;
+	for (size_t i = 0; i < MAX_CLIENTS; i++)
+		rpcc_destroy(xchg->clients[i].rpcc);
+	free(xchg);
+}
+
+int xchg_sync(struct xchg *xchg, const struct vm *vm)
+{
+	uint64_t after = node_revision(xchg->node);
+	bool more = true;
+	int err = 0;
+
+	for (int i = 0; !err && more && i < MAX_PAGES; i++)
+		err = sync_page(xchg, vm, &after, &more);
+	return err;
+}
+
+int xchg_status(struct xchg *xchg, const struct vm *vm, table_status *out,
+		apr_time_t *asked_at)
+{
+	memset(out, 0, sizeof(*out));
+	*asked_at = clk_now(xchg->clk);
+	return call(xchg, vm, TABLE_STATUS, tmsg_xdr_nothing, NULL,
+		    (xdrproc_t)xdr_table_status, out);
+}
+
+int xchg_push(struct xchg *xchg, const struct vm *vm, table_change *change)
+{
+	struct rpcc *rpcc = client_for(xchg, vm);
+	const int err = rpcc ? rpcc_send(rpcc, TABLE_PUSH,
+					 (xdrproc_t)xdr_table_change, change)
+			     : PST_ERR_CONNECT;
+
+	if (err)
+		note(xchg, vm, err);
+	return err;
+}
--- a/policy/rev.c
+++ b/policy/rev.c
@@ -52,8 +52,9 @@
 		return false;
 	if (at < rev->not_before)
 		return false;
-	if (!rev->confirmed || at > rev->confirmed_at)
-		rev->confirmed_at = at;
+	if (rev->confirmed && at <= rev->confirmed_at)
+		return false;
+	rev->confirmed_at = at;
 	rev->confirmed = true;
 	rev->voter = true;
 	return true;
--- a/policy/rev.h
+++ b/policy/rev.h
@@ -50,7 +50,8 @@
 
 /*
  * Notes that at the time at (this process's clock) no revision above newest
- * had been accepted. Returns whether that confirms the held revision.
+ * had been accepted. Returns whether that is news: it confirms the held
+ * revision later than was known.
  */
 bool rev_confirm(struct rev *rev, uint64_t newest, apr_time_t at);
 
--- a/schema/gen/table.h
+++ b/schema/gen/table.h
@@ -68,6 +68,7 @@
 	pst_id vm;
 	u_quad_t incarnation;
 	u_quad_t revision;
+	u_quad_t in_force;
 	u_int confirmed_age_ms;
 	bool_t voter;
 	bool_t relay;
@@ -78,7 +79,7 @@
 
 struct table_ask {
 	pst_id from;
-	pst_id from_domain;
+	u_quad_t client;
 	u_quad_t held;
 	u_quad_t after;
 	u_quad_t list_incarnation;
@@ -105,6 +106,7 @@
 struct table_change {
 	pst_id from;
 	u_quad_t previous;
+	u_quad_t revision;
 	struct {
 		u_int parts_len;
 		table_part *parts_val;
--- a/schema/gen/table_xdr.c
+++ b/schema/gen/table_xdr.c
@@ -87,6 +87,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->in_force))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
@@ -114,6 +116,8 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->revision))
 			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->in_force))
+			 return FALSE;
 		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
@@ -142,6 +146,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->revision))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->in_force))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->confirmed_age_ms))
 		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->voter))
@@ -162,7 +168,7 @@
 
 	 if (!xdr_pst_id (xdrs, &objp->from))
 		 return FALSE;
-	 if (!xdr_pst_id (xdrs, &objp->from_domain))
+	 if (!xdr_u_quad_t (xdrs, &objp->client))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->held))
 		 return FALSE;
@@ -206,6 +212,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->previous))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, TABLE_PARTS_MAX,
 		sizeof (table_part), (xdrproc_t) xdr_table_part))
 		 return FALSE;
--- a/schema/table.x
+++ b/schema/table.x
@@ -44,6 +44,8 @@
 	pst_id vm;
 	unsigned hyper incarnation;
 	unsigned hyper revision;
+	/* Lowest revision that a process served by it still uses. */
+	unsigned hyper in_force;
 	/* Age of the latest confirmation that revision is the newest. */
 	unsigned int confirmed_age_ms;
 	/* Its revision counts in a majority of failure domains. */
@@ -56,7 +58,8 @@
 /* Asks for the parts changed after a revision. */
 struct table_ask {
 	pst_id from;
-	pst_id from_domain;
+	/* Names the asking process in TABLE_VIEW; 0 in TABLE_SYNC. */
+	unsigned hyper client;
 	unsigned hyper held;
 	unsigned hyper after;
 	unsigned hyper list_incarnation;
@@ -73,10 +76,14 @@
 	table_absent absents<TABLE_DOMAINS_MAX>;
 };
 
-/* Parts changed after the revision previous. */
+/*
+ * Every part changed after the revision previous, up to revision at least;
+ * single parts may be newer.
+ */
 struct table_change {
 	pst_id from;
 	unsigned hyper previous;
+	unsigned hyper revision;
 	table_part parts<TABLE_PARTS_MAX>;
 };
 
