Look-up: evenness, separate domains and leaving VMs tested

Cause: the thin pst-lookupd had no test of its decision. Ruled out: nothing new; the buckets hold. Figures: 24 VMs, 160,000 blocks: each VM of the look-up's region is first for its eighth within 10% (bound of the test); a leaving VM is never named.

--- /dev/null
+++ b/tests/test_lkp.c
@@ -0,0 +1,178 @@
+#include <check.h>
+#include <jansson.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "policy/lkp.h"
+#include "tests/fix_limits.h"
+#include "tests/fix_run.h"
+
+#define BLOCKS 160000
+
+static const struct lkp_conf conf = {
+	.region = {.ptr = "r1", .len = 2},
+	.entry_port = 8080,
+	.ttl_ms = 5000,
+};
+
+static struct lkp *build(struct vml *vml)
+{
+	struct tbl *tbl = fix_tbl(3, 2, 100, 0, 1);
+	struct lkp *lkp = NULL;
+
+	ck_assert_int_eq(lkp_build(&lkp, vml, tbl, &conf), 0);
+	tbl_put(tbl);
+	return lkp;
+}
+
+static size_t pick(const struct lkp *lkp, size_t block,
+		   uint32_t out[LKP_CHOICES])
+{
+	char text[32];
+	const int len = snprintf(text, sizeof(text), "10.%zu.%zu.0/24",
+				 block / 256, block % 256);
+
+	return lkp_pick(lkp, (struct str){.ptr = text, .len = (size_t)len},
+			out);
+}
+
+START_TEST(three_domains_own_region_first)
+{
+	struct vml *vml = fix_vml(3, 2, 4);
+	struct lkp *lkp = build(vml);
+
+	for (size_t b = 0; b < 2000; b++) {
+		uint32_t p[LKP_CHOICES];
+
+		ck_assert_uint_eq(pick(lkp, b, p), 3);
+		ck_assert(str_eq(strbuf_str(&vml->vms[p[0]].region),
+				 conf.region));
+		ck_assert(str_eq(strbuf_str(&vml->vms[p[1]].region),
+				 conf.region));
+		ck_assert(!str_eq(strbuf_str(&vml->vms[p[2]].region),
+				  conf.region));
+		ck_assert(!strbuf_eq(&vml->vms[p[0]].domain,
+				     &vml->vms[p[1]].domain));
+	}
+	lkp_put(lkp);
+	vml_put(vml);
+}
+END_TEST
+
+/* Every VM of the region is first for its part of the blocks, within 10%. */
+START_TEST(blocks_spread_evenly)
+{
+	struct vml *vml = fix_vml(3, 2, 4);
+	struct lkp *lkp = build(vml);
+	size_t first[24] = {0};
+
+	for (size_t b = 0; b < BLOCKS; b++) {
+		uint32_t p[LKP_CHOICES];
+
+		pick(lkp, b, p);
+		first[p[0]]++;
+	}
+	for (size_t i = 8; i < 16; i++) {
+		ck_assert_uint_ge(first[i], BLOCKS / 8 * 9 / 10);
+		ck_assert_uint_le(first[i], BLOCKS / 8 * 11 / 10);
+	}
+	lkp_put(lkp);
+	vml_put(vml);
+}
+END_TEST
+
+/* A VM that leaves is named no more; others' blocks stay where they were. */
+START_TEST(a_leaving_vm_moves_only_its_blocks)
+{
+	struct vml *vml = fix_vml(3, 2, 4);
+	struct lkp *before = build(vml);
+	struct lkp *after;
+	size_t moved = 0;
+
+	vml->vms[9].state = VM_LEAVING;
+	after = build(vml);
+	for (size_t b = 0; b < 20000; b++) {
+		uint32_t p[LKP_CHOICES];
+		uint32_t q[LKP_CHOICES];
+
+		pick(before, b, p);
+		pick(after, b, q);
+		for (size_t i = 0; i < 3; i++) {
+			/* Positions count live VMs only. */
+			const uint32_t now = q[i] >= 9 ? q[i] + 1 : q[i];
+
+			ck_assert_uint_ne(now, 9);
+			moved += i == 0 && now != p[0];
+		}
+	}
+	/* An eighth was first on that VM; domains' weights shift a little. */
+	ck_assert_uint_le(moved, 5000);
+	lkp_put(before);
+	lkp_put(after);
+	vml_put(vml);
+}
+END_TEST
+
+START_TEST(answers_are_json_as_documented)
+{
+	struct vml *vml = fix_vml(3, 2, 4);
+	struct lkp *lkp = build(vml);
+	char text[LKP_ANSWER_MAX];
+	size_t len = 0;
+	json_t *json;
+
+	ck_assert_int_eq(
+		lkp_answer(lkp, STR_LIT("status"), STR_LIT("b"), text, &len),
+		0);
+	ck_assert_uint_eq(strlen(text), len);
+	json = json_loads(text, 0, NULL);
+	ck_assert_str_eq(json_string_value(json_object_get(json, "service")),
+			 "status");
+	ck_assert_int_eq(json_integer_value(json_object_get(json, "ttl_ms")),
+			 5000);
+	ck_assert_uint_eq(json_array_size(json_object_get(json, "entries")), 3);
+	json_decref(json);
+	ck_assert_int_eq(
+		lkp_answer(lkp, STR_LIT("other"), STR_LIT("b"), text, &len),
+		PST_ERR_NOTFOUND);
+	lkp_put(lkp);
+	vml_put(vml);
+}
+END_TEST
+
+START_TEST(small_fleets_still_answer)
+{
+	struct vml *one = fix_vml(1, 1, 1);
+	struct vml *none = fix_vml(1, 1, 1);
+	struct lkp *lkp = build(one);
+	char text[LKP_ANSWER_MAX];
+	uint32_t p[LKP_CHOICES];
+	size_t len;
+
+	ck_assert_uint_eq(pick(lkp, 1, p), 1);
+	lkp_put(lkp);
+	none->vms[0].state = VM_LEAVING;
+	lkp = build(none);
+	ck_assert_uint_eq(pick(lkp, 1, p), 0);
+	ck_assert_int_eq(
+		lkp_answer(lkp, STR_LIT("status"), STR_LIT("b"), text, &len),
+		PST_ERR_UNAVAILABLE);
+	lkp_put(lkp);
+	vml_put(one);
+	vml_put(none);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("lkp");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, three_domains_own_region_first);
+	tcase_add_test(tc, blocks_spread_evenly);
+	tcase_add_test(tc, a_leaving_vm_moves_only_its_blocks);
+	tcase_add_test(tc, answers_are_json_as_documented);
+	tcase_add_test(tc, small_fleets_still_answer);
+	return fix_run("lkp", tc);
+}
