Rate and split: exact one-second windows, moves below the shift cap

Cause: a limit holds in every window of one second, also across a refill, and a split may not move faster than its row's cap, also after a pause. Ruled out: a token bucket (depth d needs a refill of rate - d, so a useful burst costs a tenth of the rate); counting by 64 slots costs one part in 65. Conclusion: test_bkt and test_shf hold the bounds by stated targets.

--- /dev/null
+++ b/policy/bkt.c
@@ -0,0 +1,85 @@
+#include "policy/bkt.h"
+
+#include <string.h>
+
+#define SLOT (BKT_WINDOW / BKT_SLOTS)
+#define RING (BKT_SLOTS + 1)
+
+/* Largest part of the rate that one slot may give: a divisor. */
+#define SLOT_BURST 16
+
+static void advance(struct bkt *bkt, apr_time_t now)
+{
+	const int64_t slot = now / SLOT;
+
+	if (slot <= bkt->slot)
+		return;
+	if (slot - bkt->slot >= RING) {
+		memset(bkt->taken, 0, sizeof(bkt->taken));
+		bkt->sum = 0;
+		bkt->slot = slot;
+		return;
+	}
+	while (bkt->slot < slot) {
+		uint64_t *oldest = &bkt->taken[++bkt->slot % RING];
+
+		bkt->sum -= *oldest;
+		*oldest = 0;
+	}
+}
+
+static uint64_t min_u64(uint64_t a, uint64_t b)
+{
+	return a < b ? a : b;
+}
+
+uint64_t bkt_take(struct bkt *bkt, apr_time_t now, uint64_t rate, uint64_t want)
+{
+	uint64_t *slot;
+	uint64_t burst = rate / SLOT_BURST;
+
+	advance(bkt, now);
+	if (bkt->sum >= rate)
+		return 0;
+	if (!burst)
+		burst = 1;
+	slot = &bkt->taken[bkt->slot % RING];
+	if (*slot >= burst)
+		return 0;
+	want = min_u64(want, min_u64(rate - bkt->sum, burst - *slot));
+	*slot += want;
+	bkt->sum += want;
+	return want;
+}
+
+void bkt_add(struct bkt *bkt, apr_time_t now, uint64_t amount)
+{
+	advance(bkt, now);
+	bkt->taken[bkt->slot % RING] += amount;
+	bkt->sum += amount;
+}
+
+/* The oldest slots give first: what stays counted then leaves later. */
+void bkt_return(struct bkt *bkt, apr_time_t now, uint64_t amount)
+{
+	int64_t slot;
+
+	advance(bkt, now);
+	slot = bkt->slot - BKT_RETURN / SLOT;
+	if (slot < 0)
+		slot = 0;
+	for (; slot <= bkt->slot && amount; slot++) {
+		uint64_t *taken = &bkt->taken[slot % RING];
+		const uint64_t part = min_u64(*taken, amount);
+
+		*taken -= part;
+		bkt->sum -= part;
+		amount -= part;
+	}
+}
+
+uint64_t bkt_sum(struct bkt *bkt, apr_time_t now)
+{
+	advance(bkt, now);
+	return bkt->sum;
+}
--- /dev/null
+++ b/policy/bkt.h
@@ -0,0 +1,53 @@
+/*
+ * A rate limit that is exact over every window of one second.
+ *
+ * Time is cut into slots and each slot's amount is kept for one second, so
+ * that what was taken in any window of one second is never above the rate.
+ * A token bucket of depth d keeps that bound only with a refill of rate - d;
+ * counting by slot gives the full rate but for one slot in BKT_SLOTS.
+ */
+#ifndef POLICY_BKT_H
+#define POLICY_BKT_H
+
+#include <stdint.h>
+
+#include <apr_time.h>
+
+/* The window over which a limit holds, in microseconds. */
+#define BKT_WINDOW APR_USEC_PER_SEC
+
+/* Whole slots in one window. */
+#define BKT_SLOTS 64
+
+/* Zeroed memory is an empty bucket. */
+struct bkt {
+	/* By slot number modulo BKT_SLOTS + 1: one window and the slot now. */
+	uint64_t taken[BKT_SLOTS + 1];
+	/* Slot of the newest amount. */
+	int64_t slot;
+	/* Total of taken. */
+	uint64_t sum;
+};
+
+/*
+ * Takes up to want, as far as rate a second allows, and returns how much.
+ * At most a sixteenth of rate (but at least 1) is given in one slot, so that
+ * a window's amount never leaves in one burst.
+ */
+uint64_t bkt_take(struct bkt *bkt, apr_time_t now, uint64_t rate,
+		  uint64_t want);
+
+/* Counts an amount without a bound, for use as a meter. */
+void bkt_add(struct bkt *bkt, apr_time_t now, uint64_t amount);
+
+/*
+ * Returns an amount that was taken within the last BKT_RETURN microseconds
+ * and not used; more than was taken in that time is ignored.
+ */
+#define BKT_RETURN (APR_USEC_PER_SEC / 8)
+void bkt_return(struct bkt *bkt, apr_time_t now, uint64_t amount);
+
+/* What was taken in the last window. */
+uint64_t bkt_sum(struct bkt *bkt, apr_time_t now);
+
+#endif
--- /dev/null
+++ b/policy/shf.c
@@ -0,0 +1,162 @@
+#include "policy/shf.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+
+/* Keeps a whole second, plus one step at its edge, below the cap. */
+#define CAP_MARGIN \
+	((double)APR_USEC_PER_SEC / (APR_USEC_PER_SEC + SHF_STEP_MAX))
+
+/* Moves below this part of the traffic are rounding. */
+#define ROUNDING 1e-9
+
+static double sum_of(const double *parts, size_t count)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < count; i++)
+		sum += parts[i];
+	return sum;
+}
+
+static void record(struct shf *shf, apr_time_t now, double moved)
+{
+	shf->history[shf->next % SHF_HISTORY].at = now;
+	shf->history[shf->next % SHF_HISTORY].moved = moved;
+	shf->next++;
+}
+
+/* Half of the sum of differences: what changes its domain. */
+static double distance(const struct shf *shf, const double *goal, double total)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < shf->count; i++)
+		sum += fabs(goal[i] / total - shf->share[i]);
+	return sum / 2;
+}
+
+static double to_unit(uint64_t random)
+{
+	return (double)(random >> 11) * 0x1p-53;
+}
+
+int shf_init(struct shf *shf, const double *parts, size_t count, apr_time_t now)
+{
+	const double total = sum_of(parts, count);
+
+	*shf = (struct shf){.count = count, .at = now};
+	if (total <= 0)
+		return PST_ERR_INVALID;
+	shf->share = calloc(count, sizeof(*shf->share));
+	if (!shf->share)
+		return PST_ERR_NOMEM;
+	for (size_t i = 0; i < count; i++)
+		shf->share[i] = parts[i] / total;
+	return 0;
+}
+
+void shf_done(struct shf *shf)
+{
+	free(shf->share);
+	shf->share = NULL;
+	shf->count = 0;
+}
+
+void shf_carry(struct shf *shf, const struct shf *former)
+{
+	shf->at = former->at;
+	shf->credit = former->credit;
+	shf->next = former->next;
+	memcpy(shf->history, former->history, sizeof(shf->history));
+}
+
+double shf_step(struct shf *shf, apr_time_t now, const double *goal,
+		double cap_pct)
+{
+	const double total = sum_of(goal, shf->count);
+	apr_interval_time_t elapsed = now - shf->at;
+	double left;
+	double moved;
+
+	if (total <= 0)
+		return 0;
+	if (elapsed < SHF_STEP_MIN)
+		return distance(shf, goal, total);
+	shf->at = now;
+	if (elapsed > SHF_STEP_MAX)
+		elapsed = SHF_STEP_MAX;
+	left = distance(shf, goal, total);
+	if (left < ROUNDING)
+		return 0;
+	moved = cap_pct / 100 * CAP_MARGIN * (double)elapsed / APR_USEC_PER_SEC;
+	if (moved > left)
+		moved = left;
+	for (size_t i = 0; i < shf->count; i++)
+		shf->share[i] +=
+			(goal[i] / total - shf->share[i]) * moved / left;
+	record(shf, now, moved);
+	return left - moved;
+}
+
+double shf_moved(const struct shf *shf, apr_time_t now)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < SHF_HISTORY; i++) {
+		if (shf->history[i].at > now - APR_USEC_PER_SEC)
+			sum += shf->history[i].moved;
+	}
+	return sum;
+}
+
+static int draw(const struct shf *shf, uint64_t random, const bool *skip)
+{
+	double total = 0;
+	double left;
+	int last = -1;
+
+	for (size_t i = 0; i < shf->count; i++) {
+		if (!skip || !skip[i])
+			total += shf->share[i];
+	}
+	left = to_unit(random) * total;
+	for (size_t i = 0; i < shf->count; i++) {
+		if ((skip && skip[i]) || shf->share[i] <= ROUNDING)
+			continue;
+		last = (int)i;
+		left -= shf->share[i];
+		if (left < 0)
+			break;
+	}
+	return last;
+}
+
+/* Each request earns the part of one redraw that the cap has left. */
+int shf_draw(struct shf *shf, apr_time_t now, double cap_pct, uint64_t random)
+{
+	double room = cap_pct / 100 - shf_moved(shf, now);
+
+	if (room > 1)
+		room = 1;
+	if (room > 0)
+		shf->credit += room;
+	if (shf->credit > 1 + room)
+		shf->credit = 1 + (room > 0 ? room : 0);
+	return draw(shf, random, NULL);
+}
+
+int shf_redraw(struct shf *shf, uint64_t random, const bool *skip)
+{
+	int found;
+
+	if (shf->credit < 1)
+		return -1;
+	found = draw(shf, random, skip);
+	if (found >= 0)
+		shf->credit -= 1;
+	return found;
+}
--- /dev/null
+++ b/tests/test_bkt.c
@@ -0,0 +1,116 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "common/clk.h"
+#include "policy/bkt.h"
+#include "tests/fix_run.h"
+
+#define STEPS 4000
+
+/* Seeds are fixed and printed with a failure. */
+#define SEEDS 20
+
+struct taken {
+	apr_time_t at;
+	uint64_t amount;
+};
+
+static struct taken log_of[STEPS];
+
+/* Largest amount in any window of one second that ends with an entry. */
+static uint64_t largest_window(const struct taken *all, size_t count)
+{
+	uint64_t largest = 0;
+	uint64_t sum = 0;
+	size_t first = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		sum += all[i].amount;
+		while (all[i].at - all[first].at > BKT_WINDOW)
+			sum -= all[first++].amount;
+		if (sum > largest)
+			largest = sum;
+	}
+	return largest;
+}
+
+START_TEST(no_window_exceeds_the_rate)
+{
+	for (unsigned seed = 1; seed <= SEEDS; seed++) {
+		const uint64_t rate = seed % 2 ? 7 * seed : 1000000 * seed;
+		struct bkt bkt = {0};
+		apr_time_t now = 123456789;
+
+		srandom(seed);
+		for (size_t i = 0; i < STEPS; i++) {
+			now += random() % (random() % 10 ? 3000 : 400000);
+			log_of[i].at = now;
+			log_of[i].amount =
+				bkt_take(&bkt, now, rate, 1 + random() % rate);
+		}
+		ck_assert_msg(largest_window(log_of, STEPS) <= rate, "seed %u",
+			      seed);
+	}
+}
+END_TEST
+
+START_TEST(steady_demand_gets_nearly_the_rate)
+{
+	const uint64_t rate = 1000000;
+	struct bkt bkt = {0};
+	uint64_t sum = 0;
+
+	for (apr_time_t now = 0; now < CLK_SEC(10); now += CLK_MS(1))
+		sum += bkt_take(&bkt, now, rate, rate);
+	ck_assert_uint_ge(sum, 10 * rate * 97 / 100);
+	ck_assert_uint_le(sum, 11 * rate);
+}
+END_TEST
+
+START_TEST(a_rate_of_one_gives_one_a_second)
+{
+	struct bkt bkt = {0};
+
+	ck_assert_uint_eq(bkt_take(&bkt, CLK_SEC(5), 1, 3), 1);
+	ck_assert_uint_eq(bkt_take(&bkt, CLK_SEC(6), 1, 3), 0);
+	ck_assert_uint_eq(bkt_take(&bkt, CLK_SEC(6) + CLK_MS(16), 1, 3), 1);
+	ck_assert_uint_eq(bkt_take(&bkt, CLK_SEC(9), 0, 3), 0);
+}
+END_TEST
+
+START_TEST(a_return_never_opens_a_window)
+{
+	for (unsigned seed = 1; seed <= SEEDS; seed++) {
+		const uint64_t rate = 500000;
+		struct bkt bkt = {0};
+		apr_time_t now = 0;
+
+		srandom(seed);
+		for (size_t i = 0; i < STEPS; i++) {
+			uint64_t got;
+			uint64_t back;
+
+			now += random() % 5000;
+			got = bkt_take(&bkt, now, rate, random() % 60000);
+			back = got ? (uint64_t)random() % got : 0;
+			log_of[i].at = now;
+			log_of[i].amount = got - back;
+			now += random() % BKT_RETURN;
+			bkt_return(&bkt, now, back);
+		}
+		ck_assert_msg(largest_window(log_of, STEPS) <= rate, "seed %u",
+			      seed);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("bkt");
+
+	tcase_add_test(tc, no_window_exceeds_the_rate);
+	tcase_add_test(tc, steady_demand_gets_nearly_the_rate);
+	tcase_add_test(tc, a_rate_of_one_gives_one_a_second);
+	tcase_add_test(tc, a_return_never_opens_a_window);
+	return fix_run("bkt", tc);
+}
--- /dev/null
+++ b/tests/test_shf.c
@@ -0,0 +1,174 @@
+#include <check.h>
+#include <math.h>
+#include <stdlib.h>
+
+#include "common/clk.h"
+#include "policy/shf.h"
+#include "tests/fix_run.h"
+
+#define DOMAINS 6
+#define CAP	10.0
+
+/* Steps kept for looking back one second, at 1 ms. */
+#define PAST 1001
+
+static double part_moved(const double *a, const double *b)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < DOMAINS; i++)
+		sum += fabs(a[i] - b[i]);
+	return sum / 2;
+}
+
+START_TEST(no_second_moves_more_than_the_cap)
+{
+	static double past[PAST][DOMAINS];
+
+	for (unsigned seed = 1; seed <= 10; seed++) {
+		double goal[DOMAINS] = {1, 1, 1, 1, 1, 1};
+		struct shf shf;
+		apr_time_t step = 0;
+
+		srandom(seed);
+		shf_init(&shf, goal, DOMAINS, 0);
+		for (size_t ms = 0; ms < 20000; ms++) {
+			const double *back = past[(ms + 1) % PAST];
+
+			if (random() % 1500 == 0)
+				goal[random() % DOMAINS] = random() % 3;
+			/* Steps at odd times, some after a pause. */
+			if (CLK_MS(ms) >= step) {
+				shf_step(&shf, CLK_MS(ms), goal, CAP);
+				step = CLK_MS(ms + (random() % 20
+							    ? random() % 60
+							    : random() % 4000));
+			}
+			for (size_t i = 0; i < DOMAINS; i++)
+				past[ms % PAST][i] = shf.share[i];
+			if (ms >= PAST)
+				ck_assert_msg(part_moved(back, shf.share) <=
+						      CAP / 100 + 1e-9,
+					      "seed %u at %zu ms", seed, ms);
+		}
+		shf_done(&shf);
+	}
+}
+END_TEST
+
+START_TEST(reaches_the_goal_near_the_cap)
+{
+	const double start[2] = {1, 0};
+	const double goal[2] = {0, 1};
+	struct shf shf;
+	double left = 1;
+	apr_time_t now = 0;
+
+	shf_init(&shf, start, 2, 0);
+	while (left > 0 && now < CLK_SEC(60)) {
+		now += CLK_MS(25);
+		left = shf_step(&shf, now, goal, CAP);
+	}
+	ck_assert_int_ge(now, CLK_SEC(10));
+	ck_assert_int_le(now, CLK_SEC(11));
+	shf_done(&shf);
+}
+END_TEST
+
+START_TEST(draws_follow_the_split)
+{
+	const double parts[3] = {50, 30, 20};
+	size_t drawn[3] = {0};
+	struct shf shf;
+
+	srandom(7);
+	shf_init(&shf, parts, 3, 0);
+	for (size_t i = 0; i < 100000; i++) {
+		const uint64_t r = (uint64_t)random() << 33 | (uint64_t)random()
+								      << 2;
+
+		drawn[shf_draw(&shf, 0, CAP, r)]++;
+	}
+	ck_assert_int_lt(labs((long)drawn[0] - 50000), 1000);
+	ck_assert_int_lt(labs((long)drawn[2] - 20000), 1000);
+	shf_done(&shf);
+}
+END_TEST
+
+/* A domain that fails every request: what is sent elsewhere is a move. */
+START_TEST(redraws_stay_within_the_cap)
+{
+	const double parts[3] = {50, 30, 20};
+	const bool skip[3] = {true, false, false};
+	size_t redrawn = 0;
+	struct shf shf;
+
+	srandom(8);
+	shf_init(&shf, parts, 3, 0);
+	for (size_t i = 0; i < 10000; i++) {
+		const uint64_t r = (uint64_t)random() << 33;
+
+		if (shf_draw(&shf, CLK_MS(i), CAP, r) == 0 &&
+		    shf_redraw(&shf, r, skip) > 0)
+			redrawn++;
+	}
+	ck_assert_uint_le(redrawn, 1001);
+	/* 90% of what the cap allows. */
+	ck_assert_uint_ge(redrawn, 900);
+	shf_done(&shf);
+}
+END_TEST
+
+/* Moves of the split and redraws share one cap. */
+START_TEST(redraws_wait_while_the_split_moves)
+{
+	const double parts[2] = {50, 50};
+	const double goal[2] = {0, 1};
+	const bool skip[2] = {true, false};
+	size_t redrawn = 0;
+	struct shf shf;
+
+	srandom(9);
+	shf_init(&shf, parts, 2, 0);
+	for (size_t ms = 0; ms < 4000; ms++) {
+		const uint64_t r = (uint64_t)random() << 33;
+
+		shf_step(&shf, CLK_MS(ms), goal, CAP);
+		if (shf_draw(&shf, CLK_MS(ms), CAP, r) == 0 && ms >= 1500 &&
+		    shf_redraw(&shf, r, skip) > 0)
+			redrawn++;
+	}
+	/* Left of the cap: the margin of its steps, and one saved up. */
+	ck_assert_uint_le(redrawn, 2 + 2500 * 5 / 1000);
+	shf_done(&shf);
+}
+END_TEST
+
+START_TEST(no_weight_gives_no_domain)
+{
+	const double none[2] = {0, 0};
+	const double one[2] = {0, 1};
+	const bool skip[2] = {false, true};
+	struct shf shf;
+
+	ck_assert_int_ne(shf_init(&shf, none, 2, 0), 0);
+	ck_assert_int_eq(shf_init(&shf, one, 2, 0), 0);
+	for (uint64_t r = 0; r < 100; r++)
+		ck_assert_int_eq(shf_draw(&shf, 0, 100, r << 57), 1);
+	ck_assert_int_eq(shf_redraw(&shf, 1, skip), -1);
+	shf_done(&shf);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("shf");
+
+	tcase_add_test(tc, no_second_moves_more_than_the_cap);
+	tcase_add_test(tc, reaches_the_goal_near_the_cap);
+	tcase_add_test(tc, draws_follow_the_split);
+	tcase_add_test(tc, redraws_stay_within_the_cap);
+	tcase_add_test(tc, redraws_wait_while_the_split_moves);
+	tcase_add_test(tc, no_weight_gives_no_domain);
+	return fix_run("shf", tc);
+}
