Shares of limits: owned by domain, lent by RPC, drawn by pst-entryd

Cause: limits hold summed over all entry VMs, whoever dies or pauses. Ruled out: a static part for each VM (one-sided demand uses 1/24), a store write for each loan (the store takes several hundred writes a second) and ownership that lapses with a lease (an outage would end every share). Conclusion: one record a failure domain, loans by monotonic clocks below it.

--- /dev/null
+++ b/agent/quota_msg.c
@@ -0,0 +1,159 @@
+#include "agent/quota_msg.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <apr_general.h>
+
+#include "common/err.h"
+
+/* Parts of a split in a message are counted in this many. */
+#define PARTS_WHOLE 1e9
+
+bool_t qm_xdr_none(XDR *xdrs, ...)
+{
+	(void)xdrs;
+	return TRUE;
+}
+
+uint64_t qm_incarnation(void)
+{
+	uint64_t number = 0;
+
+	if (apr_generate_random_bytes((unsigned char *)&number, sizeof(number)))
+		number = (uint64_t)apr_time_now();
+	return number;
+}
+
+static char *copy_name(struct str name)
+{
+	char *copy = malloc(name.len + 1);
+
+	if (copy) {
+		memcpy(copy, name.ptr, name.len);
+		copy[name.len] = '\0';
+	}
+	return copy;
+}
+
+int qm_borrow_make(struct shr_x_borrow *out, struct str vm,
+		   uint64_t incarnation, enum shr_level level,
+		   const struct shr_ask *asks, size_t count)
+{
+	*out = (struct shr_x_borrow){
+		.vm = copy_name(vm),
+		.incarnation = incarnation,
+		.level = level,
+	};
+	out->asks.asks_val = calloc(count + 1, sizeof(*out->asks.asks_val));
+	if (!out->vm || !out->asks.asks_val) {
+		xdr_free((xdrproc_t)xdr_shr_x_borrow, out);
+		return PST_ERR_NOMEM;
+	}
+	out->asks.asks_len = (u_int)count;
+	for (size_t i = 0; i < count; i++) {
+		out->asks.asks_val[i].id = asks[i].id;
+		out->asks.asks_val[i].want = asks[i].want;
+	}
+	return 0;
+}
+
+size_t qm_grants(const struct shr_x_lent *lent, struct shr_grant *out,
+		 size_t count)
+{
+	if (lent->grants.grants_len < count)
+		count = lent->grants.grants_len;
+	for (size_t i = 0; i < count; i++) {
+		out[i].amount = lent->grants.grants_val[i].amount;
+		out[i].duration =
+			(apr_interval_time_t)lent->grants.grants_val[i]
+				.duration_us;
+	}
+	return count;
+}
+
+static bool put_domains(struct shr_x_splits *out, const struct tbl *tbl)
+{
+	out->domains.domains_val = calloc(tbl->domain_count + 1,
+					  sizeof(*out->domains.domains_val));
+	if (!out->domains.domains_val)
+		return false;
+	for (size_t i = 0; i < tbl->domain_count; i++) {
+		char *name = copy_name(strbuf_str(&tbl->domains[i].name));
+
+		if (!name)
+			return false;
+		out->domains.domains_val[out->domains.domains_len++] = name;
+	}
+	return true;
+}
+
+static bool put_row(struct shr_x_row *out, const struct qs_row_view *row,
+		    size_t domains)
+{
+	out->rank = row->rank;
+	out->service = copy_name(row->service);
+	out->parts.parts_val = calloc(domains + 1, sizeof(u_int));
+	if (!out->service || !out->parts.parts_val)
+		return false;
+	out->parts.parts_len = (u_int)domains;
+	for (size_t i = 0; i < domains; i++)
+		out->parts.parts_val[i] =
+			(u_int)(row->share[i] * PARTS_WHOLE + 0.5);
+	return true;
+}
+
+static bool put_rows(struct shr_x_splits *out, const struct qs *qs)
+{
+	struct qs_row_view rows[SHR_X_ROWS_MAX];
+	const size_t domains = qs_table(qs)->domain_count;
+	const size_t count = qs_moving(qs, rows, SHR_X_ROWS_MAX);
+
+	out->rows.rows_val = calloc(count + 1, sizeof(*out->rows.rows_val));
+	if (!out->rows.rows_val)
+		return false;
+	out->rows.rows_len = (u_int)count;
+	for (size_t i = 0; i < count; i++) {
+		if (!put_row(&out->rows.rows_val[i], &rows[i], domains))
+			return false;
+	}
+	return true;
+}
+
+int qm_splits_make(struct shr_x_splits *out, const struct qs *qs)
+{
+	*out = (struct shr_x_splits){.known = qs_table(qs) != NULL};
+	if (!out->known)
+		return 0;
+	if (put_domains(out, qs_table(qs)) && put_rows(out, qs))
+		return 0;
+	xdr_free((xdrproc_t)xdr_shr_x_splits, out);
+	return PST_ERR_NOMEM;
+}
+
+static void adopt_row(struct qs *qs, apr_time_t now, struct str from,
+		      const struct shr_x_row *row, const struct str *domains,
+		      size_t count)
+{
+	double share[SHR_X_DOMAINS_MAX];
+
+	if (row->parts.parts_len != count)
+		return;
+	for (size_t i = 0; i < count; i++)
+		share[i] = row->parts.parts_val[i] / PARTS_WHOLE;
+	qs_adopt(qs, now, from, str_from_c(row->service), (enum rank)row->rank,
+		 domains, share, count);
+}
+
+void qm_splits_adopt(struct qs *qs, apr_time_t now, struct str from,
+		     const struct shr_x_splits *splits)
+{
+	struct str domains[SHR_X_DOMAINS_MAX];
+	const size_t count = splits->domains.domains_len;
+
+	for (size_t i = 0; i < count; i++)
+		domains[i] = str_from_c(splits->domains.domains_val[i]);
+	for (size_t i = 0; i < splits->rows.rows_len; i++)
+		adopt_row(qs, now, from, &splits->rows.rows_val[i], domains,
+			  count);
+}
--- /dev/null
+++ b/agent/quota_split.c
@@ -0,0 +1,356 @@
+#include "agent/quota_split.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+
+#define LOG_MODULE "quota.split"
+
+/* Less than this part of the traffic left to move counts as settled. */
+#define SETTLED 1e-6
+
+struct row {
+	struct shf shf;
+	double *goal;
+	double left;
+	bool moving;
+};
+
+struct qs {
+	struct tbl *tbl;
+	struct vml *vml;
+	struct row *rows;
+	size_t row_count;
+};
+
+int qs_create(struct qs **out)
+{
+	*out = calloc(1, sizeof(**out));
+	return *out ? 0 : PST_ERR_NOMEM;
+}
+
+static void free_rows(struct row *rows, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		shf_done(&rows[i].shf);
+		free(rows[i].goal);
+	}
+	free(rows);
+}
+
+void qs_destroy(struct qs *qs)
+{
+	if (!qs)
+		return;
+	free_rows(qs->rows, qs->row_count);
+	if (qs->tbl)
+		tbl_put(qs->tbl);
+	if (qs->vml)
+		vml_put(qs->vml);
+	free(qs);
+}
+
+/* Marks each service's failure domains with an upstream that takes work. */
+static bool *serving_domains(const struct tbl *tbl, const struct vml *vml)
+{
+	bool *serving = calloc(tbl->service_count * tbl->domain_count + 1,
+			       sizeof(*serving));
+
+	for (size_t i = 0; serving && i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+		int service;
+		int domain;
+
+		if (vm->kind != VM_UPSTREAM || vm->state != VM_LIVE)
+			continue;
+		service = tbl_service_find(tbl, strbuf_str(&vm->service));
+		domain = tbl_domain_find(tbl, strbuf_str(&vm->domain));
+		if (service >= 0 && domain >= 0)
+			serving[(size_t)service * tbl->domain_count +
+				(size_t)domain] = true;
+	}
+	return serving;
+}
+
+/* Weights of the domains that serve; of all when none does. */
+static void set_goal(double *goal, const struct tbl *tbl,
+		     const struct tbl_row *row, const bool *serving)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < tbl->domain_count; i++) {
+		goal[i] = serving[i] ? row->weights[i] : 0;
+		sum += goal[i];
+	}
+	for (size_t i = 0; sum <= 0 && i < tbl->domain_count; i++)
+		goal[i] = row->weights[i];
+}
+
+static const struct row *find_row(const struct qs *qs, struct str service,
+				  enum rank rank)
+{
+	const int at = qs->tbl ? tbl_service_find(qs->tbl, service) : -1;
+
+	return at < 0 ? NULL : &qs->rows[(size_t)at * RANK_COUNT + rank];
+}
+
+/* The former split by the new table's domains; false when there is none. */
+static bool carry_over(const struct qs *qs, const struct row *old,
+		       const struct tbl *tbl, double *share)
+{
+	double sum = 0;
+
+	if (!old || !old->shf.count)
+		return false;
+	for (size_t i = 0; i < tbl->domain_count; i++) {
+		const int at = tbl_domain_find(
+			qs->tbl, strbuf_str(&tbl->domains[i].name));
+
+		share[i] = at < 0 ? 0 : old->shf.share[at];
+		sum += share[i];
+	}
+	return sum > 0;
+}
+
+static int make_row(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
+		    const struct tbl_row *cells, const bool *serving,
+		    struct row *out)
+{
+	const struct row *old = find_row(
+		qs, strbuf_str(&tbl->services[cells->service]), cells->rank);
+	double *share = calloc(tbl->domain_count, sizeof(*share));
+	const double *start = share;
+	int err;
+
+	out->goal = calloc(tbl->domain_count, sizeof(*out->goal));
+	if (!out->goal || !share) {
+		free(share);
+		return PST_ERR_NOMEM;
+	}
+	set_goal(out->goal, tbl, cells, serving);
+	if (!carry_over(qs, old, tbl, share))
+		start = out->goal;
+	err = shf_init(&out->shf, start, tbl->domain_count, now);
+	free(share);
+	if (err == PST_ERR_INVALID)
+		return 0;
+	if (!err && old) {
+		shf_carry(&out->shf, &old->shf);
+		out->moving = old->moving;
+	}
+	return err;
+}
+
+static int make_rows(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
+		     const struct vml *vml, struct row *rows)
+{
+	bool *serving = serving_domains(tbl, vml);
+	int err = serving ? 0 : PST_ERR_NOMEM;
+
+	for (size_t i = 0; !err && i < tbl->service_count * RANK_COUNT; i++)
+		err = make_row(qs, now, tbl, &tbl->rows[i],
+			       serving + i / RANK_COUNT * tbl->domain_count,
+			       &rows[i]);
+	free(serving);
+	return err;
+}
+
+int qs_set_view(struct qs *qs, apr_time_t now, struct tbl *tbl, struct vml *vml)
+{
+	const size_t count = tbl->service_count * RANK_COUNT;
+	struct row *rows;
+	int err;
+
+	if (tbl == qs->tbl && vml == qs->vml)
+		return 0;
+	rows = calloc(count + 1, sizeof(*rows));
+	if (!rows)
+		return PST_ERR_NOMEM;
+	err = make_rows(qs, now, tbl, vml, rows);
+	if (err) {
+		free_rows(rows, count);
+		return err;
+	}
+	free_rows(qs->rows, qs->row_count);
+	qs->rows = rows;
+	qs->row_count = count;
+	tbl_get(tbl);
+	vml_get(vml);
+	if (qs->tbl)
+		tbl_put(qs->tbl);
+	if (qs->vml)
+		vml_put(qs->vml);
+	qs->tbl = tbl;
+	qs->vml = vml;
+	return 0;
+}
+
+static void log_motion(const struct qs *qs, const struct tbl_row *cells,
+		       struct row *row)
+{
+	const char *service = qs->tbl->services[cells->service].ptr;
+	const bool moving = row->left > SETTLED;
+
+	if (moving == row->moving)
+		return;
+	row->moving = moving;
+	if (moving)
+		evt_log(SPLIT_MOVING,
+			"service=%s rank=%s left_pct=%.1f cap_pct=%u "
+			"why=weights_or_serving_domains_changed",
+			service, rank_name(cells->rank), 100 * row->left,
+			cells->shift_cap_pct_per_s);
+	else
+		evt_log(SPLIT_SETTLED, "service=%s rank=%s", service,
+			rank_name(cells->rank));
+}
+
+void qs_step(struct qs *qs, apr_time_t now)
+{
+	for (size_t i = 0; i < qs->row_count; i++) {
+		const struct tbl_row *cells = &qs->tbl->rows[i];
+		struct row *row = &qs->rows[i];
+
+		if (!row->shf.count)
+			continue;
+		row->left = shf_step(&row->shf, now, row->goal,
+				     cells->shift_cap_pct_per_s);
+		log_motion(qs, cells, row);
+	}
+}
+
+static void log_pick(const struct qs *qs, const struct row *row,
+		     struct str service, enum rank rank, int domain,
+		     bool redirected)
+{
+	if (domain < 0) {
+		evt_log(DOMAIN_REFUSED,
+			"service=%.*s rank=%s skipped=%s why=%s",
+			STR_ARG(service), rank_name(rank),
+			redirected ? "some" : "none",
+			redirected ? "shift_cap_or_none_left" : "no_weight");
+		return;
+	}
+	evt_log(DOMAIN_PICKED,
+		"service=%.*s rank=%s domain=%s share_pct=%.1f among=%zu "
+		"why=%s",
+		STR_ARG(service), rank_name(rank),
+		qs->tbl->domains[domain].name.ptr, 100 * row->shf.share[domain],
+		row->shf.count, redirected ? "others_could_not" : "split");
+}
+
+/* skip by the domains of the table in force. */
+static bool *translate_skip(const struct qs *qs, const struct tbl *tbl,
+			    const bool *skip)
+{
+	bool *out = calloc(qs->tbl->domain_count + 1, sizeof(*out));
+
+	for (size_t i = 0; out && i < tbl->domain_count; i++) {
+		const int at = tbl_domain_find(
+			qs->tbl, strbuf_str(&tbl->domains[i].name));
+
+		if (at >= 0)
+			out[at] = skip[i];
+	}
+	return out;
+}
+
+static bool any_skipped(const struct tbl *tbl, const bool *skip)
+{
+	for (size_t i = 0; skip && i < tbl->domain_count; i++) {
+		if (skip[i])
+			return true;
+	}
+	return false;
+}
+
+static int redraw(struct qs *qs, struct row *row, const struct tbl *tbl,
+		  uint64_t random, const bool *skip)
+{
+	bool *translated;
+	int domain;
+
+	if (tbl == qs->tbl)
+		return shf_redraw(&row->shf, random, skip);
+	translated = translate_skip(qs, tbl, skip);
+	if (!translated)
+		return -1;
+	domain = shf_redraw(&row->shf, random, translated);
+	free(translated);
+	return domain;
+}
+
+int qs_pick(struct qs *qs, apr_time_t now, const struct tbl *tbl,
+	    const struct tbl_row *cells, uint64_t random, const bool *skip)
+{
+	const struct str service = strbuf_str(&tbl->services[cells->service]);
+	struct row *row = (struct row *)find_row(qs, service, cells->rank);
+	const bool again = any_skipped(tbl, skip);
+	int domain;
+
+	if (!row || !row->shf.count)
+		return -1;
+	if (again)
+		domain = redraw(qs, row, tbl, random, skip);
+	else
+		domain = shf_draw(&row->shf, now, cells->shift_cap_pct_per_s,
+				  random);
+	log_pick(qs, row, service, cells->rank, domain, again);
+	if (domain < 0 || tbl == qs->tbl)
+		return domain;
+	return tbl_domain_find(tbl, strbuf_str(&qs->tbl->domains[domain].name));
+}
+
+const struct tbl *qs_table(const struct qs *qs)
+{
+	return qs->tbl;
+}
+
+size_t qs_moving(const struct qs *qs, struct qs_row_view *out, size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < qs->row_count && count < max; i++) {
+		const struct tbl_row *cells = &qs->tbl->rows[i];
+
+		if (!qs->rows[i].moving)
+			continue;
+		out[count++] = (struct qs_row_view){
+			.service =
+				strbuf_str(&qs->tbl->services[cells->service]),
+			.rank = cells->rank,
+			.share = qs->rows[i].shf.share,
+		};
+	}
+	return count;
+}
+
+void qs_adopt(struct qs *qs, apr_time_t now, struct str from,
+	      struct str service, enum rank rank, const struct str *domains,
+	      const double *share, size_t count)
+{
+	struct row *row = (struct row *)find_row(qs, service, rank);
+	double *mine;
+	struct shf shf;
+
+	if (!row || rank >= RANK_COUNT)
+		return;
+	mine = calloc(qs->tbl->domain_count + 1, sizeof(*mine));
+	if (!mine)
+		return;
+	for (size_t i = 0; i < count; i++) {
+		const int at = tbl_domain_find(qs->tbl, domains[i]);
+
+		if (at >= 0)
+			mine[at] = share[i];
+	}
+	if (!shf_init(&shf, mine, qs->tbl->domain_count, now)) {
+		shf_done(&row->shf);
+		row->shf = shf;
+		evt_log(SPLIT_ADOPTED, "service=%.*s rank=%s from=%.*s",
+			STR_ARG(service), rank_name(rank), STR_ARG(from));
+	}
+	free(mine);
+}
--- /dev/null
+++ b/controld/shr_tick.c
@@ -0,0 +1,173 @@
+/* Steps the ownerships by the view and the time. */
+#include <unistd.h>
+
+#include "common/evt.h"
+#include "controld/shr_state.h"
+
+#define LOG_MODULE "share"
+
+/* Time between two lines about a silent holder, and two sweeps. */
+#define SLOW_INTERVAL CLK_SEC(10)
+
+static struct shr_owned *find_owned(struct shr_state *state, struct str domain)
+{
+	for (size_t i = 0; i < state->owned_count; i++) {
+		if (str_eq(strbuf_str(&state->owned[i].root.domain), domain))
+			return &state->owned[i];
+	}
+	return NULL;
+}
+
+static struct shr_owned *add_owned(struct shr_state *state, struct str domain,
+				   apr_time_t now)
+{
+	struct shr_owned *owned = find_owned(state, domain);
+
+	if (owned)
+		return owned;
+	if (state->owned_count == SHR_ROOTS_MAX)
+		return NULL;
+	owned = &state->owned[state->owned_count++];
+	shr_root_init(&owned->root, domain, state->set->vm.id,
+		      state->incarnation, CLK_MS(state->set->share.loan_ms),
+		      now);
+	owned->logged = SHR_IDLE;
+	return owned;
+}
+
+/* The domain's first live VM, or the first of all when it has none. */
+static bool is_candidate(const struct shr_state *state, const struct vml *vml,
+			 struct str domain)
+{
+	const struct vm *first;
+
+	if (!vml_rendezvous(vml, domain, domain, &first, 1) &&
+	    !vml_rendezvous(vml, domain, STR_LIT(""), &first, 1))
+		return false;
+	return str_eq(strbuf_str(&first->id), state->set->vm.id);
+}
+
+static void follow_list(struct shr_state *state, const struct ctl_view *view,
+			apr_time_t now)
+{
+	for (size_t i = 0; i < view->tbl->domain_count; i++) {
+		const struct str domain =
+			strbuf_str(&view->tbl->domains[i].name);
+		const bool candidate = is_candidate(state, view->vml, domain);
+		struct shr_owned *owned = find_owned(state, domain);
+
+		if (candidate && !owned)
+			owned = add_owned(state, domain, now);
+		if (owned)
+			owned->view.candidate = candidate;
+	}
+}
+
+static void follow_holder(struct shr_owned *owned, const struct vml *vml,
+			  apr_time_t now)
+{
+	const struct shr_record *record = &owned->root.record;
+
+	if (!record->present || vml_find(vml, strbuf_str(&record->holder))) {
+		owned->absent_since = 0;
+		owned->view.holder_absent = 0;
+		return;
+	}
+	if (!owned->absent_since)
+		owned->absent_since = now;
+	owned->view.holder_absent = now - owned->absent_since;
+}
+
+static void step_one(struct shr_state *state, struct shr_owned *owned,
+		     const struct vml *vml, apr_time_t now)
+{
+	const struct vm *self = vml_find(vml, state->set->vm.id);
+
+	owned->view.listed = self && self->state == VM_LIVE;
+	follow_holder(owned, vml, now);
+	if (shr_root_step(&owned->root, now, &owned->view) == SHR_DO_NOTHING)
+		return;
+	/* A full ring leaves the action undone: a refused read is retried. */
+	if (apr_queue_trypush(state->jobs, owned))
+		owned->root.busy = false;
+}
+
+static void follow_table(struct shr_state *state, const struct tbl *tbl,
+			 apr_time_t now)
+{
+	struct shr_map *map = NULL;
+
+	if (shr_map_build(&map, tbl))
+		return;
+	shr_node_set_map(state->node, now, map);
+	shr_map_put(map);
+}
+
+struct tick {
+	struct tbl *tbl;
+	struct vml *vml;
+	apr_time_t slow_at;
+};
+
+static void note_silent(struct shr_state *state)
+{
+	for (size_t i = 0; i < state->owned_count; i++) {
+		const struct shr_owned *owned = &state->owned[i];
+
+		if (owned->root.state == SHR_ASKING && !owned->root.gone_since)
+			evt_log(SHARE_HOLDER_SILENT,
+				"domain=%s holder=%s absent_ms=%ld",
+				owned->root.domain.ptr,
+				owned->root.record.holder.ptr,
+				(long)(owned->view.holder_absent / 1000));
+	}
+}
+
+static void do_tick(struct shr_state *state, struct tick *tick,
+		    struct ctl_view *view)
+{
+	const apr_time_t now = clk_now(state->clk);
+	const bool table_changed = tick->tbl != view->tbl;
+
+	if (!view->tbl || !view->vml)
+		return;
+	if (table_changed)
+		follow_table(state, view->tbl, now);
+	if (table_changed || tick->vml != view->vml)
+		follow_list(state, view, now);
+	tick->tbl = view->tbl;
+	tick->vml = view->vml;
+	for (size_t i = 0; i < state->owned_count; i++)
+		step_one(state, &state->owned[i], view->vml, now);
+	shr_state_apply(state, now);
+	if (now < tick->slow_at)
+		return;
+	tick->slow_at = now + SLOW_INTERVAL;
+	shr_node_sweep(state->node, now);
+	note_silent(state);
+}
+
+void *shr_tick_run(void *arg)
+{
+	struct shr_state *state = arg;
+	struct ctl_view *held = NULL;
+	struct tick tick = {0};
+
+	while (!state->stopping) {
+		struct ctl_view *view = cview_get(state->cview);
+
+		if (view) {
+			pthread_mutex_lock(&state->lock);
+			do_tick(state, &tick, view);
+			pthread_mutex_unlock(&state->lock);
+			/* Kept, so that its parts' addresses stay theirs. */
+			if (held)
+				ctl_view_put(held);
+			held = view;
+		}
+		usleep(SHR_STEP);
+	}
+	if (held)
+		ctl_view_put(held);
+	return NULL;
+}
--- /dev/null
+++ b/policy/shr_map.h
@@ -0,0 +1,42 @@
+/*
+ * The table's limits by id, and the part of each that a failure domain owns.
+ *
+ * A limit's id is a hash of names, so that VMs whose tables differ in order
+ * still mean the same limit. The parts of all failure domains add up to the
+ * limit: a link is divided among the domains of its two regions, a region's
+ * intake from other regions among the domains of those.
+ */
+#ifndef POLICY_SHR_MAP_H
+#define POLICY_SHR_MAP_H
+
+#include "policy/tbl.h"
+
+/* Id of one direction of a link. */
+uint64_t shr_link_id(struct str from, struct str to);
+
+/* Id of the requests of a row that a region takes from other regions. */
+uint64_t shr_intake_id(struct str service, enum rank rank, struct str region);
+
+struct shr_map;
+
+/* Shared by reference count. Returns 0 or PST_ERR_NOMEM. */
+int shr_map_build(struct shr_map **out, const struct tbl *tbl);
+void shr_map_get(struct shr_map *map);
+/* NULL is allowed. */
+void shr_map_put(struct shr_map *map);
+
+/* Whether both have the same limits, divided among the same domains. */
+bool shr_map_same(const struct shr_map *a, const struct shr_map *b);
+
+/* The limit, in bytes or requests a second; UINT64_MAX when there is none. */
+uint64_t shr_map_limit(const struct shr_map *map, uint64_t id);
+
+/* The part that a failure domain owns; 0 when it owns none. */
+uint64_t shr_map_part(const struct shr_map *map, uint64_t id,
+		      struct str domain);
+
+/* Number of failure domains, and the name of one. */
+size_t shr_map_domain_count(const struct shr_map *map);
+struct str shr_map_domain(const struct shr_map *map, size_t at);
+
+#endif
--- /dev/null
+++ b/policy/shr_node.c
@@ -0,0 +1,479 @@
+#include "policy/shr_node.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+
+/* Tables in force lately. */
+#define MAPS_MAX 8
+
+/* Time without a request after which a borrower is forgotten, in loans. */
+#define BORROWER_LOANS 4
+
+#define FIRST_INDEX    64
+
+struct known_map {
+	struct shr_map *map;
+	/* When the next one came; 0 for the newest. */
+	apr_time_t replaced_at;
+};
+
+struct known_borrower {
+	struct shr_borrower who;
+	apr_time_t seen_at;
+	bool used;
+};
+
+struct shr_node {
+	apr_interval_time_t loan;
+	/* Oldest first. */
+	struct known_map maps[MAPS_MAX];
+	size_t map_count;
+	struct strbuf *held;
+	size_t held_count;
+	struct known_borrower *borrowers;
+	size_t borrower_count;
+	struct shr_book *books;
+	size_t book_count;
+	size_t book_room;
+	/* Open hash table of positions in books, plus one; 0: free. */
+	uint32_t *index;
+	size_t index_size;
+};
+
+int shr_node_create(struct shr_node **out, apr_interval_time_t loan)
+{
+	struct shr_node *node = calloc(1, sizeof(*node));
+
+	if (!node)
+		return PST_ERR_NOMEM;
+	node->loan = loan;
+	node->index_size = FIRST_INDEX;
+	node->index = calloc(FIRST_INDEX, sizeof(*node->index));
+	if (!node->index) {
+		free(node);
+		return PST_ERR_NOMEM;
+	}
+	*out = node;
+	return 0;
+}
+
+void shr_node_destroy(struct shr_node *node)
+{
+	if (!node)
+		return;
+	for (size_t i = 0; i < node->map_count; i++)
+		shr_map_put(node->maps[i].map);
+	for (size_t i = 0; i < node->book_count; i++)
+		shr_book_done(&node->books[i]);
+	free(node->books);
+	free(node->held);
+	free(node->borrowers);
+	free(node->index);
+	free(node);
+}
+
+static void drop_settled_maps(struct shr_node *node, apr_time_t now)
+{
+	while (node->map_count > 1 &&
+	       node->maps[0].replaced_at + SHR_SETTLE <= now) {
+		shr_map_put(node->maps[0].map);
+		node->map_count--;
+		memmove(node->maps, node->maps + 1,
+			node->map_count * sizeof(node->maps[0]));
+	}
+}
+
+void shr_node_set_map(struct shr_node *node, apr_time_t now,
+		      struct shr_map *map)
+{
+	struct known_map *newest = NULL;
+
+	drop_settled_maps(node, now);
+	if (node->map_count)
+		newest = &node->maps[node->map_count - 1];
+	if (newest && shr_map_same(newest->map, map))
+		return;
+	shr_map_get(map);
+	if (node->map_count == MAPS_MAX) {
+		shr_map_put(newest->map);
+		newest->map = map;
+		return;
+	}
+	if (newest)
+		newest->replaced_at = now;
+	node->maps[node->map_count++] = (struct known_map){.map = map};
+}
+
+static const struct shr_map *newest_map(const struct shr_node *node)
+{
+	return node->map_count ? node->maps[node->map_count - 1].map : NULL;
+}
+
+bool shr_node_holds(const struct shr_node *node, struct str domain)
+{
+	for (size_t i = 0; i < node->held_count; i++) {
+		if (str_eq(strbuf_str(&node->held[i]), domain))
+			return true;
+	}
+	return false;
+}
+
+static void stop_holding(struct shr_node *node, struct str domain)
+{
+	for (size_t i = 0; i < node->held_count; i++) {
+		if (!str_eq(strbuf_str(&node->held[i]), domain))
+			continue;
+		node->held[i] = node->held[--node->held_count];
+		return;
+	}
+}
+
+int shr_node_hold(struct shr_node *node, struct str domain, bool hold)
+{
+	void *grown;
+
+	if (!hold) {
+		stop_holding(node, domain);
+		return 0;
+	}
+	if (shr_node_holds(node, domain))
+		return 0;
+	grown = realloc(node->held,
+			(node->held_count + 1) * sizeof(*node->held));
+	if (!grown)
+		return PST_ERR_NOMEM;
+	node->held = grown;
+	return strbuf_set(&node->held[node->held_count++], domain);
+}
+
+static uint64_t held_part(const struct shr_node *node,
+			  const struct shr_map *map, uint64_t id)
+{
+	uint64_t sum = 0;
+
+	for (size_t i = 0; i < node->held_count; i++)
+		sum += shr_map_part(map, id, strbuf_str(&node->held[i]));
+	return sum;
+}
+
+/* The smallest part of the tables in force lately that have the limit. */
+uint64_t shr_node_root(struct shr_node *node, apr_time_t now, uint64_t id)
+{
+	uint64_t least = UINT64_MAX;
+
+	drop_settled_maps(node, now);
+	for (size_t i = 0; i < node->map_count; i++) {
+		const struct shr_map *map = node->maps[i].map;
+		uint64_t part;
+
+		if (shr_map_limit(map, id) == UINT64_MAX)
+			continue;
+		part = held_part(node, map, id);
+		if (part < least)
+			least = part;
+	}
+	return least == UINT64_MAX ? 0 : least;
+}
+
+static struct shr_book *find_book(const struct shr_node *node, uint64_t id)
+{
+	for (size_t at = id >> 1;; at++) {
+		const uint32_t pos = node->index[at & (node->index_size - 1)];
+
+		if (!pos)
+			return NULL;
+		if (node->books[pos - 1].id == id)
+			return &node->books[pos - 1];
+	}
+}
+
+static void index_book(struct shr_node *node, uint32_t pos)
+{
+	size_t at = node->books[pos].id >> 1;
+
+	while (node->index[at & (node->index_size - 1)])
+		at++;
+	node->index[at & (node->index_size - 1)] = pos + 1;
+}
+
+static int rebuild_index(struct shr_node *node, size_t size)
+{
+	uint32_t *index = calloc(size, sizeof(*index));
+
+	if (!index)
+		return PST_ERR_NOMEM;
+	free(node->index);
+	node->index = index;
+	node->index_size = size;
+	for (uint32_t i = 0; i < node->book_count; i++)
+		index_book(node, i);
+	return 0;
+}
+
+static int reserve_book(struct shr_node *node)
+{
+	size_t room = node->book_room;
+	void *grown;
+
+	if (node->book_count == SHR_LIMITS_MAX)
+		return PST_ERR_FULL;
+	if (2 * (node->book_count + 1) > node->index_size &&
+	    rebuild_index(node, 2 * node->index_size))
+		return PST_ERR_NOMEM;
+	if (node->book_count < room)
+		return 0;
+	room = room ? 2 * room : FIRST_INDEX / 2;
+	grown = realloc(node->books, room * sizeof(*node->books));
+	if (!grown)
+		return PST_ERR_NOMEM;
+	node->books = grown;
+	node->book_room = room;
+	return 0;
+}
+
+static int book_of(struct shr_node *node, uint64_t id, struct shr_book **out)
+{
+	int err;
+
+	*out = find_book(node, id);
+	if (*out)
+		return 0;
+	err = reserve_book(node);
+	if (err)
+		return err;
+	*out = &node->books[node->book_count];
+	**out = (struct shr_book){.id = id};
+	index_book(node, (uint32_t)node->book_count++);
+	return 0;
+}
+
+static bool same_borrower(const struct shr_borrower *a,
+			  const struct shr_borrower *b)
+{
+	return a->incarnation == b->incarnation && a->level == b->level &&
+	       strbuf_eq(&a->name, &b->name);
+}
+
+/* A number is used again once all claims made under it have ended. */
+static int borrower_number(struct shr_node *node, apr_time_t now,
+			   const struct shr_borrower *who, uint32_t *out)
+{
+	const apr_interval_time_t kept =
+		BORROWER_LOANS * (node->loan + BKT_WINDOW);
+	size_t at = node->borrower_count;
+	void *grown;
+
+	for (size_t i = 0; i < node->borrower_count; i++) {
+		struct known_borrower *one = &node->borrowers[i];
+
+		if (one->used && one->seen_at + kept <= now)
+			one->used = false;
+		if (one->used && same_borrower(&one->who, who)) {
+			one->seen_at = now;
+			*out = (uint32_t)i;
+			return 0;
+		}
+		if (!one->used && at == node->borrower_count)
+			at = i;
+	}
+	if (at == node->borrower_count) {
+		if (at == SHR_BORROWERS_MAX)
+			return PST_ERR_FULL;
+		grown = realloc(node->borrowers,
+				(at + 1) * sizeof(*node->borrowers));
+		if (!grown)
+			return PST_ERR_NOMEM;
+		node->borrowers = grown;
+		node->borrower_count++;
+	}
+	node->borrowers[at] = (struct known_borrower){
+		.who = *who, .seen_at = now, .used = true};
+	*out = (uint32_t)at;
+	return 0;
+}
+
+static int serve_one(struct shr_node *node, apr_time_t now,
+		     const struct shr_borrower *from, uint32_t number,
+		     const struct shr_ask *ask, struct shr_grant *out)
+{
+	const struct shr_map *map = newest_map(node);
+	const uint64_t limit = map ? shr_map_limit(map, ask->id) : UINT64_MAX;
+	struct shr_request request = {
+		.borrower = number,
+		.level = from->level,
+		.want = ask->want < limit ? ask->want : limit,
+		.loan = node->loan,
+	};
+	struct shr_book *book;
+	int err;
+
+	*out = (struct shr_grant){0};
+	if (limit == UINT64_MAX)
+		return 0;
+	err = book_of(node, ask->id, &book);
+	if (err)
+		return err;
+	request.root = shr_node_root(node, now, ask->id);
+	return shr_book_lend(book, now, &request, out);
+}
+
+int shr_node_serve(struct shr_node *node, apr_time_t now,
+		   const struct shr_borrower *from, const struct shr_ask *asks,
+		   size_t count, struct shr_grant *out)
+{
+	uint32_t number = 0;
+	int err = borrower_number(node, now, from, &number);
+
+	memset(out, 0, count * sizeof(*out));
+	for (size_t i = 0; i < count && !err; i++)
+		err = serve_one(node, now, from, number, &asks[i], &out[i]);
+	return err;
+}
+
+apr_interval_time_t shr_node_rest(const struct shr_node *node, apr_time_t now)
+{
+	apr_time_t end = now;
+
+	for (size_t i = 0; i < node->book_count; i++) {
+		const apr_time_t one = shr_book_end(&node->books[i]);
+
+		if (one > end)
+			end = one;
+	}
+	return end - now;
+}
+
+/*
+ * What the children want beyond the own part. Of what peers hold, only as
+ * much counts against the own part as is out of it.
+ */
+static uint64_t deficit(struct shr_node *node, apr_time_t now,
+			struct shr_book *book)
+{
+	const uint64_t wants = shr_book_wants(book, now, node->loan, SHR_CHILD);
+	const uint64_t root = shr_node_root(node, now, book->id);
+	const uint64_t lent = shr_book_held(book, now, SHR_PEER);
+	const uint64_t own = root > lent ? root - lent : 0;
+
+	return wants > own ? wants - own : 0;
+}
+
+/* Keeps what this lender gives, adjusted by what is lacking or too much. */
+static uint64_t ask_of_peer(struct shr_node *node, apr_time_t now,
+			    struct shr_book *book, uint32_t number)
+{
+	const uint64_t lacking = deficit(node, now, book);
+	const uint64_t borrowed = shr_book_pool(book, now, 0);
+	const uint64_t here = shr_book_source(book, number, now);
+
+	if (borrowed <= lacking)
+		return here + (lacking - borrowed);
+	return here > borrowed - lacking ? here - (borrowed - lacking) : 0;
+}
+
+/* Lenders are told apart by name: positions change with the table. */
+static uint32_t lender_number(struct str lender)
+{
+	return (uint32_t)str_hash(lender, 0);
+}
+
+static bool lends(const struct shr_node *node, uint64_t id, struct str lender)
+{
+	const struct shr_map *map = newest_map(node);
+
+	return map && !shr_node_holds(node, lender) &&
+	       shr_map_part(map, id, lender) > 0;
+}
+
+static uint64_t ask_of(struct shr_node *node, apr_time_t now,
+		       struct shr_book *book, struct str lender)
+{
+	if (!lender.len)
+		return shr_book_wants(book, now, node->loan, SHR_CHILD);
+	if (!lends(node, book->id, lender))
+		return 0;
+	return ask_of_peer(node, now, book, lender_number(lender));
+}
+
+size_t shr_node_plan(struct shr_node *node, apr_time_t now, struct str lender,
+		     struct shr_ask *out)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < node->book_count && count < SHR_ASKS_MAX; i++) {
+		struct shr_book *book = &node->books[i];
+		const uint64_t want = ask_of(node, now, book, lender);
+
+		if (!want && !shr_book_source(book, lender_number(lender), now))
+			continue;
+		out[count++] = (struct shr_ask){.id = book->id, .want = want};
+	}
+	return count;
+}
+
+void shr_node_apply(struct shr_node *node, apr_time_t now, struct str lender,
+		    apr_time_t sent_at, const struct shr_ask *asks,
+		    const struct shr_grant *grants, size_t count)
+{
+	for (size_t i = 0; i < count; i++) {
+		struct shr_book *book = find_book(node, asks[i].id);
+		const apr_time_t expires = sent_at + grants[i].duration;
+
+		if (!book)
+			continue;
+		shr_book_borrowed(book, lender_number(lender),
+				  expires > now ? grants[i].amount : 0,
+				  expires);
+	}
+}
+
+uint64_t shr_node_pool(struct shr_node *node, apr_time_t now, uint64_t id)
+{
+	const struct shr_book *book = find_book(node, id);
+	const uint64_t root = shr_node_root(node, now, id);
+
+	return book ? shr_book_pool(book, now, root) : root;
+}
+
+void shr_node_sweep(struct shr_node *node, apr_time_t now)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < node->book_count; i++) {
+		if (shr_book_idle(&node->books[i], now, node->loan)) {
+			shr_book_done(&node->books[i]);
+			continue;
+		}
+		node->books[kept++] = node->books[i];
+	}
+	if (kept == node->book_count)
+		return;
+	node->book_count = kept;
+	memset(node->index, 0, node->index_size * sizeof(*node->index));
+	for (uint32_t i = 0; i < node->book_count; i++)
+		index_book(node, i);
+}
+
+size_t shr_node_limits(const struct shr_node *node)
+{
+	return node->book_count;
+}
+
+size_t shr_node_bytes(const struct shr_node *node)
+{
+	size_t sum = sizeof(*node) + node->held_count * sizeof(*node->held) +
+		     node->borrower_count * sizeof(*node->borrowers) +
+		     node->book_room * sizeof(*node->books) +
+		     node->index_size * sizeof(*node->index);
+
+	for (size_t i = 0; i < node->book_count; i++) {
+		const struct shr_book *book = &node->books[i];
+
+		sum += book->source_count * sizeof(*book->sources) +
+		       book->claim_count *
+			       (sizeof(*book->claims) + sizeof(*book->levels));
+	}
+	return sum;
+}
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -177,6 +177,17 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_share {
+	uint64_t *loan_ms;
+	uint64_t *interval_ms;
+};
+
+static const cyaml_schema_field_t fields_share[] = {
+	CYAML_FIELD_UINT_PTR("loan_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_share, loan_ms),
+	CYAML_FIELD_UINT_PTR("interval_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_share, interval_ms),
+	CYAML_FIELD_END,
+};
+
 struct raw_lookup {
 	uint64_t *port;
 	uint64_t *admin_port;
@@ -222,6 +233,7 @@
 	struct raw_entry *entry;
 	struct raw_control *control;
 	struct raw_table *table;
+	struct raw_share *share;
 	struct raw_lookup *lookup;
 	struct raw_net *net;
 	struct raw_log *log;
@@ -233,6 +245,7 @@
 	CYAML_FIELD_MAPPING_PTR("entry", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, entry, fields_entry),
 	CYAML_FIELD_MAPPING_PTR("control", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, control, fields_control),
 	CYAML_FIELD_MAPPING_PTR("table", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, table, fields_table),
+	CYAML_FIELD_MAPPING_PTR("share", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, share, fields_share),
 	CYAML_FIELD_MAPPING_PTR("lookup", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, lookup, fields_lookup),
 	CYAML_FIELD_MAPPING_PTR("net", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, net, fields_net),
 	CYAML_FIELD_MAPPING_PTR("log", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, log, fields_log),
@@ -335,6 +348,16 @@
 	return 0;
 }
 
+static int convert_share(const struct raw_share *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->loan_ms : NULL, UINT64_C(2000), UINT64_C(200), UINT64_C(60000), &out->share.loan_ms))
+		return refuse(bad, "share", "loan_ms", "a number from 200 to 60000");
+	if (conv_uint(r ? r->interval_ms : NULL, UINT64_C(250), UINT64_C(20), UINT64_C(10000), &out->share.interval_ms))
+		return refuse(bad, "share", "interval_ms", "a number from 20 to 10000");
+	return 0;
+}
+
 static int convert_lookup(const struct raw_lookup *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -385,6 +408,8 @@
 		err = convert_control(r ? r->control : NULL, out, bad);
 	if (!err)
 		err = convert_table(r ? r->table : NULL, out, bad);
+	if (!err)
+		err = convert_share(r ? r->share : NULL, out, bad);
 	if (!err)
 		err = convert_lookup(r ? r->lookup : NULL, out, bad);
 	if (!err)
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -91,6 +91,14 @@
 	uint64_t backoff_max_ms;
 };
 
+/* Shares of the table's limits, lent between VMs and processes. */
+struct set_share {
+	/* Longest time that a lent part of a limit is valid, in milliseconds. */
+	uint64_t loan_ms;
+	/* Time between two requests for the same part, in milliseconds; at most a quarter of loan_ms, or parts lapse in between. */
+	uint64_t interval_ms;
+};
+
 /* pst-lookupd: which entry VMs a caller should use. */
 struct set_lookup {
 	/* Port for callers. */
@@ -127,6 +135,7 @@
 	struct set_entry entry;
 	struct set_control control;
 	struct set_table table;
+	struct set_share share;
 	struct set_lookup lookup;
 	struct set_net net;
 	struct set_log log;
