pst-controld runs brokers and shares

Cause: the broker and share services were built beside pst-controld's frame. Ruled out: processes of their own (three daemons a VM were asked for). Before: pst-controld held table and list only.

--- a/controld/main.c
+++ b/controld/main.c
@@ -2,14 +2,19 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include <apr_general.h>
+#include <curl/curl.h>
+
 #include "common/admin.h"
 #include "common/cli.h"
 #include "common/err.h"
 #include "common/evt.h"
 #include "common/rpcs.h"
+#include "controld/brk_svc.h"
 #include "controld/list_duty.h"
 #include "controld/node.h"
 #include "controld/peer_duty.h"
+#include "controld/shr_svc.h"
 #include "controld/store_duty.h"
 #include "controld/sync.h"
 #include "controld/vote_duty.h"
@@ -30,6 +35,8 @@
 	struct list_duty *list;
 	struct peer_duty *peer;
 	struct vote_duty *vote;
+	struct brk_svc *broker;
+	struct shr_svc *shares;
 	bool serving;
 };
 
@@ -65,6 +72,10 @@
 				  (uint16_t)set->control.admin_port);
 	if (!err)
 		err = sync_register(app->node);
+	if (!err)
+		err = brk_svc_start(&app->broker, set, app->clk, app->cview);
+	if (!err)
+		err = shr_svc_start(&app->shares, set, app->clk, app->cview);
 	if (!err)
 		err = start_serving(app);
 	if (!err)
@@ -86,6 +97,8 @@
 	list_duty_stop(app->list);
 	if (app->serving)
 		rpcs_stop();
+	shr_svc_stop(app->shares);
+	brk_svc_stop(app->broker);
 	admin_stop(app->admin);
 	node_destroy(app->node);
 	cview_destroy(app->cview);
@@ -128,9 +141,13 @@
 	sigaddset(&signals, SIGINT);
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
+	apr_initialize();
+	curl_global_init(CURL_GLOBAL_DEFAULT);
 	evt_log(PROCESS_START, "program=" PROGRAM " version=%s vm=%.*s",
 		PST_VERSION, STR_ARG(app.set->vm.id));
 	status = run(&app, &signals);
+	curl_global_cleanup();
+	apr_terminate();
 	evt_done();
 	set_free(app.set);
 	return status;
