Entry: keep callers' connections open

Cause: libmicrohttpd closes a connection whose answer is queued at the end of the header; every answer to a request without a body carried Connection: close (seen by hand on the first whole path through two VMs). Ruled out: our own Connection header (the stop flag was off). Failed first: connection_stays_open_between_requests saw one new connection for each request. After: one for four requests, the last of them refused. Conclusion: requests without a body are answered at the next call.

--- a/common/admin.c
+++ b/common/admin.c
@@ -12,7 +12,7 @@
 #include "common/rpcs.h"
 
 /* Longest answer to a question about one request, in bytes. */
-#define EXPLAIN_BYTES 262144
+#define EXPLAIN_BYTES	262144
 
 #define MAX_CONNECTIONS 64
 #define IDLE_TIMEOUT_S	10
--- a/entryd/front.c
+++ b/entryd/front.c
@@ -31,17 +31,37 @@
 	struct frt *frt;
 	char *uri;
 	struct req *req;
+	/* The call at the end of the header was made. */
+	bool begun;
+	/* Error of a request that never entered the path, or 0. */
+	int refused;
+	bool refused_not_run;
 };
 
-static enum MHD_Result refuse(const struct frt *frt,
-			      struct MHD_Connection *conn, unsigned status,
-			      int reason, bool not_run)
+static unsigned status_of(int err)
+{
+	switch (err) {
+	case PST_ERR_REQ_PATH:
+		return MHD_HTTP_NOT_FOUND;
+	case PST_ERR_REQ_METHOD:
+		return MHD_HTTP_METHOD_NOT_ALLOWED;
+	case PST_ERR_REQ_HEADER:
+		return MHD_HTTP_BAD_REQUEST;
+	case PST_ERR_REQ_TOO_LARGE:
+		return MHD_HTTP_CONTENT_TOO_LARGE;
+	default:
+		return MHD_HTTP_SERVICE_UNAVAILABLE;
+	}
+}
+
+static enum MHD_Result refuse(struct MHD_Connection *conn,
+			      const struct exchange *ex)
 {
 	const struct problem problem = {
-		.status = status,
-		.reason = reason,
-		.not_run = not_run,
-		.close = frt->closing,
+		.status = status_of(ex->refused),
+		.reason = ex->refused,
+		.not_run = ex->refused_not_run,
+		.close = ex->frt->closing,
 	};
 
 	return problem_answer(conn, &problem);
@@ -160,45 +180,26 @@
 	return 0;
 }
 
-static unsigned status_of(int err)
-{
-	switch (err) {
-	case PST_ERR_REQ_PATH:
-		return MHD_HTTP_NOT_FOUND;
-	case PST_ERR_REQ_HEADER:
-		return MHD_HTTP_BAD_REQUEST;
-	case PST_ERR_REQ_TOO_LARGE:
-		return MHD_HTTP_CONTENT_TOO_LARGE;
-	default:
-		return MHD_HTTP_SERVICE_UNAVAILABLE;
-	}
-}
-
-static enum MHD_Result begin(struct frt *frt, struct MHD_Connection *conn,
-			     struct exchange *ex, const char *method)
+static int begin_request(struct MHD_Connection *conn, struct exchange *ex,
+			 const char *method)
 {
+	struct frt *frt = ex->frt;
 	struct req *req = NULL;
 	int err = req_create(&req, frt->set->entry.buffer_bytes);
 
 	if (err)
-		return MHD_NO;
+		return err;
 	err = fill_request(frt, conn, req, ex->uri, method);
 	if (!err)
 		err = rte_arrive(frt->rte, req);
 	if (err) {
 		/* The key of a request turned away here is not sealed. */
-		const bool not_run = !req->keyed;
-
+		ex->refused_not_run = !req->keyed;
 		req_put(req);
-		return refuse(frt, conn, status_of(err), err, not_run);
+		return err;
 	}
 	ex->req = req;
-	pthread_mutex_lock(&req->lock);
-	if (req->stage == REQ_WAITING ||
-	    (req->stage == REQ_OPEN && !req->body_length))
-		req_park(req);
-	pthread_mutex_unlock(&req->lock);
-	return MHD_YES;
+	return 0;
 }
 
 static ssize_t read_answer(void *ctx, uint64_t position, char *out, size_t max)
@@ -353,6 +354,42 @@
 	return !strncmp(uri, path, len) && (!uri[len] || uri[len] == '?');
 }
 
+static int begin_tickets(const struct frt *frt, struct exchange *ex,
+			 const char *method)
+{
+	ex->refused_not_run = true;
+	if (strcmp(method, MHD_HTTP_METHOD_POST) != 0)
+		return PST_ERR_REQ_METHOD;
+	return frt->closing ? PST_ERR_REQ_STOPPING : 0;
+}
+
+/*
+ * The call at the end of the header. libmicrohttpd closes a connection whose
+ * answer is queued here, so without a body the answer waits for the next call.
+ */
+static enum MHD_Result begin(struct frt *frt, struct MHD_Connection *conn,
+			     struct exchange *ex, const char *method)
+{
+	const char *length = header(conn, "Content-Length");
+	const bool has_body = header(conn, "Transfer-Encoding") ||
+			      (length && strcmp(length, "0") != 0);
+
+	ex->begun = true;
+	ex->refused = is_tickets(ex->uri) ? begin_tickets(frt, ex, method)
+					  : begin_request(conn, ex, method);
+	if (!has_body)
+		return MHD_YES;
+	if (ex->refused)
+		return refuse(conn, ex);
+	if (!ex->req)
+		return tickets_answer(conn, frt->ticket);
+	pthread_mutex_lock(&ex->req->lock);
+	if (ex->req->stage == REQ_WAITING)
+		req_park(ex->req);
+	pthread_mutex_unlock(&ex->req->lock);
+	return MHD_YES;
+}
+
 static enum MHD_Result on_request(void *ctx, struct MHD_Connection *conn,
 				  const char *url, const char *method,
 				  const char *version, const char *bytes,
@@ -365,17 +402,13 @@
 	(void)version;
 	if (!ex)
 		return MHD_NO;
-	if (ex->req)
-		return go_on(frt, conn, ex, bytes, size);
-	if (!is_tickets(ex->uri))
+	if (!ex->begun)
 		return begin(frt, conn, ex, method);
-	if (strcmp(method, MHD_HTTP_METHOD_POST) != 0)
-		return refuse(frt, conn, MHD_HTTP_METHOD_NOT_ALLOWED,
-			      PST_ERR_REQ_METHOD, true);
-	if (frt->closing)
-		return refuse(frt, conn, MHD_HTTP_SERVICE_UNAVAILABLE,
-			      PST_ERR_REQ_TICKETS, true);
-	return tickets_answer(conn, frt->ticket);
+	if (ex->refused)
+		return refuse(conn, ex);
+	if (!ex->req)
+		return tickets_answer(conn, frt->ticket);
+	return go_on(frt, conn, ex, bytes, size);
 }
 
 /* The path is passed on as it came, so it is taken before decoding. */
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -378,6 +378,30 @@
 }
 END_TEST
 
+START_TEST(connection_stays_open_between_requests)
+{
+	CURL *easy = curl_easy_init();
+	long opened = 0;
+	char url[128];
+
+	for (int i = 0; i < 4; i++) {
+		struct caller c = {0};
+
+		/* The last one is refused. */
+		snprintf(url, sizeof(url), "http://%s:%d/s/%s/ok", fix_ip().ptr,
+			 ENTRY_PORT, i < 3 ? "svc" : "other");
+		curl_easy_setopt(easy, CURLOPT_URL, url);
+		curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, on_bytes);
+		curl_easy_setopt(easy, CURLOPT_WRITEDATA, &c);
+		ck_assert_int_eq(curl_easy_perform(easy), CURLE_OK);
+		curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &opened);
+		ck_assert_int_eq(opened, i ? 0 : 1);
+	}
+	curl_easy_cleanup(easy);
+	wait_idle();
+}
+END_TEST
+
 START_TEST(malformed_requests_get_their_own_answer)
 {
 	struct caller c = call("GET", "/nowhere", NULL, 0, false);
@@ -487,6 +511,7 @@
 	tcase_add_test(tc, silent_upstream_is_left_within_the_bound);
 	tcase_add_test(tc, connection_that_went_silent_is_not_used_again);
 	tcase_add_test(tc, deadline_of_a_booking_ends_it_as_unknown);
+	tcase_add_test(tc, connection_stays_open_between_requests);
 	tcase_add_test(tc, malformed_requests_get_their_own_answer);
 	return fix_run("entry", tc);
 }
