Log lines without the appender's name

Cause: log4c's stream appenders write their own name before each line, so the lines did not follow docs/EVENTS.md (seen by hand on the first whole path). Ruled out: the stream2 appender (it does the same). Before: '[stderr] 2026-...'. After: the line alone, by an appender of ours.

--- a/common/evt.c
+++ b/common/evt.c
@@ -61,6 +61,19 @@
 	.format = plain_format,
 };
 
+/* log4c's own appenders put their name before each line. */
+static int plain_append(log4c_appender_t *appender,
+			const log4c_logging_event_t *event)
+{
+	(void)appender;
+	return fputs(event->evt_rendered_msg, stderr);
+}
+
+static const log4c_appender_type_t plain_appender = {
+	.name = "pst-plain",
+	.append = plain_append,
+};
+
 static const struct event *find_event(enum evt_id id)
 {
 	const size_t count = sizeof(events) / sizeof(events[0]);
@@ -123,7 +136,8 @@
 	log4c_layout_type_set(&plain_layout);
 	layout = log4c_layout_get("pst-plain");
 	log4c_layout_set_type(layout, &plain_layout);
-	appender = log4c_appender_get("stderr");
+	appender = log4c_appender_get("pst-stderr");
+	log4c_appender_set_type(appender, &plain_appender);
 	log4c_appender_set_layout(appender, layout);
 	category = log4c_category_get("pst");
 	log4c_category_set_appender(category, appender);
--- a/tests/fix_upstream.c
+++ b/tests/fix_upstream.c
@@ -1,6 +1,7 @@
 #include "tests/fix_upstream.h"
 
 #include <pthread.h>
+#include <netinet/tcp.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -213,10 +214,12 @@
 	(void)arg;
 	for (;;) {
 		const int fd = accept(listener, NULL, NULL);
+		const int on = 1;
 		pthread_t thread;
 
 		if (fd < 0)
 			return NULL;
+		setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
 		pthread_create(&thread, NULL, serve, (void *)(intptr_t)fd);
 		pthread_detach(thread);
 	}
