pstctl: table, history, status, explain, drain; edits

Cause: operators drive the product by editing cells. An edit is one swap of its part, the head and its record; a lost reply is settled by the record, another operator's other cell is merged, the same cell is refused with both values. An edit is told as accepted when a majority of the failure domains holds it whole and every other VM holds it or had the freshness timeout. Ruled out: counting a missing record as not written while the lost swap may still land; it is settled by a further swap with the same revisions.

--- /dev/null
+++ b/pstctl/accept.c
@@ -0,0 +1,148 @@
+#include "pstctl/accept.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/err.h"
+#include "policy/rev.h"
+#include "policy/tbl_frame.h"
+#include "pstctl/poll.h"
+
+#define CHECK_WAIT CLK_MS(5)
+
+/* Give up after so many freshness timeouts. */
+#define BOUND_TIMEOUTS 2
+
+struct domain_count {
+	size_t vms;
+	size_t holding;
+};
+
+/*
+ * Counts under the poll's lock. The domains are those of the table, as in
+ * the votes of the VMs, so that two majorities always share one.
+ */
+static bool count_holders(struct poll *poll, const struct tbl_frame *frame,
+			  struct rev_holders *holders)
+{
+	struct domain_count *domains =
+		calloc(frame->domain_count, sizeof(*domains));
+
+	if (!domains)
+		return false;
+	*holders = (struct rev_holders){
+		.vms = poll->count,
+		.domains = frame->domain_count,
+	};
+	pthread_mutex_lock(&poll->lock);
+	for (size_t i = 0; i < poll->count; i++) {
+		const struct poll_vm *vm = &poll->vms[i];
+		const int d =
+			tbl_frame_domain(frame, strbuf_str(&vm->vm->domain));
+
+		holders->vms_holding += vm->held_at != 0;
+		if (d < 0)
+			continue;
+		domains[d].vms++;
+		domains[d].holding += vm->held_at != 0;
+	}
+	pthread_mutex_unlock(&poll->lock);
+	for (size_t d = 0; d < frame->domain_count; d++)
+		holders->domains_whole +=
+			domains[d].vms && domains[d].vms == domains[d].holding;
+	free(domains);
+	return true;
+}
+
+static int read_frame(struct cmd *cmd, struct tbl_frame **out)
+{
+	struct tbl_problem problem;
+	struct stc_list list;
+	int err = stc_read_key(cmd->stc, STR_LIT(TBL_KEY_MANIFEST), &list);
+
+	if (err)
+		return err;
+	err = list.count ? tbl_frame_parse(out, list.items[0].value, &problem)
+			 : PST_ERR_NOTFOUND;
+	stc_list_free(&list);
+	return err;
+}
+
+static void name_silent(const struct poll *poll, char *out, size_t size)
+{
+	size_t used = 0;
+
+	out[0] = '\0';
+	for (size_t i = 0; i < poll->count && used < size; i++) {
+		if (poll->vms[i].held_at)
+			continue;
+		used += (size_t)snprintf(out + used, size - used, "%s%s",
+					 used ? "," : "",
+					 poll->vms[i].vm->id.ptr);
+	}
+}
+
+static void finish(const struct poll *poll, const struct rev_holders *holders,
+		   apr_time_t began, struct accept_result *out)
+{
+	apr_time_t last = began;
+
+	out->vms = holders->vms;
+	out->vms_holding = holders->vms_holding;
+	out->domains = holders->domains;
+	out->domains_whole = holders->domains_whole;
+	name_silent(poll, out->silent, sizeof(out->silent));
+	for (size_t i = 0; i < poll->count; i++) {
+		if (poll->vms[i].held_at > last)
+			last = poll->vms[i].held_at;
+	}
+	out->whole_after =
+		holders->vms_holding == holders->vms ? last - began : -1;
+}
+
+static void watch(struct cmd *cmd, struct poll *poll,
+		  const struct tbl_frame *frame, apr_time_t began,
+		  struct accept_result *out)
+{
+	const apr_interval_time_t timeout =
+		CLK_MS(cmd->set->control.freshness_timeout_ms);
+	/* A VM may have confirmed its old table until the write's end. */
+	const apr_time_t written = clk_now(cmd->clk);
+	struct rev_holders holders = {0};
+
+	while (clk_now(cmd->clk) - written < BOUND_TIMEOUTS * timeout) {
+		const apr_time_t now = clk_now(cmd->clk);
+
+		if (!count_holders(poll, frame, &holders))
+			break;
+		if (!out->accepted &&
+		    rev_accepted(&holders, now - written, timeout)) {
+			out->accepted = true;
+			out->accepted_after = now - began;
+		}
+		if (out->accepted &&
+		    (!cmd->wait || holders.vms_holding == holders.vms))
+			break;
+		apr_sleep(CHECK_WAIT);
+	}
+	finish(poll, &holders, began, out);
+}
+
+int accept_wait(struct cmd *cmd, uint64_t revision, apr_time_t began,
+		struct accept_result *out)
+{
+	struct tbl_frame *frame = NULL;
+	struct poll poll;
+	int err = read_frame(cmd, &frame);
+
+	*out = (struct accept_result){.accepted_after = -1, .whole_after = -1};
+	if (err || !frame)
+		return err;
+	err = poll_start(&poll, cmd, revision, true);
+	if (!err) {
+		watch(cmd, &poll, frame, began, out);
+		poll_stop(&poll);
+	}
+	ref_put(&frame->ref);
+	return err;
+}
--- /dev/null
+++ b/pstctl/cmd.h
@@ -0,0 +1,39 @@
+/* The commands of pstctl; each returns an exit status (enum cli_exit). */
+#ifndef PSTCTL_CMD_H
+#define PSTCTL_CMD_H
+
+#include "agent/stc.h"
+#include "common/cli.h"
+#include "policy/edit.h"
+#include "policy/vml.h"
+
+struct cmd {
+	const struct settings *set;
+	const struct clk *clk;
+	struct stc *stc;
+	bool json;
+	/* Who edits, for the record. */
+	const char *by;
+	/* Wait until every live VM confirms an edit. */
+	bool wait;
+	/* Restricts "table show"; NULL for all. */
+	const char *service;
+};
+
+int cmd_table_show(struct cmd *cmd);
+int cmd_table_set(struct cmd *cmd, const char *service, const char *rank,
+		  const char *cell, const char *value);
+int cmd_table_load(struct cmd *cmd, const char *path);
+int cmd_table_check(struct cmd *cmd, const char *path);
+int cmd_history(struct cmd *cmd);
+int cmd_drain(struct cmd *cmd, const char *vm, bool drain);
+int cmd_status(struct cmd *cmd);
+int cmd_explain(struct cmd *cmd, const char *id);
+
+/* Prints "pstctl: what: text of err" to standard error. */
+void cmd_complain(const char *what, int err);
+
+/* Exit status of an error. */
+int cmd_exit(int err);
+
+#endif
--- /dev/null
+++ b/pstctl/cmd_edit.c
@@ -0,0 +1,231 @@
+/* Commands that change the table, and the list of what changed it. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "policy/jsn.h"
+#include "pstctl/accept.h"
+#include "pstctl/write.h"
+
+/* Time after which a write is not tried again. */
+#define GIVE_UP_AFTER CLK_SEC(10)
+
+#define US_PER_MS     1000
+
+static long long in_ms(apr_interval_time_t time)
+{
+	return time < 0 ? -1 : (long long)time / US_PER_MS;
+}
+
+static void print_json(uint64_t revision, const struct accept_result *r)
+{
+	printf("{\"revision\":%llu,\"accepted\":%s,\"accepted_ms\":%lld,"
+	       "\"whole_ms\":%lld,\"vms\":%zu,\"vms_holding\":%zu,"
+	       "\"domains\":%zu,\"domains_whole\":%zu,\"silent\":\"%s\"}\n",
+	       (unsigned long long)revision, r->accepted ? "true" : "false",
+	       in_ms(r->accepted_after), in_ms(r->whole_after), r->vms,
+	       r->vms_holding, r->domains, r->domains_whole, r->silent);
+}
+
+static void print_result(const struct cmd *cmd, uint64_t revision,
+			 const struct accept_result *r)
+{
+	if (cmd->json) {
+		print_json(revision, r);
+		return;
+	}
+	printf("revision=%llu accepted=%s accepted_ms=%lld whole_ms=%lld "
+	       "vms=%zu vms_holding=%zu domains=%zu domains_whole=%zu "
+	       "silent=%s\n",
+	       (unsigned long long)revision, r->accepted ? "yes" : "no",
+	       in_ms(r->accepted_after), in_ms(r->whole_after), r->vms,
+	       r->vms_holding, r->domains, r->domains_whole, r->silent);
+}
+
+static int report(struct cmd *cmd, uint64_t revision, apr_time_t began)
+{
+	struct accept_result result;
+	const int err = accept_wait(cmd, revision, began, &result);
+
+	if (err) {
+		printf("revision=%llu accepted=unknown\n",
+		       (unsigned long long)revision);
+		cmd_complain("the write took effect, but the VMs' state is "
+			     "not known",
+			     err);
+		return CLI_EXIT_UNAVAILABLE;
+	}
+	print_result(cmd, revision, &result);
+	if (result.accepted && !(cmd->wait && result.whole_after < 0))
+		return CLI_EXIT_OK;
+	fprintf(stderr, "pstctl: %s: %s\n",
+		result.accepted ? "accepted, but not confirmed by"
+				: "written, but not accepted; not confirmed by",
+		result.silent);
+	return CLI_EXIT_FAILED;
+}
+
+static int explain_refusal(const struct edit *edit,
+			   const struct tbl_problem *problem)
+{
+	const char *service = edit->cell.service.ptr;
+	const char *rank = rank_name(edit->cell.rank);
+
+	switch (edit->err) {
+	case PST_ERR_CONFLICT:
+		fprintf(stderr,
+			"pstctl: %s %s %s: was %s, another operator set it to "
+			"%s, you wanted %s; nothing was written\n",
+			service, rank, edit->label, edit->base, edit->other,
+			edit->wanted);
+		return CLI_EXIT_FAILED;
+	case PST_ERR_INVALID:
+		fprintf(stderr,
+			"pstctl: refused: row %s %s, cell %s: %s is not "
+			"allowed there (%s)\n",
+			service, rank, edit->label, edit->wanted,
+			problem->cell.ptr);
+		return CLI_EXIT_FAILED;
+	case PST_ERR_NOTFOUND:
+		fprintf(stderr, "pstctl: refused: no row %s %s with cell %s\n",
+			service, rank, edit->label);
+		return CLI_EXIT_FAILED;
+	default:
+		cmd_complain("not written", edit->err);
+		return cmd_exit(edit->err);
+	}
+}
+
+static int carry_out(struct cmd *cmd, const struct edit_cell *cell,
+		     const char *label, const char *text, uint64_t value)
+{
+	const apr_time_t began = clk_now(cmd->clk);
+	struct tbl_problem problem = {0};
+	struct edit edit;
+
+	edit_begin(&edit, cell, label, text, began + GIVE_UP_AFTER);
+	write_cell(cmd, &edit, value, &problem);
+	if (edit.step == EDIT_STEP_REFUSED)
+		return explain_refusal(&edit, &problem);
+	if (edit.step == EDIT_STEP_UNKNOWN) {
+		cmd_complain("it is not known whether the edit was written; "
+			     "look at pstctl history",
+			     edit.err);
+		return CLI_EXIT_UNAVAILABLE;
+	}
+	return report(cmd, edit.revision, began);
+}
+
+int cmd_table_set(struct cmd *cmd, const char *service, const char *rank,
+		  const char *cell, const char *value)
+{
+	struct edit_cell parsed;
+	uint64_t number;
+
+	if (edit_cell_parse(str_from_c(service), str_from_c(rank),
+			    str_from_c(cell), &parsed)) {
+		fprintf(stderr,
+			"pstctl: refused: row %s %s, cell %s: no such "
+			"cell\n",
+			service, rank, cell);
+		return CLI_EXIT_FAILED;
+	}
+	if (str_to_u64(str_from_c(value), &number)) {
+		fprintf(stderr,
+			"pstctl: refused: row %s %s, cell %s: %s is "
+			"not a whole number\n",
+			service, rank, cell, value);
+		return CLI_EXIT_FAILED;
+	}
+	return carry_out(cmd, &parsed, cell, value, number);
+}
+
+int cmd_drain(struct cmd *cmd, const char *vm, bool drain)
+{
+	struct edit_cell cell;
+
+	if (edit_cell_drain(str_from_c(vm), &cell)) {
+		fprintf(stderr, "pstctl: refused: %s is no name of a VM\n", vm);
+		return CLI_EXIT_FAILED;
+	}
+	return carry_out(cmd, &cell, "drain", drain ? "1" : "0", drain);
+}
+
+static int compare_items(const void *a, const void *b)
+{
+	const struct stc_item *x = a;
+	const struct stc_item *y = b;
+
+	return (x->mod_revision > y->mod_revision) -
+	       (x->mod_revision < y->mod_revision);
+}
+
+static const char *text_of(const json_t *object, const char *member)
+{
+	const char *text = json_string_value(json_object_get(object, member));
+
+	return text ? text : "";
+}
+
+static void print_record(const struct cmd *cmd, const struct stc_item *item)
+{
+	json_t *root = jsn_parse(item->value);
+	size_t i;
+	json_t *cell;
+
+	if (cmd->json) {
+		printf("{\"revision\":%llu,\"edit\":%.*s}\n",
+		       (unsigned long long)item->mod_revision,
+		       STR_ARG(item->value));
+		json_decref(root);
+		return;
+	}
+	json_array_foreach(json_object_get(root, "cells"), i, cell)
+	{
+		printf("%llu %s %s %s %s %s: %s -> %s\n",
+		       (unsigned long long)item->mod_revision,
+		       text_of(root, "when"), text_of(root, "who"),
+		       text_of(cell, "service"), text_of(cell, "rank"),
+		       text_of(cell, "cell"), text_of(cell, "from"),
+		       text_of(cell, "to"));
+	}
+	json_decref(root);
+}
+
+int cmd_history(struct cmd *cmd)
+{
+	struct stc_list list;
+	const int err = stc_read(cmd->stc, STR_LIT(EDIT_PREFIX), &list);
+
+	if (err) {
+		cmd_complain("store", err);
+		return cmd_exit(err);
+	}
+	qsort(list.items, list.count, sizeof(*list.items), compare_items);
+	for (size_t i = 0; i < list.count; i++)
+		print_record(cmd, &list.items[i]);
+	stc_list_free(&list);
+	return CLI_EXIT_OK;
+}
+
+void cmd_complain(const char *what, int err)
+{
+	fprintf(stderr, "pstctl: %s: %s (%s)\n", what, err_text(err),
+		err_name(err));
+}
+
+int cmd_exit(int err)
+{
+	switch (err) {
+	case PST_ERR_UNAVAILABLE:
+	case PST_ERR_TIMEOUT:
+	case PST_ERR_CONNECT:
+		return CLI_EXIT_UNAVAILABLE;
+	case PST_ERR_NOMEM:
+	case PST_ERR_THREAD:
+		return CLI_EXIT_INTERNAL;
+	default:
+		return CLI_EXIT_FAILED;
+	}
+}
--- /dev/null
+++ b/pstctl/cmd_status.c
@@ -0,0 +1,235 @@
+/* Commands that ask the VMs: status and explain. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <curl/curl.h>
+
+#include "agent/lst.h"
+#include "common/err.h"
+#include "pstctl/poll.h"
+
+#define CHECK_WAIT CLK_MS(5)
+
+#define TEXT_MAX   512
+
+/* Largest answer of one VM to explain, in bytes. */
+#define MAX_ANSWER ((size_t)4 * 1024 * 1024)
+
+static const char *state_name(const struct vm *vm)
+{
+	return vm->state == VM_LIVE ? "live" : "leaving";
+}
+
+static void print_upstream(const struct cmd *cmd, const struct vm *vm)
+{
+	if (cmd->json)
+		printf("{\"vm\":\"%s\",\"kind\":\"upstream\",\"state\":\"%s\","
+		       "\"domain\":\"%s\",\"service\":\"%s\",\"slots\":%u}\n",
+		       vm->id.ptr, state_name(vm), vm->domain.ptr,
+		       vm->service.ptr, vm->slots);
+	else
+		printf("%s upstream %s domain=%s service=%s slots=%u\n",
+		       vm->id.ptr, state_name(vm), vm->domain.ptr,
+		       vm->service.ptr, vm->slots);
+}
+
+static void print_entry(const struct cmd *cmd, const struct vm *vm,
+			const struct poll_vm *p)
+{
+	const long long age =
+		p->answered && p->confirmed_age_ms != TABLE_AGE_NEVER
+			? (long long)p->confirmed_age_ms
+			: -1;
+
+	if (cmd->json)
+		printf("{\"vm\":\"%s\",\"kind\":\"entry\",\"state\":\"%s\","
+		       "\"domain\":\"%s\",\"answered\":%d,\"revision\":%llu,"
+		       "\"in_force\":%llu,\"confirmed_age_ms\":%lld,"
+		       "\"fresh\":%d,\"relay\":%d,\"store\":%d}\n",
+		       vm->id.ptr, state_name(vm), vm->domain.ptr, p->answered,
+		       (unsigned long long)p->revision,
+		       (unsigned long long)p->in_force, age, p->fresh, p->relay,
+		       p->store_reachable);
+	else
+		printf("%s entry %s domain=%s answered=%d revision=%llu "
+		       "in_force=%llu confirmed_age_ms=%lld fresh=%d relay=%d "
+		       "store=%d\n",
+		       vm->id.ptr, state_name(vm), vm->domain.ptr, p->answered,
+		       (unsigned long long)p->revision,
+		       (unsigned long long)p->in_force, age, p->fresh, p->relay,
+		       p->store_reachable);
+}
+
+int cmd_status(struct cmd *cmd)
+{
+	struct poll poll;
+	size_t next = 0;
+	const int err = poll_start(&poll, cmd, UINT64_MAX, false);
+
+	if (err) {
+		cmd_complain("list of VMs", err);
+		return cmd_exit(err);
+	}
+	while (!poll_done(&poll))
+		apr_sleep(CHECK_WAIT);
+	for (size_t i = 0; i < poll.list->count; i++) {
+		const struct vm *vm = &poll.list->vms[i];
+
+		if (vm->kind == VM_ENTRY)
+			print_entry(cmd, vm, &poll.vms[next++]);
+		else
+			print_upstream(cmd, vm);
+	}
+	poll_stop(&poll);
+	return CLI_EXIT_OK;
+}
+
+struct text {
+	char *ptr;
+	size_t len;
+};
+
+static size_t keep(char *data, size_t size, size_t count, void *ctx)
+{
+	struct text *text = ctx;
+	const size_t add = size * count;
+	char *grown;
+
+	if (add > MAX_ANSWER - text->len)
+		return 0;
+	grown = realloc(text->ptr, text->len + add + 1);
+	if (!grown)
+		return 0;
+	memcpy(grown + text->len, data, add);
+	text->ptr = grown;
+	text->len += add;
+	grown[text->len] = '\0';
+	return add;
+}
+
+static int fetch(const struct cmd *cmd, const struct vm *vm, uint64_t port,
+		 const char *id, struct text *out)
+{
+	CURL *easy = curl_easy_init();
+	char url[TEXT_MAX];
+	char from[TEXT_MAX];
+	CURLcode code;
+	char *escaped;
+
+	if (!easy)
+		return PST_ERR_NOMEM;
+	escaped = curl_easy_escape(easy, id, 0);
+	snprintf(url, sizeof(url), "http://%s:%llu/explain?id=%s",
+		 vm->address.ptr, (unsigned long long)port,
+		 escaped ? escaped : "");
+	curl_free(escaped);
+	snprintf(from, sizeof(from), "host!%.*s",
+		 STR_ARG(cmd->set->vm.address));
+	curl_easy_setopt(easy, CURLOPT_URL, url);
+	curl_easy_setopt(easy, CURLOPT_INTERFACE, from);
+	curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(easy, CURLOPT_PROXY, "");
+	curl_easy_setopt(easy, CURLOPT_FAILONERROR, 1L);
+	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
+			 (long)cmd->set->platform.call_timeout_ms);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, keep);
+	curl_easy_setopt(easy, CURLOPT_WRITEDATA, out);
+	code = curl_easy_perform(easy);
+	curl_easy_cleanup(easy);
+	return code == CURLE_OK ? 0 : PST_ERR_CONNECT;
+}
+
+struct lines {
+	char **lines;
+	size_t count;
+};
+
+static bool add_line(struct lines *lines, const char *vm, const char *line)
+{
+	char **grown =
+		realloc(lines->lines, (lines->count + 1) * sizeof(*grown));
+
+	if (!grown)
+		return false;
+	lines->lines = grown;
+	if (asprintf(&grown[lines->count], "%s vm=%s", line, vm) < 0)
+		return false;
+	lines->count++;
+	return true;
+}
+
+static void add_text(struct lines *lines, const char *vm, char *text)
+{
+	char *rest = NULL;
+
+	for (char *line = strtok_r(text, "\n", &rest); line;
+	     line = strtok_r(NULL, "\n", &rest)) {
+		if (!add_line(lines, vm, line))
+			return;
+	}
+}
+
+static int compare_lines(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+/* Lines begin with the time, so that their order is that of time. */
+static void print_lines(struct lines *lines)
+{
+	if (lines->count)
+		qsort(lines->lines, lines->count, sizeof(char *),
+		      compare_lines);
+	for (size_t i = 0; i < lines->count; i++) {
+		printf("%s\n", lines->lines[i]);
+		free(lines->lines[i]);
+	}
+	free(lines->lines);
+}
+
+static size_t ask_vm(const struct cmd *cmd, const struct vm *vm, const char *id,
+		     struct lines *lines)
+{
+	const uint64_t ports[] = {cmd->set->entry.admin_port,
+				  cmd->set->control.admin_port,
+				  cmd->set->lookup.admin_port};
+	size_t silent = 0;
+
+	for (size_t i = 0; i < sizeof(ports) / sizeof(*ports); i++) {
+		struct text text = {0};
+
+		if (fetch(cmd, vm, ports[i], id, &text))
+			silent++;
+		else if (text.ptr)
+			add_text(lines, vm->id.ptr, text.ptr);
+		free(text.ptr);
+	}
+	return silent;
+}
+
+int cmd_explain(struct cmd *cmd, const char *id)
+{
+	struct lines lines = {0};
+	struct vml *list = NULL;
+	size_t silent = 0;
+	size_t found;
+	long status;
+	const int err = lst_read(cmd->set, &list, &status);
+
+	if (err) {
+		cmd_complain("list of VMs", err);
+		return cmd_exit(err);
+	}
+	for (size_t i = 0; i < list->count; i++) {
+		if (list->vms[i].kind == VM_ENTRY)
+			silent += ask_vm(cmd, &list->vms[i], id, &lines);
+	}
+	vml_put(list);
+	found = lines.count;
+	print_lines(&lines);
+	if (silent)
+		fprintf(stderr, "pstctl: %zu processes did not answer\n",
+			silent);
+	return found ? CLI_EXIT_OK : CLI_EXIT_FAILED;
+}
--- /dev/null
+++ b/pstctl/main.c
@@ -0,0 +1,232 @@
+/* pstctl: the operators' command. */
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <argtable2.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "pstctl/cmd.h"
+
+#define MAX_WORDS 6
+
+struct options {
+	struct arg_file *settings;
+	struct arg_str *service;
+	struct arg_str *by;
+	struct arg_lit *wait;
+	struct arg_lit *json;
+	struct arg_lit *help;
+	struct arg_lit *version;
+	struct arg_str *words;
+	struct arg_end *end;
+};
+
+static int table_show(struct cmd *cmd, const char **w)
+{
+	(void)w;
+	return cmd_table_show(cmd);
+}
+
+static int table_set(struct cmd *cmd, const char **w)
+{
+	return cmd_table_set(cmd, w[0], w[1], w[2], w[3]);
+}
+
+static int table_load(struct cmd *cmd, const char **w)
+{
+	return cmd_table_load(cmd, w[0]);
+}
+
+static int table_check(struct cmd *cmd, const char **w)
+{
+	return cmd_table_check(cmd, w[0]);
+}
+
+static int history(struct cmd *cmd, const char **w)
+{
+	(void)w;
+	return cmd_history(cmd);
+}
+
+static int status(struct cmd *cmd, const char **w)
+{
+	(void)w;
+	return cmd_status(cmd);
+}
+
+static int explain(struct cmd *cmd, const char **w)
+{
+	return cmd_explain(cmd, w[0]);
+}
+
+static int drain(struct cmd *cmd, const char **w)
+{
+	return cmd_drain(cmd, w[0], true);
+}
+
+static int undrain(struct cmd *cmd, const char **w)
+{
+	return cmd_drain(cmd, w[0], false);
+}
+
+static const struct command {
+	const char *words[2];
+	/* Words that follow. */
+	int args;
+	/* Whether it works without a settings file and the store. */
+	bool offline;
+	int (*run)(struct cmd *cmd, const char **words);
+	const char *help;
+} commands[] = {
+	{{"table", "show"}, 0, false, table_show, "print the table"},
+	{{"table", "set"},
+	 4,
+	 false,
+	 table_set,
+	 "SERVICE RANK CELL VALUE: edit a cell"},
+	{{"table", "load"}, 1, false, table_load, "FILE: write a whole table"},
+	{{"table", "check"}, 1, true, table_check, "FILE: check a table"},
+	{{"history"}, 0, false, history, "print the accepted edits"},
+	{{"status"}, 0, false, status, "print the VMs and what each holds"},
+	{{"explain"},
+	 1,
+	 false,
+	 explain,
+	 "ID: print what happened to a request"},
+	{{"drain"}, 1, false, drain, "VM: give it no new work"},
+	{{"undrain"}, 1, false, undrain, "VM: give it work again"},
+};
+
+static const struct command *find_command(const struct arg_str *words)
+{
+	for (size_t i = 0; i < sizeof(commands) / sizeof(*commands); i++) {
+		const struct command *c = &commands[i];
+		const int own = c->words[1] ? 2 : 1;
+
+		if (words->count != own + c->args ||
+		    strcmp(words->sval[0], c->words[0]) != 0)
+			continue;
+		if (own == 2 && strcmp(words->sval[1], c->words[1]) != 0)
+			continue;
+		return c;
+	}
+	return NULL;
+}
+
+static void print_help(void **table)
+{
+	printf("Usage: pstctl");
+	arg_print_syntax(stdout, table, "\n");
+	for (size_t i = 0; i < sizeof(commands) / sizeof(*commands); i++) {
+		const struct command *c = &commands[i];
+
+		printf("  %s %s  %s\n", c->words[0],
+		       c->words[1] ? c->words[1] : "", c->help);
+	}
+	arg_print_glossary(stdout, table, "  %-25s %s\n");
+}
+
+static int run_online(const struct command *command, struct cmd *cmd,
+		      const char *path, const char **words)
+{
+	struct set_problem problem;
+	struct settings *set = NULL;
+	int err = set_load(path, &set, &problem);
+	int exit_status;
+
+	if (err) {
+		fprintf(stderr, "%s:%zu: %s: %s (%s)\n", path, problem.line,
+			problem.key, problem.reason, err_name(err));
+		return CLI_EXIT_SETTINGS;
+	}
+	cmd->set = set;
+	err = stc_create(&cmd->stc, set, cmd->clk);
+	if (err) {
+		cmd_complain("store", err);
+		set_free(set);
+		return CLI_EXIT_INTERNAL;
+	}
+	exit_status = command->run(cmd, words);
+	stc_destroy(cmd->stc);
+	set_free(set);
+	return exit_status;
+}
+
+static int run(const struct options *opt)
+{
+	const struct command *command = find_command(opt->words);
+	const char **words;
+	struct cmd cmd = {
+		.clk = clk_system(),
+		.json = opt->json->count,
+		.by = opt->by->count ? opt->by->sval[0] : getenv("USER"),
+		.wait = opt->wait->count,
+		.service = opt->service->count ? opt->service->sval[0] : NULL,
+	};
+
+	if (!command) {
+		fprintf(stderr, "pstctl: no such command; see --help\n");
+		return CLI_EXIT_USAGE;
+	}
+	if (!cmd.by)
+		cmd.by = "operator";
+	words = opt->words->sval + (command->words[1] ? 2 : 1);
+	if (command->offline)
+		return command->run(&cmd, words);
+	if (!opt->settings->count) {
+		fprintf(stderr, "pstctl: --settings is required\n");
+		return CLI_EXIT_USAGE;
+	}
+	return run_online(command, &cmd, opt->settings->filename[0], words);
+}
+
+static int act(const struct options *opt, void **table, int errors)
+{
+	if (opt->help->count) {
+		print_help(table);
+		return CLI_EXIT_OK;
+	}
+	if (opt->version->count) {
+		printf("pstctl %s\n", PST_VERSION);
+		return CLI_EXIT_OK;
+	}
+	if (errors) {
+		arg_print_errors(stderr, opt->end, "pstctl");
+		return CLI_EXIT_USAGE;
+	}
+	return run(opt);
+}
+
+int main(int argc, char **argv)
+{
+	struct options opt = {
+		.settings = arg_file0("s", "settings", "FILE",
+				      "settings to run with"),
+		.service = arg_str0("S", "service", "SERVICE",
+				    "with table show: one service"),
+		.by = arg_str0("b", "by", "NAME", "who edits, for the record"),
+		.wait = arg_lit0("w", "wait",
+				 "wait until every live VM confirms"),
+		.json = arg_lit0("j", "json", "print JSON"),
+		.help = arg_lit0("h", "help", "print this help and exit"),
+		.version = arg_lit0("V", "version", "print the version, exit"),
+		.words = arg_strn(NULL, NULL, "COMMAND", 0, MAX_WORDS,
+				  "command and its words"),
+		.end = arg_end(4),
+	};
+	void *table[] = {opt.settings, opt.service, opt.by,
+			 opt.wait,     opt.json,    opt.help,
+			 opt.version,  opt.words,   opt.end};
+	const int errors = arg_parse(argc, argv, table);
+	int exit_status;
+
+	signal(SIGPIPE, SIG_IGN);
+	evt_init("error");
+	exit_status = act(&opt, table, errors);
+	evt_done();
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return exit_status;
+}
--- /dev/null
+++ b/pstctl/write.c
@@ -0,0 +1,275 @@
+#include "pstctl/write.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+
+#include <sys/random.h>
+
+#include "common/err.h"
+#include "policy/head.h"
+#include "policy/tbl_frame.h"
+
+/* Wait between two tries of a store that did not answer. */
+#define RETRY_WAIT CLK_MS(100)
+
+/* What one try has read. */
+struct seen {
+	struct stc_list part;
+	struct stc_list head;
+	struct stc_list manifest;
+};
+
+static struct str value_of(const struct stc_list *list)
+{
+	return list->count ? list->items[0].value : STR_LIT("");
+}
+
+static uint64_t revision_of(const struct stc_list *list)
+{
+	return list->count ? list->items[0].mod_revision : 0;
+}
+
+static void seen_free(struct seen *seen)
+{
+	stc_list_free(&seen->part);
+	stc_list_free(&seen->head);
+	stc_list_free(&seen->manifest);
+}
+
+static int seen_read(struct cmd *cmd, const char *key, struct seen *seen)
+{
+	int err;
+
+	memset(seen, 0, sizeof(*seen));
+	err = stc_read_key(cmd->stc, str_from_c(key), &seen->part);
+	if (!err)
+		err = stc_read_key(cmd->stc, STR_LIT(HEAD_KEY), &seen->head);
+	if (!err)
+		err = stc_read_key(cmd->stc, STR_LIT(TBL_KEY_MANIFEST),
+				   &seen->manifest);
+	return err;
+}
+
+static char *record_text(const struct write_edit *edit, const json_t *cells)
+{
+	json_t *root = json_pack("{s:s, s:s, s:O}", "who", edit->who, "when",
+				 edit->when, "cells", cells);
+	char *text = root ? json_dumps(root, JSON_COMPACT) : NULL;
+
+	json_decref(root);
+	return text;
+}
+
+static int check_manifest(struct str manifest, struct tbl_problem *problem)
+{
+	struct tbl_frame *frame = NULL;
+	const int err = tbl_frame_parse(&frame, manifest, problem);
+
+	if (!err)
+		ref_put(&frame->ref);
+	return err;
+}
+
+static int check_part(const struct edit_cell *cell, const struct seen *seen,
+		      struct str part, struct tbl_problem *problem)
+{
+	switch (cell->kind) {
+	case EDIT_DRAIN:
+		return 0;
+	case EDIT_LINK:
+		return check_manifest(part, problem);
+	case EDIT_DEADLINE:
+	case EDIT_RESERVED:
+	case EDIT_SHIFT_CAP:
+	case EDIT_WEIGHT:
+	case EDIT_REGION_LIMIT:
+		break;
+	}
+	return edit_check(value_of(&seen->manifest), strbuf_str(&cell->service),
+			  part, problem);
+}
+
+static json_t *json_cells(const struct edit *edit)
+{
+	const struct edit_cell *cell = &edit->cell;
+	char key[EDIT_KEY_MAX];
+
+	edit_cell_key(cell, key);
+	return json_pack("[{s:s, s:s, s:s, s:s, s:s, s:s}]", "key", key,
+			 "service", cell->service.ptr, "rank",
+			 rank_name(cell->rank), "cell", edit->label, "from",
+			 edit->base, "to", edit->wanted);
+}
+
+static int swap_part(struct cmd *cmd, struct edit *edit,
+		     const struct write_edit *meta, const struct seen *seen,
+		     struct str part, uint64_t *revision)
+{
+	json_t *cells = json_cells(edit);
+	char key[EDIT_KEY_MAX];
+	struct stc_change change = {
+		.expected = revision_of(&seen->part),
+		.value = part,
+	};
+	int err;
+
+	edit_cell_key(&edit->cell, key);
+	change.key = str_from_c(key);
+	err = write_commit(cmd, meta, &seen->head, &change, 1, cells, revision);
+	json_decref(cells);
+	return err;
+}
+
+/* One try: refuses a bad value before anything is sent. */
+static void try_swap(struct cmd *cmd, struct edit *edit,
+		     const struct write_edit *meta, uint64_t value,
+		     const struct seen *seen, struct tbl_problem *problem)
+{
+	uint64_t revision = 0;
+	struct str part = {0};
+	int err = edit_cell_write(&edit->cell, value_of(&seen->part), value,
+				  &part);
+
+	if (!err)
+		err = check_part(&edit->cell, seen, part, problem);
+	if (err) {
+		edit->step = EDIT_STEP_REFUSED;
+		edit->err = err;
+	} else {
+		err = swap_part(cmd, edit, meta, seen, part, &revision);
+		edit_on_swap(edit, err, revision, clk_now(cmd->clk));
+	}
+	free((char *)part.ptr);
+}
+
+static void do_read(struct cmd *cmd, struct edit *edit, struct seen *seen)
+{
+	char key[EDIT_KEY_MAX];
+	int err;
+
+	edit_cell_key(&edit->cell, key);
+	seen_free(seen);
+	err = seen_read(cmd, key, seen);
+	edit_on_read(edit, err, value_of(&seen->part), clk_now(cmd->clk));
+	if (err)
+		apr_sleep(RETRY_WAIT);
+}
+
+static void do_read_back(struct cmd *cmd, struct edit *edit,
+			 const struct write_edit *meta)
+{
+	uint64_t revision = 0;
+	bool found = false;
+	const int err = write_find(cmd, meta, &found, &revision);
+
+	edit_on_read_back(edit, err, found, revision, clk_now(cmd->clk));
+	if (err)
+		apr_sleep(RETRY_WAIT);
+}
+
+void write_begin(struct write_edit *edit, const char *who)
+{
+	const time_t now = time(NULL);
+	uint64_t random[2] = {(uint64_t)apr_time_now(), 0};
+	struct tm tm;
+
+	if (getrandom(random, sizeof(random), 0) < 0)
+		random[1] = (uint64_t)clk_now(clk_system());
+	snprintf(edit->id, sizeof(edit->id), "%016llx%016llx",
+		 (unsigned long long)random[0], (unsigned long long)random[1]);
+	gmtime_r(&now, &tm);
+	strftime(edit->when, sizeof(edit->when), "%Y-%m-%dT%H:%M:%SZ", &tm);
+	edit->who = who;
+}
+
+int write_commit(struct cmd *cmd, const struct write_edit *edit,
+		 const struct stc_list *head, const struct stc_change *changes,
+		 size_t count, const json_t *cells, uint64_t *revision)
+{
+	const struct head_edit meta = {
+		.id = str_from_c(edit->id),
+		.who = str_from_c(edit->who),
+		.when = str_from_c(edit->when),
+	};
+	struct stc_change *all = calloc(count + 2, sizeof(*all));
+	struct str *keys = calloc(count + 1, sizeof(*keys));
+	char *record = record_text(edit, cells);
+	char record_key[EDIT_KEY_MAX];
+	struct str next = {0};
+	int err = all && keys && record ? 0 : PST_ERR_NOMEM;
+
+	for (size_t i = 0; !err && i < count; i++) {
+		all[i] = changes[i];
+		keys[i] = changes[i].key;
+	}
+	if (!err)
+		err = head_next(value_of(head), revision_of(head), &meta, keys,
+				count, &next);
+	if (!err) {
+		snprintf(record_key, sizeof(record_key), EDIT_PREFIX "%s",
+			 edit->id);
+		all[count] = (struct stc_change){
+			.key = STR_LIT(HEAD_KEY),
+			.expected = revision_of(head),
+			.value = next,
+		};
+		all[count + 1] = (struct stc_change){
+			.key = str_from_c(record_key),
+			.value = str_from_c(record),
+		};
+		err = stc_swap_all(cmd->stc, all, count + 2, revision);
+	}
+	free((char *)next.ptr);
+	free(record);
+	free(keys);
+	free(all);
+	return err;
+}
+
+int write_find(struct cmd *cmd, const struct write_edit *edit, bool *found,
+	       uint64_t *revision)
+{
+	char key[EDIT_KEY_MAX];
+	struct stc_list list;
+	int err;
+
+	snprintf(key, sizeof(key), EDIT_PREFIX "%s", edit->id);
+	err = stc_read_key(cmd->stc, str_from_c(key), &list);
+	if (err)
+		return err;
+	*found = list.count;
+	*revision = revision_of(&list);
+	stc_list_free(&list);
+	return 0;
+}
+
+void write_cell(struct cmd *cmd, struct edit *edit, uint64_t value,
+		struct tbl_problem *problem)
+{
+	struct write_edit meta;
+	struct seen seen = {0};
+
+	write_begin(&meta, cmd->by);
+	for (;;) {
+		switch (edit->step) {
+		case EDIT_STEP_READ:
+			do_read(cmd, edit, &seen);
+			break;
+		case EDIT_STEP_SWAP:
+			try_swap(cmd, edit, &meta, value, &seen, problem);
+			if (edit->step == EDIT_STEP_SWAP)
+				apr_sleep(RETRY_WAIT);
+			break;
+		case EDIT_STEP_READ_BACK:
+			do_read_back(cmd, edit, &meta);
+			break;
+		case EDIT_STEP_DONE:
+		case EDIT_STEP_REFUSED:
+		case EDIT_STEP_UNKNOWN:
+			seen_free(&seen);
+			return;
+		}
+	}
+}
