--- a/agent/tkt_peers.c
+++ b/agent/tkt_peers.c
@@ -7,6 +7,7 @@
 #include <apr_queue.h>
 
 #include "agent/tkt_wire.h"
+#include "common/ctr.h"
 #include "common/err.h"
 #include "common/rpcc.h"
 
@@ -47,7 +48,9 @@
 	pthread_mutex_t lock;
 	struct peer *buckets[BUCKETS];
 	size_t count;
-	struct tkt_peers_stats stats;
+	/* Sent to peers. */
+	struct ctr *messages;
+	struct ctr *ops;
 	pthread_t workers[WORKERS];
 	size_t worker_count;
 };
@@ -274,14 +277,14 @@
 	peer->used_at = now;
 	pthread_mutex_unlock(&p->lock);
 	reachable = now >= peer->silent_until && locate(p, peer);
+	ctr_add(p->messages, reachable);
+	if (reachable && batch->kind == TKT_CALL_OP)
+		ctr_add(p->ops, count);
 	if (batch->kind == TKT_CALL_OP)
 		run_ops(p, peer, batch, count, reachable);
 	else
 		run_query(p, peer, batch, reachable);
 	pthread_mutex_lock(&p->lock);
-	p->stats.messages += reachable;
-	if (reachable && batch->kind == TKT_CALL_OP)
-		p->stats.ops += count;
 	more = peer->first != NULL;
 	peer->scheduled = more;
 	pthread_mutex_unlock(&p->lock);
@@ -308,6 +311,10 @@
 	if (!p)
 		return PST_ERR_NOMEM;
 	p->conf = *conf;
+	p->messages = ctr_get("pst_ticket_messages_total", "",
+			      "Calls to witnesses and homes.");
+	p->ops = ctr_get("pst_ticket_operations_total", "",
+			 "Claims and seals carried by these calls.");
 	pthread_mutex_init(&p->lock, NULL);
 	if (apr_pool_create(&p->pool, NULL) ||
 	    apr_queue_create(&p->ready, PEERS_MAX, p->pool)) {
@@ -387,13 +394,3 @@
 	}
 	return NULL;
 }
-
-struct tkt_peers_stats tkt_peers_stats(struct tkt_peers *p)
-{
-	struct tkt_peers_stats stats;
-
-	pthread_mutex_lock(&p->lock);
-	stats = p->stats;
-	pthread_mutex_unlock(&p->lock);
-	return stats;
-}
--- a/agent/tkt_peers.h
+++ b/agent/tkt_peers.h
@@ -70,12 +70,4 @@
 /* Finds a VM by its hash, or NULL. */
 const struct vm *tkt_vm_find(const struct vml *vml, uint64_t hash);
 
-/* Messages sent to peers so far and operations carried by them. */
-struct tkt_peers_stats {
-	uint64_t messages;
-	uint64_t ops;
-};
-
-struct tkt_peers_stats tkt_peers_stats(struct tkt_peers *peers);
-
 #endif
--- a/agent/tkt_service.c
+++ b/agent/tkt_service.c
@@ -12,6 +12,7 @@
 #include "agent/tkt_log.h"
 #include "agent/tkt_peers.h"
 #include "agent/tkt_serve.h"
+#include "common/ctr.h"
 #include "common/err.h"
 #include "common/evt.h"
 #include "policy/tkt_budget.h"
@@ -50,6 +51,7 @@
 	/* To the threads that answer and that claim. */
 	apr_queue_t *answers;
 	apr_queue_t *claims;
+	struct ctr *verdicts[TKT_REFUSED + 1];
 	atomic_bool stopping;
 	pthread_t answerer;
 	pthread_t claimer;
@@ -129,6 +131,7 @@
 	if (!copy)
 		return;
 	*copy = *answer;
+	ctr_add(s->verdicts[answer->verdict], 1);
 	if (apr_queue_trypush(s->answers, copy) != APR_SUCCESS)
 		free(copy);
 }
@@ -260,6 +263,20 @@
 	return NULL;
 }
 
+static void register_counters(struct tkt_service *s)
+{
+	static const char *const labels[] = {
+		[TKT_RUN] = "verdict=\"run\"",
+		[TKT_NOT_RUN] = "verdict=\"not_run\"",
+		[TKT_UNKNOWN] = "verdict=\"unknown\"",
+		[TKT_REFUSED] = "verdict=\"refused\"",
+	};
+
+	for (int i = TKT_RUN; i <= TKT_REFUSED; i++)
+		s->verdicts[i] = ctr_get("pst_ticket_verdicts_total", labels[i],
+					 "Keyed requests by verdict.");
+}
+
 static int create_rings(struct tkt_service *s)
 {
 	const unsigned answers =
@@ -390,6 +407,7 @@
 	s->ctx = ctx;
 	s->vm = tkt_vm_hash(set->vm.id);
 	s->incarnation = make_incarnation();
+	register_counters(s);
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_mutex_init(&s->serve.lock, NULL);
 	err = create_rings(s);
--- a/policy/tkt_asker.c
+++ b/policy/tkt_asker.c
@@ -455,6 +455,11 @@
 	return TKT_OUTCOME_UNSEEN;
 }
 
+size_t tkt_asker_bytes(size_t tickets)
+{
+	return tickets * (sizeof(struct tkt_rec) + sizeof(struct tkt_rec *));
+}
+
 struct tkt_asker_stats tkt_asker_stats(const struct tkt_asker *a)
 {
 	const struct tkt_rec *rec = tkt_recs_first(a->recs, TKT_PHASE_ENDED);
--- a/policy/tkt_asker.h
+++ b/policy/tkt_asker.h
@@ -109,6 +109,9 @@
 	uint64_t doubts;
 };
 
+/* Memory for so many remembered tickets, in bytes. */
+size_t tkt_asker_bytes(size_t tickets);
+
 struct tkt_asker_stats tkt_asker_stats(const struct tkt_asker *asker);
 
 #endif
