--- a/entryd/front.c
+++ b/entryd/front.c
@@ -1,13 +1,11 @@
 #include "entryd/front.h"
 
-#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/random.h>
 
 #include "common/err.h"
 #include "common/net.h"
-#include "entryd/hdr.h"
+#include "entryd/intake.h"
 #include "entryd/problem.h"
 #include "entryd/tickets.h"
 
@@ -16,13 +14,11 @@
 
 struct frt {
 	const struct settings *set;
-	const struct clk *clk;
 	struct rte *rte;
 	struct ups *ups;
 	struct tkt_agent *ticket;
 	struct MHD_Daemon *daemon;
-	atomic_uint_fast64_t next_number;
-	uint64_t incarnation;
+	struct itk intake;
 	atomic_bool closing;
 };
 
@@ -67,119 +63,6 @@
 	return problem_answer(conn, &problem);
 }
 
-static const char *header(struct MHD_Connection *conn, const char *name)
-{
-	return MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
-}
-
-static enum MHD_Result keep_header(void *ctx, enum MHD_ValueKind kind,
-				   const char *name, const char *value)
-{
-	struct req *req = ctx;
-	const struct str n = str_from_c(name);
-	struct curl_slist *grown;
-	char *line = NULL;
-
-	(void)kind;
-	if (hdr_hop_by_hop(n) || str_eq_nocase(n, STR_LIT("X-Request-Id")) ||
-	    str_eq_nocase(n, STR_LIT("X-Deadline-Ms")))
-		return MHD_YES;
-	if (asprintf(&line, value && *value ? "%s: %s" : "%s;", name, value) <
-	    0)
-		return MHD_NO;
-	grown = curl_slist_append(req->headers, line);
-	free(line);
-	if (!grown)
-		return MHD_NO;
-	req->headers = grown;
-	return MHD_YES;
-}
-
-static void set_id(struct frt *frt, struct req *req, const char *wanted)
-{
-	req->number = atomic_fetch_add(&frt->next_number, 1);
-	if (wanted && hdr_request_id_ok(str_from_c(wanted))) {
-		strbuf_set(&req->id, str_from_c(wanted));
-		return;
-	}
-	req->id.len = (uint8_t)snprintf(req->id.ptr, sizeof(req->id.ptr),
-					"%016llx-%llu",
-					(unsigned long long)frt->incarnation,
-					(unsigned long long)req->number);
-}
-
-static int read_body_length(struct frt *frt, struct MHD_Connection *conn,
-			    struct req *req)
-{
-	const char *length = header(conn, "Content-Length");
-	uint64_t number = 0;
-
-	if (header(conn, "Transfer-Encoding")) {
-		req->body_length = -1;
-		return 0;
-	}
-	if (length && str_to_u64(str_from_c(length), &number))
-		return PST_ERR_REQ_HEADER;
-	if (number > frt->set->entry.max_body_bytes)
-		return PST_ERR_REQ_TOO_LARGE;
-	req->body_length = (int64_t)number;
-	if (!number)
-		pipe_close(&req->body, false);
-	return 0;
-}
-
-static int read_headers(struct MHD_Connection *conn, struct req *req)
-{
-	const char *key = header(conn, "Idempotency-Key");
-	const char *deadline = header(conn, "X-Deadline-Ms");
-	const char *priority = header(conn, "Priority");
-	struct str text;
-	int err = 0;
-
-	req->rank = RANK_NORMAL;
-	if (priority)
-		err = hdr_priority(str_from_c(priority), &req->rank);
-	if (!err && deadline)
-		err = hdr_deadline(str_from_c(deadline), &req->deadline_ms);
-	if (!err && key)
-		err = hdr_key(str_from_c(key), TKT_KEY_MAX, &text);
-	if (err || !key || req->idempotent)
-		return err;
-	memcpy(req->key, text.ptr, text.len);
-	req->keyed = true;
-	return 0;
-}
-
-static int fill_request(struct frt *frt, struct MHD_Connection *conn,
-			struct req *req, const char *uri, const char *method)
-{
-	struct str rest;
-	int err = hdr_path(str_from_c(uri), &req->service, &rest);
-
-	if (err)
-		return err;
-	req->head_only = !strcmp(method, MHD_HTTP_METHOD_HEAD);
-	req->idempotent =
-		req->head_only || !strcmp(method, MHD_HTTP_METHOD_GET);
-	req->method = strdup(method);
-	req->target = strndup(rest.ptr, rest.len);
-	if (!req->method || !req->target)
-		return PST_ERR_NOMEM;
-	set_id(frt, req, header(conn, "X-Request-Id"));
-	err = read_headers(conn, req);
-	if (!err)
-		err = read_body_length(frt, conn, req);
-	if (err)
-		return err;
-	MHD_get_connection_values(conn, MHD_HEADER_KIND, keep_header, req);
-	req->conn = conn;
-	req->caller_fd =
-		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
-			->connect_fd;
-	req->arrived = clk_now(frt->clk);
-	return 0;
-}
-
 static int begin_request(struct MHD_Connection *conn, struct exchange *ex,
 			 const char *method)
 {
@@ -189,7 +72,7 @@
 
 	if (err)
 		return err;
-	err = fill_request(frt, conn, req, ex->uri, method);
+	err = itk_fill(&frt->intake, conn, req, ex->uri, method);
 	if (!err)
 		err = rte_arrive(frt->rte, req);
 	if (err) {
@@ -370,9 +253,11 @@
 static enum MHD_Result begin(struct frt *frt, struct MHD_Connection *conn,
 			     struct exchange *ex, const char *method)
 {
-	const char *length = header(conn, "Content-Length");
-	const bool has_body = header(conn, "Transfer-Encoding") ||
-			      (length && strcmp(length, "0") != 0);
+	const char *length = MHD_lookup_connection_value(conn, MHD_HEADER_KIND,
+							 "Content-Length");
+	const char *coding = MHD_lookup_connection_value(conn, MHD_HEADER_KIND,
+							 "Transfer-Encoding");
+	const bool has_body = coding || (length && strcmp(length, "0") != 0);
 
 	ex->begun = true;
 	ex->refused = is_tickets(ex->uri) ? begin_tickets(frt, ex, method)
@@ -472,13 +357,11 @@
 	if (!frt)
 		return PST_ERR_NOMEM;
 	frt->set = set;
-	frt->clk = clk;
 	frt->rte = rte;
 	frt->ups = ups;
 	frt->ticket = ticket;
-	frt->next_number = 1;
 	if (net_addr_make(&addr, set->vm.address, (uint16_t)entry->port) ||
-	    getrandom(&frt->incarnation, sizeof(frt->incarnation), 0) < 0) {
+	    itk_init(&frt->intake, set, clk)) {
 		free(frt);
 		return PST_ERR_HTTP;
 	}
--- /dev/null
+++ b/entryd/intake.c
@@ -0,0 +1,132 @@
+#include "entryd/intake.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "common/err.h"
+#include "entryd/hdr.h"
+
+static const char *header(struct MHD_Connection *conn, const char *name)
+{
+	return MHD_lookup_connection_value(conn, MHD_HEADER_KIND, name);
+}
+
+static enum MHD_Result keep_header(void *ctx, enum MHD_ValueKind kind,
+				   const char *name, const char *value)
+{
+	struct req *req = ctx;
+	const struct str n = str_from_c(name);
+	struct curl_slist *grown;
+	char *line = NULL;
+
+	(void)kind;
+	if (hdr_hop_by_hop(n) || str_eq_nocase(n, STR_LIT("X-Request-Id")) ||
+	    str_eq_nocase(n, STR_LIT("X-Deadline-Ms")))
+		return MHD_YES;
+	if (asprintf(&line, value && *value ? "%s: %s" : "%s;", name, value) <
+	    0)
+		return MHD_NO;
+	grown = curl_slist_append(req->headers, line);
+	free(line);
+	if (!grown)
+		return MHD_NO;
+	req->headers = grown;
+	return MHD_YES;
+}
+
+static void set_id(struct itk *itk, struct req *req, const char *wanted)
+{
+	req->number = atomic_fetch_add(&itk->next_number, 1);
+	if (wanted && hdr_request_id_ok(str_from_c(wanted))) {
+		strbuf_set(&req->id, str_from_c(wanted));
+		return;
+	}
+	req->id.len = (uint8_t)snprintf(req->id.ptr, sizeof(req->id.ptr),
+					"%016llx-%llu",
+					(unsigned long long)itk->incarnation,
+					(unsigned long long)req->number);
+}
+
+static int read_body_length(struct itk *itk, struct MHD_Connection *conn,
+			    struct req *req)
+{
+	const char *length = header(conn, "Content-Length");
+	uint64_t number = 0;
+
+	if (header(conn, "Transfer-Encoding")) {
+		req->body_length = -1;
+		return 0;
+	}
+	if (length && str_to_u64(str_from_c(length), &number))
+		return PST_ERR_REQ_HEADER;
+	if (number > itk->set->entry.max_body_bytes)
+		return PST_ERR_REQ_TOO_LARGE;
+	req->body_length = (int64_t)number;
+	if (!number)
+		pipe_close(&req->body, false);
+	return 0;
+}
+
+static int read_headers(struct MHD_Connection *conn, struct req *req)
+{
+	const char *key = header(conn, "Idempotency-Key");
+	const char *deadline = header(conn, "X-Deadline-Ms");
+	const char *priority = header(conn, "Priority");
+	struct str text;
+	int err = 0;
+
+	req->rank = RANK_NORMAL;
+	if (priority)
+		err = hdr_priority(str_from_c(priority), &req->rank);
+	if (!err && deadline)
+		err = hdr_deadline(str_from_c(deadline), &req->deadline_ms);
+	if (!err && key)
+		err = hdr_key(str_from_c(key), TKT_KEY_MAX, &text);
+	if (err || !key || req->idempotent)
+		return err;
+	memcpy(req->key, text.ptr, text.len);
+	req->keyed = true;
+	return 0;
+}
+
+int itk_fill(struct itk *itk, struct MHD_Connection *conn, struct req *req,
+	     const char *uri, const char *method)
+{
+	struct str rest;
+	int err = hdr_path(str_from_c(uri), &req->service, &rest);
+
+	if (err)
+		return err;
+	req->head_only = !strcmp(method, MHD_HTTP_METHOD_HEAD);
+	req->idempotent =
+		req->head_only || !strcmp(method, MHD_HTTP_METHOD_GET);
+	req->method = strdup(method);
+	req->target = strndup(rest.ptr, rest.len);
+	if (!req->method || !req->target)
+		return PST_ERR_NOMEM;
+	set_id(itk, req, header(conn, "X-Request-Id"));
+	err = read_headers(conn, req);
+	if (!err)
+		err = read_body_length(itk, conn, req);
+	if (err)
+		return err;
+	MHD_get_connection_values(conn, MHD_HEADER_KIND, keep_header, req);
+	req->conn = conn;
+	req->caller_fd =
+		MHD_get_connection_info(conn, MHD_CONNECTION_INFO_CONNECTION_FD)
+			->connect_fd;
+	req->arrived = clk_now(itk->clk);
+	return 0;
+}
+
+int itk_init(struct itk *itk, const struct settings *set, const struct clk *clk)
+{
+	itk->set = set;
+	itk->clk = clk;
+	itk->next_number = 1;
+	if (getrandom(&itk->incarnation, sizeof(itk->incarnation), 0) < 0)
+		return PST_ERR_IO;
+	return 0;
+}
--- /dev/null
+++ b/entryd/intake.h
@@ -0,0 +1,27 @@
+/* Turns the head of a caller's HTTP request into a struct req. */
+#ifndef ENTRYD_INTAKE_H
+#define ENTRYD_INTAKE_H
+
+#include "entryd/req.h"
+
+/* What numbering requests needs. */
+struct itk {
+	const struct settings *set;
+	const struct clk *clk;
+	atomic_uint_fast64_t next_number;
+	/* Random, so that ids of two processes differ. */
+	uint64_t incarnation;
+};
+
+/* Borrows set and clk. Returns 0 or PST_ERR_IO. */
+int itk_init(struct itk *itk, const struct settings *set,
+	     const struct clk *clk);
+
+/*
+ * Fills in everything that the deciding thread needs. Returns 0,
+ * PST_ERR_NOMEM, PST_ERR_REQ_PATH, _HEADER or _TOO_LARGE.
+ */
+int itk_fill(struct itk *itk, struct MHD_Connection *conn, struct req *req,
+	     const char *uri, const char *method);
+
+#endif
