Broker: model of slots, floods as tests, guard by what frees slots

Cause: in a bulk flood the slots kept free for urgent work left 11% (Fund) to 21% (Guild) of the slot time unused, and at 80% load the median of bulk work was 2746 ms against 127 ms of the best baseline. Ruled out: no guard at all (urgent p99 grows beyond 1.2 times with bulk work of 2 s); counting slots that the urgent rank itself or ranks within their reserve give back (they take them again, so nothing comes free).

--- /dev/null
+++ b/bench/exp_ranks.c
@@ -0,0 +1,177 @@
+/*
+ * The broker beside the baselines, on the model of fakes/slot_model: latency
+ * and refusals by rank and useful work, at a steady load of 80%, in floods of
+ * both kinds, with an upstream that lies about its load and with a slow one.
+ *
+ * Prints a table, or CSV with --csv. Seeds are in the output.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "common/clk.h"
+#include "fakes/slot_model.h"
+
+#define SEED 20261204
+
+/* Ten times the capacity. */
+#define FLOOD_LOAD 10.0
+
+struct deployment {
+	const char *name;
+	void (*fill)(struct slot_model_cfg *cfg);
+};
+
+struct scenario {
+	const char *name;
+	void (*change)(struct slot_model_cfg *cfg);
+};
+
+static void set_loads(struct slot_model_cfg *cfg, double urgent, double normal,
+		      double bulk)
+{
+	cfg->rank[RANK_URGENT].load = urgent;
+	cfg->rank[RANK_NORMAL].load = normal;
+	cfg->rank[RANK_BULK].load = bulk;
+}
+
+static void steady(struct slot_model_cfg *cfg)
+{
+	(void)cfg;
+}
+
+static void unflooded(struct slot_model_cfg *cfg)
+{
+	set_loads(cfg, 0.2, 0.2, 0.1);
+}
+
+static void bulk_flood(struct slot_model_cfg *cfg)
+{
+	set_loads(cfg, 0.2, 0.2, FLOOD_LOAD);
+}
+
+static void long_bulk_flood(struct slot_model_cfg *cfg)
+{
+	bulk_flood(cfg);
+	cfg->rank[RANK_BULK].service = CLK_SEC(2);
+	cfg->rank[RANK_BULK].deadline = CLK_SEC(30);
+}
+
+static void urgent_flood(struct slot_model_cfg *cfg)
+{
+	set_loads(cfg, FLOOD_LOAD, 0.35, 0.25);
+}
+
+static void liar(struct slot_model_cfg *cfg)
+{
+	cfg->liar = 7;
+}
+
+static void slow(struct slot_model_cfg *cfg)
+{
+	cfg->slow = 7;
+	cfg->slow_factor = 10;
+	cfg->slow_from = CLK_SEC(0);
+	cfg->slow_until = CLK_SEC(1000);
+}
+
+static const struct deployment deployments[] = {
+	{"fund", slot_model_fund},
+	{"guild", slot_model_guild},
+};
+
+static const struct scenario scenarios[] = {
+	{"steady_80", steady},
+	{"unflooded", unflooded},
+	{"bulk_flood", bulk_flood},
+	{"long_bulk_flood", long_bulk_flood},
+	{"urgent_flood", urgent_flood},
+	{"liar", liar},
+	{"slow", slow},
+};
+
+static const enum pick_policy policies[] = {
+	PICK_BROKER,	  PICK_RANDOM,	     PICK_LEAST_REPORTED,
+	PICK_TWO_CHOICES, PICK_STATIC_SPLIT,
+};
+
+static void print_rank(const struct slot_model_results *r, int rank, bool csv)
+{
+	const struct slot_model_result *k = &r->rank[rank];
+	const double offered = k->offered ? (double)k->offered : 1;
+
+	printf(csv ? ",%.1f,%.1f,%.1f,%.2f,%.2f,%.3f"
+		   : " | %6.1f %7.1f %7.1f %6.2f %6.2f %5.3f",
+	       (double)k->p50 / 1000, (double)k->p99 / 1000,
+	       (double)k->p999 / 1000, 100 * (double)k->refused / offered,
+	       100 * (double)k->late / offered, k->useful / r->capacity);
+}
+
+static void print_row(const char *deployment, const char *scenario,
+		      enum pick_policy policy,
+		      const struct slot_model_results *r, bool csv)
+{
+	double useful = 0;
+
+	for (int k = 0; k < RANK_COUNT; k++)
+		useful += r->rank[k].useful;
+	printf(csv ? "%s,%s,%s,%d" : "%-5s %-15s %-14s %d", deployment,
+	       scenario, pick_name(policy), SEED);
+	for (int k = 0; k < RANK_COUNT; k++)
+		print_rank(r, k, csv);
+	printf(csv ? ",%.3f,%llu\n" : " | %5.3f %6llu\n", useful / r->capacity,
+	       (unsigned long long)r->sheds);
+}
+
+static void print_head(bool csv)
+{
+	static const char *const ranks[] = {"urgent", "normal", "bulk"};
+
+	if (!csv) {
+		printf("by rank: p50 p99 p99.9 in ms, refused %%, late %%, "
+		       "useful work over capacity\n"
+		       "deployment scenario policy seed | urgent | normal | "
+		       "bulk | useful work, sheds\n");
+		return;
+	}
+	printf("deployment,scenario,policy,seed");
+	for (size_t i = 0; i < 3; i++)
+		printf(",%s_p50_ms,%s_p99_ms,%s_p999_ms,%s_refused_pct,"
+		       "%s_late_pct,%s_useful",
+		       ranks[i], ranks[i], ranks[i], ranks[i], ranks[i],
+		       ranks[i]);
+	printf(",useful,sheds\n");
+}
+
+static int run_scenario(const struct deployment *d, const struct scenario *s,
+			bool csv)
+{
+	for (size_t p = 0; p < sizeof(policies) / sizeof(*policies); p++) {
+		struct slot_model_results results;
+		struct slot_model_cfg cfg;
+		int err;
+
+		d->fill(&cfg);
+		s->change(&cfg);
+		cfg.policy = policies[p];
+		cfg.seed = SEED;
+		err = slot_model_run(&cfg, &results);
+		if (err)
+			return err;
+		print_row(d->name, s->name, policies[p], &results, csv);
+	}
+	return 0;
+}
+
+int main(int argc, char **argv)
+{
+	const bool csv = argc > 1 && !strcmp(argv[1], "--csv");
+	int err = 0;
+
+	print_head(csv);
+	for (size_t d = 0; d < 2 && !err; d++) {
+		for (size_t s = 0;
+		     s < sizeof(scenarios) / sizeof(*scenarios) && !err; s++)
+			err = run_scenario(&deployments[d], &scenarios[s], csv);
+	}
+	return err ? 1 : 0;
+}
--- /dev/null
+++ b/fakes/slot_model.c
@@ -0,0 +1,840 @@
+#include "fakes/slot_model.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/clk.h"
+#include "common/err.h"
+
+/* Requests queued at an upstream before it sheds, by slot. */
+#define QUEUE_PER_SLOT 2
+#define QUEUE_MAX      64
+
+/* Upstreams tried before a request is refused. */
+#define TRIES_MAX 3
+
+#define TICK	  CLK_MS(20)
+
+/* Time after the end in which everything in progress ends. */
+#define SETTLE CLK_SEC(120)
+
+enum kind {
+	ARRIVE,
+	AT_BROKER,
+	ANSWERED,
+	AT_UPSTREAM,
+	RAN,
+	AT_ENTRY,
+	RELEASED,
+	CANCELLED,
+	GIVEN_UP,
+	REPORT,
+	TICKED,
+};
+
+struct event {
+	apr_time_t at;
+	uint64_t order;
+	enum kind kind;
+	uint32_t request;
+	uint64_t permit;
+	enum permit_outcome outcome;
+};
+
+enum stage {
+	WAITING,
+	GRANTED,
+	QUEUED,
+	RUNNING,
+	ENDED,
+};
+
+struct request {
+	enum rank rank;
+	uint16_t entry;
+	uint16_t domain;
+	int16_t upstream;
+	uint8_t tries;
+	uint8_t stage;
+	bool answered;
+	bool measured;
+	bool shed;
+	apr_time_t arrived;
+	/* Time in a slot of a prompt upstream, and in the one it got. */
+	apr_interval_time_t service;
+	apr_interval_time_t took;
+	uint64_t permit;
+};
+
+struct upstream {
+	uint16_t domain;
+	uint32_t slots;
+	uint32_t running;
+	uint32_t queue[QUEUE_MAX];
+	uint32_t queued;
+	uint32_t reported;
+	struct strbuf name;
+};
+
+struct model;
+
+/* A broker, or the static part of one entry VM. */
+struct giver {
+	struct model *m;
+	struct brk *brk;
+	uint16_t entry;
+	bool local;
+};
+
+struct sample {
+	uint64_t *us;
+	size_t count;
+	size_t room;
+};
+
+struct model {
+	struct slot_model_cfg cfg;
+	struct slot_model_results *out;
+	apr_time_t now;
+	uint64_t random;
+	struct event *heap;
+	size_t event_count;
+	size_t event_room;
+	uint64_t order;
+	struct request *requests;
+	size_t request_count;
+	size_t request_room;
+	struct upstream ups[SLOT_MODEL_UPSTREAMS];
+	uint32_t slots;
+	struct strbuf entries[SLOT_MODEL_ENTRIES];
+	struct giver brokers[SLOT_MODEL_DOMAINS];
+	struct giver locals[SLOT_MODEL_ENTRIES][SLOT_MODEL_DOMAINS];
+	uint32_t outstanding[SLOT_MODEL_ENTRIES][SLOT_MODEL_UPSTREAMS];
+	struct sample samples[RANK_COUNT];
+	bool failed;
+};
+
+static uint64_t next_random(struct model *m)
+{
+	m->random ^= m->random << 13;
+	m->random ^= m->random >> 7;
+	m->random ^= m->random << 17;
+	return m->random * 0x2545f4914f6cdd1du;
+}
+
+static double exponential(struct model *m, double mean)
+{
+	const double u = (double)(next_random(m) >> 11) / 9007199254740992.0;
+
+	return -mean * log(1 - u);
+}
+
+static bool before(const struct event *a, const struct event *b)
+{
+	return a->at != b->at ? a->at < b->at : a->order < b->order;
+}
+
+static bool room_for(struct model *m, void **items, size_t count, size_t *room,
+		     size_t size)
+{
+	void *grown;
+
+	if (count < *room)
+		return true;
+	grown = realloc(*items, (*room * 2 + 1024) * size);
+	if (!grown) {
+		m->failed = true;
+		return false;
+	}
+	*items = grown;
+	*room = *room * 2 + 1024;
+	return true;
+}
+
+static void post(struct model *m, struct event e)
+{
+	size_t at = m->event_count;
+
+	if (!room_for(m, (void **)&m->heap, at, &m->event_room,
+		      sizeof(*m->heap)))
+		return;
+	e.order = m->order++;
+	m->event_count++;
+	while (at > 0 && before(&e, &m->heap[(at - 1) / 2])) {
+		m->heap[at] = m->heap[(at - 1) / 2];
+		at = (at - 1) / 2;
+	}
+	m->heap[at] = e;
+}
+
+static struct event take_event(struct model *m)
+{
+	const struct event first = m->heap[0];
+	const struct event last = m->heap[--m->event_count];
+	size_t at = 0;
+
+	for (;;) {
+		size_t child = 2 * at + 1;
+
+		if (child >= m->event_count)
+			break;
+		if (child + 1 < m->event_count &&
+		    before(&m->heap[child + 1], &m->heap[child]))
+			child++;
+		if (!before(&m->heap[child], &last))
+			break;
+		m->heap[at] = m->heap[child];
+		at = child;
+	}
+	m->heap[at] = last;
+	return first;
+}
+
+static int region_of_domain(int domain)
+{
+	return domain / (SLOT_MODEL_DOMAINS / SLOT_MODEL_REGIONS);
+}
+
+static int domain_of_entry(int entry)
+{
+	return entry / (SLOT_MODEL_ENTRIES / SLOT_MODEL_DOMAINS);
+}
+
+static apr_interval_time_t hop(const struct model *m, const struct request *r)
+{
+	return domain_of_entry(r->entry) == r->domain ? m->cfg.hop_near
+						      : m->cfg.hop_far;
+}
+
+static void post_request(struct model *m, apr_interval_time_t after,
+			 enum kind kind, uint32_t id)
+{
+	post(m,
+	     (struct event){.at = m->now + after, .kind = kind, .request = id});
+}
+
+static void add_sample(struct model *m, enum rank rank, uint64_t us)
+{
+	struct sample *s = &m->samples[rank];
+
+	if (room_for(m, (void **)&s->us, s->count, &s->room, sizeof(*s->us)))
+		s->us[s->count++] = us;
+}
+
+/* The caller's side of the end of a request. */
+static void end_for_caller(struct model *m, struct request *r, bool refused)
+{
+	struct slot_model_result *out = &m->out->rank[r->rank];
+	const apr_interval_time_t deadline = m->cfg.rank[r->rank].deadline;
+	const apr_interval_time_t took = m->now - r->arrived;
+	const bool in_time = !refused && took <= deadline;
+
+	if (r->answered)
+		return;
+	r->answered = true;
+	if (in_time && m->now >= m->cfg.warmup && m->now < m->cfg.end)
+		out->useful += r->service;
+	if (!r->measured)
+		return;
+	if (in_time)
+		out->in_time++;
+	else if (refused)
+		out->refused++;
+	else
+		out->late++;
+	add_sample(m, r->rank, (uint64_t)(in_time ? took : deadline));
+}
+
+static void refuse(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+
+	r->stage = ENDED;
+	end_for_caller(m, r, true);
+}
+
+static double slowness(const struct model *m, int upstream)
+{
+	if (upstream != m->cfg.slow || m->now < m->cfg.slow_from ||
+	    m->now >= m->cfg.slow_until)
+		return 1;
+	return m->cfg.slow_factor;
+}
+
+static void start(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+
+	r->stage = RUNNING;
+	r->took = (apr_interval_time_t)(r->service * slowness(m, r->upstream));
+	m->ups[r->upstream].running++;
+	post_request(m, r->took, RAN, id);
+}
+
+static void at_upstream(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	struct upstream *up = &m->ups[r->upstream];
+
+	if (up->running < up->slots) {
+		start(m, id);
+	} else if (up->queued < up->slots * QUEUE_PER_SLOT) {
+		r->stage = QUEUED;
+		up->queue[up->queued++] = id;
+	} else {
+		r->shed = true;
+		m->out->sheds++;
+		post_request(m, hop(m, r), AT_ENTRY, id);
+	}
+}
+
+/* Takes the next request that its caller still waits for. */
+static void ran(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	struct upstream *up = &m->ups[r->upstream];
+
+	up->running--;
+	if (m->now >= m->cfg.warmup && m->now < m->cfg.end)
+		m->out->rank[r->rank].ran += r->took;
+	post_request(m, hop(m, r), AT_ENTRY, id);
+	while (up->queued && up->running < up->slots) {
+		const uint32_t next = up->queue[0];
+
+		up->queued--;
+		for (uint32_t i = 0; i < up->queued; i++)
+			up->queue[i] = up->queue[i + 1];
+		if (m->requests[next].answered)
+			post_request(m, 0, AT_ENTRY, next);
+		else
+			start(m, next);
+	}
+}
+
+static void send_to(struct model *m, uint32_t id, int upstream)
+{
+	struct request *r = &m->requests[id];
+
+	r->upstream = (int16_t)upstream;
+	r->stage = GRANTED;
+	r->shed = false;
+	m->outstanding[r->entry][upstream]++;
+	post_request(m, hop(m, r), AT_UPSTREAM, id);
+}
+
+static int find_upstream(const struct model *m, const struct strbuf *name)
+{
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		if (strbuf_eq(&m->ups[i].name, name))
+			return i;
+	}
+	return SLOT_MODEL_NONE;
+}
+
+static void on_answer(void *ctx, const struct brk_answer *answer)
+{
+	struct giver *g = ctx;
+	struct model *m = g->m;
+	const uint32_t id = (uint32_t)answer->ask;
+	struct request *r = &m->requests[id];
+	struct event e = {
+		.at = m->now + (g->local ? 0 : hop(m, r)),
+		.kind = ANSWERED,
+		.request = id,
+		.permit = answer->permit,
+	};
+
+	if (answer->result == PERMIT_GRANTED) {
+		const uint32_t held = answer->up->held;
+		const uint32_t slots = answer->up->vm.slots;
+
+		r->upstream = (int16_t)find_upstream(m, &answer->up->vm.name);
+		if (held > slots && held - slots > m->out->excess)
+			m->out->excess = held - slots;
+	} else {
+		r->upstream = SLOT_MODEL_NONE;
+	}
+	post(m, e);
+}
+
+static struct giver *giver_of(struct model *m, const struct request *r)
+{
+	if (m->cfg.policy == PICK_BROKER)
+		return &m->brokers[r->domain];
+	return &m->locals[r->entry][r->domain];
+}
+
+static struct brk_entry *self(struct model *m, const struct giver *g,
+			      const struct request *r)
+{
+	return brk_hello(g->brk, strbuf_str(&m->entries[r->entry]), 1, m->now);
+}
+
+static void at_broker(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	const struct giver *g = giver_of(m, r);
+	const struct brk_ask ask = {
+		.id = id,
+		.rank = r->rank,
+		.deadline = r->arrived + m->cfg.rank[r->rank].deadline,
+	};
+
+	if (!r->answered)
+		brk_ask(g->brk, self(m, g, r), &ask, m->now);
+}
+
+static void choose_directly(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	struct pick_target targets[SLOT_MODEL_UPSTREAMS];
+	int at;
+
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++)
+		targets[i] = (struct pick_target){
+			.usable = m->ups[i].domain == r->domain,
+			.outstanding = m->outstanding[r->entry][i],
+			.load_permille = m->ups[i].reported,
+		};
+	at = pick_target(m->cfg.policy, targets, SLOT_MODEL_UPSTREAMS,
+			 next_random(m));
+	send_to(m, id, at);
+}
+
+static void ask(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+
+	r->stage = WAITING;
+	if (m->cfg.policy == PICK_BROKER)
+		post_request(m, hop(m, r), AT_BROKER, id);
+	else if (m->cfg.policy == PICK_STATIC_SPLIT)
+		at_broker(m, id);
+	else
+		choose_directly(m, id);
+}
+
+static void release(struct model *m, struct request *r,
+		    enum permit_outcome outcome)
+{
+	const bool far = m->cfg.policy == PICK_BROKER;
+
+	if (!r->permit)
+		return;
+	post(m, (struct event){.at = m->now + (far ? hop(m, r) : 0),
+			       .kind = RELEASED,
+			       .request = (uint32_t)(r - m->requests),
+			       .permit = r->permit,
+			       .outcome = outcome});
+	r->permit = 0;
+}
+
+static void answered(struct model *m, const struct event *e)
+{
+	struct request *r = &m->requests[e->request];
+
+	if (r->upstream == SLOT_MODEL_NONE) {
+		refuse(m, e->request);
+		return;
+	}
+	r->permit = e->permit;
+	if (r->answered)
+		release(m, r, PERMIT_UNUSED);
+	else
+		send_to(m, e->request, r->upstream);
+}
+
+static void at_entry(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	const bool again = r->shed && !r->answered;
+
+	m->outstanding[r->entry][r->upstream]--;
+	release(m, r, r->shed ? PERMIT_SHED : PERMIT_DONE);
+	r->stage = ENDED;
+	if (!again)
+		end_for_caller(m, r, false);
+	else if (++r->tries < TRIES_MAX)
+		ask(m, id);
+	else
+		refuse(m, id);
+}
+
+static void given_up(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	const bool far = m->cfg.policy == PICK_BROKER;
+
+	if (r->answered)
+		return;
+	end_for_caller(m, r, false);
+	if (r->stage == WAITING)
+		post_request(m, far ? hop(m, r) : 0, CANCELLED, id);
+}
+
+static void cancelled(struct model *m, uint32_t id)
+{
+	struct request *r = &m->requests[id];
+	const struct giver *g = giver_of(m, r);
+
+	if (g->brk)
+		brk_cancel(g->brk, self(m, g, r), id, m->now);
+}
+
+static void released(struct model *m, const struct event *e)
+{
+	struct request *r = &m->requests[e->request];
+	const struct giver *g = giver_of(m, r);
+
+	brk_release(g->brk, self(m, g, r), e->permit, e->outcome, m->now);
+}
+
+static uint16_t pick_domain(struct model *m, int entry)
+{
+	const int region = region_of_domain(domain_of_entry(entry));
+	uint32_t slots = 0;
+	uint64_t at;
+
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		if (region_of_domain(m->ups[i].domain) == region)
+			slots += m->ups[i].slots;
+	}
+	at = next_random(m) % slots;
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		if (region_of_domain(m->ups[i].domain) != region)
+			continue;
+		if (at < m->ups[i].slots)
+			return m->ups[i].domain;
+		at -= m->ups[i].slots;
+	}
+	return 0;
+}
+
+/* Entries of a region get the region's part of the load. */
+static uint16_t pick_entry(struct model *m)
+{
+	const int per_region = SLOT_MODEL_ENTRIES / SLOT_MODEL_REGIONS;
+	uint64_t at = next_random(m) % m->slots;
+
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		if (at < m->ups[i].slots) {
+			const int region = region_of_domain(m->ups[i].domain);
+
+			return (uint16_t)(region * per_region +
+					  (int)(next_random(m) % per_region));
+		}
+		at -= m->ups[i].slots;
+	}
+	return 0;
+}
+
+static void post_arrival(struct model *m, enum rank rank)
+{
+	const struct slot_model_rank *r = &m->cfg.rank[rank];
+	const double rate = r->load * m->slots / r->service;
+
+	if (rate > 0)
+		post_request(m, (apr_interval_time_t)exponential(m, 1 / rate),
+			     ARRIVE, (uint32_t)rank);
+}
+
+static void arrive(struct model *m, enum rank rank)
+{
+	const struct slot_model_rank *cfg = &m->cfg.rank[rank];
+	const uint32_t id = (uint32_t)m->request_count;
+	struct request *r;
+
+	if (m->now >= m->cfg.end)
+		return;
+	post_arrival(m, rank);
+	if (!room_for(m, (void **)&m->requests, m->request_count,
+		      &m->request_room, sizeof(*m->requests)))
+		return;
+	r = &m->requests[m->request_count++];
+	*r = (struct request){
+		.rank = rank,
+		.entry = pick_entry(m),
+		.arrived = m->now,
+		.service =
+			1 + (apr_interval_time_t)exponential(m, cfg->service),
+		.measured = m->now >= m->cfg.warmup,
+	};
+	r->domain = pick_domain(m, r->entry);
+	m->out->rank[rank].offered += r->measured;
+	post_request(m, cfg->deadline, GIVEN_UP, id);
+	ask(m, id);
+}
+
+static void report(struct model *m)
+{
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		struct upstream *up = &m->ups[i];
+
+		up->reported =
+			i == m->cfg.liar
+				? 0
+				: 1000 * (up->running + up->queued) / up->slots;
+	}
+	if (m->now < m->cfg.end)
+		post_request(m, m->cfg.report_interval, REPORT, 0);
+}
+
+static void tick(struct model *m)
+{
+	for (int i = 0; i < SLOT_MODEL_DOMAINS; i++) {
+		if (m->brokers[i].brk)
+			brk_tick(m->brokers[i].brk, m->now);
+		for (int e = 0; e < SLOT_MODEL_ENTRIES; e++) {
+			if (m->locals[e][i].brk)
+				brk_tick(m->locals[e][i].brk, m->now);
+		}
+	}
+	if (m->event_count)
+		post_request(m, TICK, TICKED, 0);
+}
+
+static void run_event(struct model *m, const struct event *e)
+{
+	switch (e->kind) {
+	case ARRIVE:
+		arrive(m, (enum rank)e->request);
+		break;
+	case AT_BROKER:
+		at_broker(m, e->request);
+		break;
+	case ANSWERED:
+		answered(m, e);
+		break;
+	case AT_UPSTREAM:
+		at_upstream(m, e->request);
+		break;
+	case RAN:
+		ran(m, e->request);
+		break;
+	case AT_ENTRY:
+		at_entry(m, e->request);
+		break;
+	case RELEASED:
+		released(m, e);
+		break;
+	case CANCELLED:
+		cancelled(m, e->request);
+		break;
+	case GIVEN_UP:
+		given_up(m, e->request);
+		break;
+	case REPORT:
+		report(m);
+		break;
+	case TICKED:
+		tick(m);
+		break;
+	}
+}
+
+static void make_upstreams(struct model *m)
+{
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		struct upstream *up = &m->ups[i];
+		char name[16];
+
+		snprintf(name, sizeof(name), "up-%d", i);
+		strbuf_set(&up->name, str_from_c(name));
+		up->domain = (uint16_t)(i % SLOT_MODEL_DOMAINS);
+		up->slots = m->cfg.slots_low + (m->cfg.slots_vary && i % 2);
+		m->slots += up->slots;
+	}
+	for (int i = 0; i < SLOT_MODEL_ENTRIES; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "entry-%d", i);
+		strbuf_set(&m->entries[i], str_from_c(name));
+	}
+}
+
+/* holders is 1 for a broker; else the slots are split among so many. */
+static int make_giver(struct model *m, struct giver *g, int domain,
+		      uint32_t holders, uint32_t holder)
+{
+	const struct brk_cfg cfg = {
+		.up = {.ramp = CLK_SEC(10),
+		       .ramp_start_pct = 25,
+		       .shed_hold = CLK_MS(100),
+		       .silent_hold = CLK_MS(500),
+		       .drain_hold = CLK_SEC(10)},
+		.permit_ttl = SETTLE * 100,
+		.line_max = 100000,
+		.epoch = (uint32_t)domain + 1,
+	};
+	const struct brk_sink sink = {.answer = on_answer, .ctx = g};
+	struct brk_listed vms[SLOT_MODEL_UPSTREAMS];
+	uint32_t pct[RANK_COUNT];
+	uint32_t first = 0;
+	uint32_t sum = 0;
+	size_t count = 0;
+
+	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
+		const struct upstream *up = &m->ups[i];
+
+		if (up->domain != domain)
+			continue;
+		vms[count] = (struct brk_listed){
+			.name = up->name,
+			.slots = pick_share(first, up->slots, holders, holder),
+		};
+		first += up->slots;
+		sum += vms[count++].slots;
+	}
+	if (!sum)
+		vms[holder % count].slots = 1;
+	for (int r = 0; r < RANK_COUNT; r++)
+		pct[r] = m->cfg.rank[r].reserved_pct;
+	g->m = m;
+	if (brk_create(&g->brk, &cfg, sink, 0))
+		return PST_ERR_NOMEM;
+	brk_set_reserves(g->brk, pct, 0);
+	return brk_set_upstreams(g->brk, vms, count, 0);
+}
+
+static int make_givers(struct model *m)
+{
+	const int per_region = SLOT_MODEL_ENTRIES / SLOT_MODEL_REGIONS;
+	int err = 0;
+
+	for (int d = 0; d < SLOT_MODEL_DOMAINS && !err; d++) {
+		if (m->cfg.policy == PICK_BROKER)
+			err = make_giver(m, &m->brokers[d], d, 1, 0);
+		for (int e = 0; e < per_region && !err; e++) {
+			const int entry = region_of_domain(d) * per_region + e;
+			struct giver *g = &m->locals[entry][d];
+
+			g->local = true;
+			if (m->cfg.policy == PICK_STATIC_SPLIT)
+				err = make_giver(m, g, d, (uint32_t)per_region,
+						 (uint32_t)e);
+		}
+	}
+	return err;
+}
+
+static int by_value(const void *a, const void *b)
+{
+	const uint64_t x = *(const uint64_t *)a;
+	const uint64_t y = *(const uint64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+static uint64_t quantile(const struct sample *s, double q)
+{
+	return s->count ? s->us[(size_t)((double)(s->count - 1) * q)] : 0;
+}
+
+static void count_leaks(struct model *m, const struct giver *g)
+{
+	struct brk_stats stats;
+
+	if (!g->brk)
+		return;
+	brk_stats(g->brk, &stats);
+	m->out->leaked += stats.held;
+}
+
+static void finish(struct model *m)
+{
+	m->out->capacity =
+		(double)m->slots * (double)(m->cfg.end - m->cfg.warmup);
+	for (int r = 0; r < RANK_COUNT; r++) {
+		struct sample *s = &m->samples[r];
+
+		if (s->count)
+			qsort(s->us, s->count, sizeof(*s->us), by_value);
+		m->out->rank[r].p50 = quantile(s, 0.5);
+		m->out->rank[r].p99 = quantile(s, 0.99);
+		m->out->rank[r].p999 = quantile(s, 0.999);
+		free(s->us);
+	}
+	for (int d = 0; d < SLOT_MODEL_DOMAINS; d++) {
+		count_leaks(m, &m->brokers[d]);
+		brk_destroy(m->brokers[d].brk);
+		for (int e = 0; e < SLOT_MODEL_ENTRIES; e++) {
+			count_leaks(m, &m->locals[e][d]);
+			brk_destroy(m->locals[e][d].brk);
+		}
+	}
+	free(m->heap);
+	free(m->requests);
+}
+
+void slot_model_fund(struct slot_model_cfg *cfg)
+{
+	*cfg = (struct slot_model_cfg){
+		.policy = PICK_BROKER,
+		.seed = 1,
+		.warmup = CLK_SEC(5),
+		.end = CLK_SEC(35),
+		.slots_low = 3,
+		.slots_vary = true,
+		.hop_near = 100,
+		.hop_far = 500,
+		.report_interval = CLK_SEC(1),
+		.rank =
+			{
+				[RANK_URGENT] = {.load = 0.30,
+						 .service = CLK_MS(20),
+						 .deadline = CLK_SEC(1),
+						 .reserved_pct = 50},
+				[RANK_NORMAL] = {.load = 0.25,
+						 .service = CLK_MS(40),
+						 .deadline = CLK_SEC(3),
+						 .reserved_pct = 30},
+				[RANK_BULK] = {.load = 0.25,
+					       .service = CLK_MS(150),
+					       .deadline = CLK_SEC(10),
+					       .reserved_pct = 20},
+			},
+		.liar = SLOT_MODEL_NONE,
+		.slow = SLOT_MODEL_NONE,
+		.slow_factor = 1,
+	};
+}
+
+void slot_model_guild(struct slot_model_cfg *cfg)
+{
+	slot_model_fund(cfg);
+	cfg->slots_vary = false;
+	cfg->hop_far = 1500;
+}
+
+int slot_model_run(const struct slot_model_cfg *cfg,
+		   struct slot_model_results *out)
+{
+	struct model *m = calloc(1, sizeof(*m));
+	int err;
+
+	if (!m)
+		return PST_ERR_NOMEM;
+	*out = (struct slot_model_results){0};
+	m->cfg = *cfg;
+	m->out = out;
+	m->random = cfg->seed * 0x9e3779b97f4a7c15u | 1;
+	make_upstreams(m);
+	err = make_givers(m);
+	for (int r = 0; r < RANK_COUNT; r++)
+		post_arrival(m, (enum rank)r);
+	post_request(m, 0, REPORT, 0);
+	post_request(m, 0, TICKED, 0);
+	while (!err && !m->failed && m->event_count) {
+		const struct event e = take_event(m);
+
+		m->now = e.at;
+		if (m->now > m->cfg.end + SETTLE)
+			break;
+		run_event(m, &e);
+	}
+	finish(m);
+	err = m->failed ? PST_ERR_NOMEM : err;
+	free(m);
+	return err;
+}
--- /dev/null
+++ b/fakes/slot_model.h
@@ -0,0 +1,95 @@
+/*
+ * An event-driven model of entry VMs, brokers and upstreams on a clock of its
+ * own, to measure how slots are given out. It drives the code of policy/.
+ *
+ * Each entry VM sends to the failure domains of its own region, by their
+ * slots. Upstreams run one request a slot, queue a few more in order of
+ * arrival and shed the rest. Work that has begun cannot be interrupted.
+ */
+#ifndef FAKES_SLOT_MODEL_H
+#define FAKES_SLOT_MODEL_H
+
+#include "policy/brk_core.h"
+#include "policy/pick.h"
+
+#define SLOT_MODEL_REGIONS   3
+#define SLOT_MODEL_DOMAINS   6
+#define SLOT_MODEL_ENTRIES   24
+#define SLOT_MODEL_UPSTREAMS 20
+
+/* None, for the numbers of upstreams below. */
+#define SLOT_MODEL_NONE (-1)
+
+struct slot_model_rank {
+	/* Work offered, as a part of all slots. */
+	double load;
+	/* Mean time in a slot; exponentially distributed. */
+	apr_interval_time_t service;
+	apr_interval_time_t deadline;
+	uint32_t reserved_pct;
+};
+
+struct slot_model_cfg {
+	enum pick_policy policy;
+	uint64_t seed;
+	/* Measured between warmup and end. */
+	apr_time_t warmup;
+	apr_time_t end;
+	/* Slots of the upstreams: slots_low, and one more on every other. */
+	uint32_t slots_low;
+	bool slots_vary;
+	/* One way, within a failure domain and between two of a region. */
+	apr_interval_time_t hop_near;
+	apr_interval_time_t hop_far;
+	/* How old load reports get. */
+	apr_interval_time_t report_interval;
+	struct slot_model_rank rank[RANK_COUNT];
+	/* An upstream that always reports no load. */
+	int liar;
+	/* An upstream that takes slow_factor times as long from slow_from to
+	 * slow_until. */
+	int slow;
+	double slow_factor;
+	apr_time_t slow_from;
+	apr_time_t slow_until;
+};
+
+struct slot_model_result {
+	uint64_t offered;
+	/* Answered within the deadline. */
+	uint64_t in_time;
+	/* Refused before it ran; the caller knows at once. */
+	uint64_t refused;
+	/* No answer within the deadline. */
+	uint64_t late;
+	/* Slot time of what was answered in time between warmup and end, and
+	 * of all that ran then. */
+	double useful;
+	double ran;
+	/* Microseconds; what was not answered counts as its deadline. */
+	uint64_t p50;
+	uint64_t p99;
+	uint64_t p999;
+};
+
+struct slot_model_results {
+	struct slot_model_result rank[RANK_COUNT];
+	uint64_t sheds;
+	/* Slot time there was. */
+	double capacity;
+	/* Most permits out at one upstream above its slots. */
+	uint32_t excess;
+	/* Permits that the brokers still count after everything has ended. */
+	uint32_t leaked;
+};
+
+/* Fills in the defaults: sizes of the Fund at a load of 80%. */
+void slot_model_fund(struct slot_model_cfg *cfg);
+/* The same for the Guild. */
+void slot_model_guild(struct slot_model_cfg *cfg);
+
+/* Returns 0 or PST_ERR_NOMEM. */
+int slot_model_run(const struct slot_model_cfg *cfg,
+		   struct slot_model_results *out);
+
+#endif
--- a/policy/brk_line.c
+++ b/policy/brk_line.c
@@ -21,10 +21,14 @@
 #define NEED_PART 0.75
 
 /* Slots kept free above the demand, in square roots of it. */
-#define GUARD_ROOTS 0.75
+#define GUARD_ROOTS 0.5
 
-/* Part of a request's time within which a slot should come free by itself. */
-#define GUARD_PART 0.1
+/*
+ * All of these slots are kept free, up to GUARD_MOST of them, when slots
+ * come free less often than once in GUARD_PART times the time of a request.
+ */
+#define GUARD_PART 8.0
+#define GUARD_MOST 0.55
 
 /* Time after the last ask of a rank for which slots are kept free. */
 #define GUARD_TIME APR_TIME_C(10000000)
@@ -50,21 +54,29 @@
 	return use->held < use->reserved && use->credit > 0;
 }
 
-/* Mean time until some slot comes free, were all in use as now. */
-static double next_free(const struct brk_line *line)
+/*
+ * Mean time until a less urgent rank frees a slot that it holds above its
+ * reserved part: what is below it, the rank takes again.
+ */
+static double next_free(const struct brk_line *line, enum rank rank)
 {
 	double rate = 0;
 
-	for (int r = 0; r < RANK_COUNT; r++)
-		rate += line->use[r].held / line->use[r].mean;
+	for (int r = (int)rank + 1; r < RANK_COUNT; r++) {
+		const struct brk_use *use = &line->use[r];
+
+		if (use->held > use->reserved)
+			rate += (use->held - use->reserved) / use->mean;
+	}
 	return rate > 0 ? 1 / rate : HELD_DEFAULT;
 }
 
-/* Slots to be left free for the rank; 0 when slots come free soon enough. */
-static double guard(const struct brk_line *line, enum rank rank, double soon)
+/* Slots to be left free for the rank; fewer when slots come free soon. */
+static double guard(const struct brk_line *line, enum rank rank)
 {
 	const struct brk_use *use = &line->use[rank];
-	const double part = least(1, soon / (GUARD_PART * use->mean));
+	const double soon = next_free(line, rank);
+	const double part = least(GUARD_MOST, soon / (GUARD_PART * use->mean));
 	double wanted = use->demand + GUARD_ROOTS * sqrt(use->demand);
 
 	if (!use->last_ask || line->at - use->last_ask > GUARD_TIME)
@@ -137,7 +149,6 @@
 int brk_line_next(const struct brk_line *line, enum rank first, uint32_t free,
 		  bool *reserve)
 {
-	const double soon = next_free(line);
 	double guarded = 0;
 
 	if (!free)
@@ -151,7 +162,7 @@
 	for (int r = (int)first; r < RANK_COUNT; r++) {
 		if (line->use[r].waiting && free >= 0.5 + guarded)
 			return r;
-		guarded += guard(line, (enum rank)r, soon);
+		guarded += guard(line, (enum rank)r);
 	}
 	return BRK_LINE_NONE;
 }
--- a/policy/pick.c
+++ b/policy/pick.c
@@ -66,12 +66,13 @@
 	const uint64_t low = random & UINT32_MAX;
 	const uint64_t high = random >> 32;
 	const int a = nth(targets, count, low % usable);
-	const uint64_t others = usable - 1;
+	/* From 1 to usable - 1 further on. */
+	const uint64_t further = 1 + (high * (usable - 1) >> 32);
 	int b;
 
-	if (!others)
+	if (usable == 1)
 		return a;
-	b = nth(targets, count, (low % usable + 1 + high % others) % usable);
+	b = nth(targets, count, (low % usable + further) % usable);
 	return targets[b].outstanding < targets[a].outstanding ? b : a;
 }
 
