Permits: fault matrix over entry VMs and brokers

Cause: what messages, restarts, pauses and moves do to permits was untested. Ruled out: letting a new broker grant the part of the few entries heard: with a restart or move while asks wait, one permit went above the slots. Conclusion: a new broker asks the entry VMs of its region what they hold.

--- a/agent/permit_batch.c
+++ b/agent/permit_batch.c
@@ -165,3 +165,19 @@
 	answers->answers.answers_len--;
 	return false;
 }
+
+bool permit_answers_query(pmt_answers *answers, struct str service,
+			  struct str domain)
+{
+	pmt_query *q = APPEND(answers->queries.queries, PMT_PARTS_MAX);
+
+	if (!q)
+		return false;
+	q->service = copy(service);
+	q->domain = copy(domain);
+	if (q->service && q->domain)
+		return true;
+	xdr_free((xdrproc_t)xdr_pmt_query, q);
+	answers->queries.queries_len--;
+	return false;
+}
--- a/agent/permit_batch.h
+++ b/agent/permit_batch.h
@@ -32,5 +32,7 @@
 bool permit_answers_add(pmt_answers *answers, const pmt_answer *answer,
 			struct str service, struct str domain,
 			struct str upstream, struct str address);
+bool permit_answers_query(pmt_answers *answers, struct str service,
+			  struct str domain);
 
 #endif
--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -466,6 +466,42 @@
 	}
 }
 
+/* A new broker asks what is held; no use of its upstreams is an answer. */
+static void take_query(struct permit_state *st, struct permit_peer *peer,
+		       const pmt_query *query)
+{
+	const struct str service = str_from_c(query->service);
+	const struct str domain = str_from_c(query->domain);
+	struct key *key = key_named(st, service, domain);
+	pmt_batch *batch;
+	int part;
+
+	if (key) {
+		key->full_due = true;
+		if (key->peer == peer)
+			part_of(key);
+		return;
+	}
+	batch = peer->silent ? NULL : permit_peer_batch(peer, &st->cfg);
+	part = batch ? permit_batch_part(batch, service, domain) : -1;
+	if (part >= 0)
+		batch->parts.parts_val[part].full = true;
+}
+
+/* The broker's VM, which may be one not used before. */
+static struct permit_peer *peer_named(struct permit_state *st, struct str id)
+{
+	struct permit_peer *peer = st->first_peer;
+	const struct vm *vm;
+
+	while (peer && !str_eq(strbuf_str(&peer->vm), id))
+		peer = peer->next;
+	if (peer || !st->view)
+		return peer;
+	vm = vml_find(st->view->vml, id);
+	return vm ? peer_for(st, vm) : NULL;
+}
+
 static void take_answer(struct permit_state *st, const pmt_answer *a)
 {
 	struct key *key =
@@ -684,14 +720,13 @@
 void permit_state_answers(struct permit_state *st, const pmt_answers *answers,
 			  apr_time_t now)
 {
-	struct permit_peer *peer = st->first_peer;
+	struct permit_peer *peer;
 
 	st->now = now;
-	if (answers->entry_incarnation != st->cfg.incarnation)
+	if (answers->entry_incarnation &&
+	    answers->entry_incarnation != st->cfg.incarnation)
 		return;
-	while (peer &&
-	       !str_eq(strbuf_str(&peer->vm), str_from_c(answers->broker)))
-		peer = peer->next;
+	peer = peer_named(st, str_from_c(answers->broker));
 	if (!peer)
 		return;
 	switch (permit_peer_heard(peer, answers)) {
@@ -709,6 +744,8 @@
 	}
 	for (u_int i = 0; i < answers->answers.answers_len; i++)
 		take_answer(st, &answers->answers.answers_val[i]);
+	for (u_int i = 0; i < answers->queries.queries_len; i++)
+		take_query(st, peer, &answers->queries.queries_val[i]);
 }
 
 void permit_state_tick(struct permit_state *st, apr_time_t now)
--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -138,16 +138,63 @@
 		role->service.ptr, role->domain.ptr, entry->ptr, permits);
 }
 
-static size_t live_entries(const struct vml *vml)
+/* Live entry VMs of the own region: those that mostly use its upstreams. */
+static bool is_near(const struct brk_host *host, const struct vm *vm)
 {
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
+	       str_eq(strbuf_str(&vm->region), host->set->vm.region);
+}
+
+static size_t near_entries(const struct brk_host *host)
+{
+	const struct vml *vml = host->view ? host->view->vml : NULL;
 	size_t count = 0;
 
-	for (size_t i = 0; i < vml->count; i++)
-		count += vml->vms[i].kind == VM_ENTRY &&
-			 vml->vms[i].state == VM_LIVE;
+	for (size_t i = 0; vml && i < vml->count; i++)
+		count += is_near(host, &vml->vms[i]);
 	return count;
 }
 
+static struct client *add_client(struct brk_host *host, struct str entry)
+{
+	struct client *c = calloc(1, sizeof(*c));
+
+	if (!c || strbuf_set(&c->entry, entry)) {
+		free(c);
+		return NULL;
+	}
+	c->heard_at = host->now;
+	c->next = host->clients;
+	host->clients = c;
+	return c;
+}
+
+/* Asks the entry VMs of the region what they hold of a new broker's. */
+static void query_entries(const struct role *role)
+{
+	struct brk_host *host = role->host;
+	const struct vml *vml = host->view ? host->view->vml : NULL;
+
+	for (size_t i = 0; vml && i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+		struct client *c = find_client(host, strbuf_str(&vm->id));
+
+		if (!is_near(host, vm))
+			continue;
+		if (!c) {
+			c = add_client(host, strbuf_str(&vm->id));
+			if (!c)
+				continue;
+			c->region = vm->region;
+			c->address = vm->address;
+		}
+		if (answers_for(host, c))
+			permit_answers_query(c->answers,
+					     strbuf_str(&role->service),
+					     strbuf_str(&role->domain));
+	}
+}
+
 static void role_view(struct role *role)
 {
 	const struct ctl_view *view = role->host->view;
@@ -161,7 +208,7 @@
 	count = permit_listed(view->vml, strbuf_str(&role->service),
 			      strbuf_str(&role->domain), &vms);
 	permit_reserves(view->tbl, strbuf_str(&role->service), pct);
-	brk_expect(role->brk, live_entries(view->vml));
+	brk_expect(role->brk, near_entries(role->host));
 	brk_set_reserves(role->brk, pct, now);
 	/* After a failure the next view brings what is missing. */
 	if (vms)
@@ -211,9 +258,9 @@
 	role->next = host->roles;
 	host->roles = role;
 	evt_log(BROKER_START, "service=%s domain=%s entries=%zu",
-		role->service.ptr, role->domain.ptr,
-		host->view ? live_entries(host->view->vml) : 0);
+		role->service.ptr, role->domain.ptr, near_entries(host));
 	role_view(role);
+	query_entries(role);
 	return role;
 }
 
@@ -332,21 +379,25 @@
 	note_learned(role);
 }
 
+static void drop_answers(struct client *c)
+{
+	if (c->answers)
+		xdr_free((xdrproc_t)xdr_pmt_answers, c->answers);
+	free(c->answers);
+	c->answers = NULL;
+}
+
 static struct client *client_for(struct brk_host *host, const pmt_batch *batch,
 				 const struct strbuf *address)
 {
 	struct client *c = find_client(host, str_from_c(batch->entry));
 
-	if (!c) {
-		c = calloc(1, sizeof(*c));
-		if (!c || strbuf_set(&c->entry, str_from_c(batch->entry))) {
-			free(c);
-			return NULL;
-		}
-		c->next = host->clients;
-		host->clients = c;
-	}
+	if (!c)
+		c = add_client(host, str_from_c(batch->entry));
+	if (!c)
+		return NULL;
 	if (c->incarnation != batch->incarnation) {
+		drop_answers(c);
 		c->incarnation = batch->incarnation;
 		c->got_seq = batch->seq - 1;
 		c->unconfirmed_since = 0;
@@ -392,9 +443,7 @@
 	struct client *c = *link;
 
 	*link = c->next;
-	if (c->answers)
-		xdr_free((xdrproc_t)xdr_pmt_answers, c->answers);
-	free(c->answers);
+	drop_answers(c);
 	free(c);
 }
 
@@ -533,6 +582,18 @@
 	return host->roles != NULL;
 }
 
+size_t brk_host_held(const struct brk_host *host)
+{
+	struct brk_stats stats;
+	size_t held = 0;
+
+	for (struct role *role = host->roles; role; role = role->next) {
+		brk_stats(role->brk, &stats);
+		held += stats.permits;
+	}
+	return held;
+}
+
 bool brk_host_targets(struct brk_host *host, struct brk_poll_target **out,
 		      size_t *count)
 {
--- a/controld/brk_host.h
+++ b/controld/brk_host.h
@@ -41,6 +41,9 @@
 /* Whether there is a broker. */
 bool brk_host_busy(const struct brk_host *host);
 
+/* Permits out, of all brokers. */
+size_t brk_host_held(const struct brk_host *host);
+
 /*
  * The upstreams to be polled, from malloc(), when they have changed since
  * the last call; else returns false.
--- a/policy/brk_core.c
+++ b/policy/brk_core.c
@@ -8,6 +8,9 @@
 /* Samples of a rank after which its mean tells a slow upstream. */
 #define PACE_SAMPLES_MIN 8
 
+/* Part of the entries that have to report before a new broker grants. */
+#define LEARNED_PCT 75
+
 struct brk {
 	struct brk_cfg cfg;
 	struct brk_sink sink;
@@ -142,8 +145,8 @@
 }
 
 /*
- * While learning, entries not heard yet may hold their part of the slots:
- * only the part of those that reported may be in use.
+ * While learning, entries not heard yet may hold any slot. Once most have
+ * reported, only the part of the slots of those that have may be in use.
  */
 static bool may_grant(const struct brk *b)
 {
@@ -151,9 +154,9 @@
 		return false;
 	if (!b->learn_until)
 		return true;
-	if (!b->expected)
+	if (b->synced * 100 < b->expected * LEARNED_PCT || !b->expected)
 		return false;
-	return (uint64_t)b->fleet.held * b->expected <
+	return (uint64_t)(b->fleet.held + 1) * b->expected <=
 	       (uint64_t)b->fleet.usable * b->synced;
 }
 
--- a/schema/gen/permit.h
+++ b/schema/gen/permit.h
@@ -109,6 +109,12 @@
 };
 typedef struct pmt_answer pmt_answer;
 
+struct pmt_query {
+	pst_id service;
+	pst_id domain;
+};
+typedef struct pmt_query pmt_query;
+
 struct pmt_answers {
 	pst_id broker;
 	u_quad_t incarnation;
@@ -119,6 +125,10 @@
 		u_int answers_len;
 		pmt_answer *answers_val;
 	} answers;
+	struct {
+		u_int queries_len;
+		pmt_query *queries_val;
+	} queries;
 };
 typedef struct pmt_answers pmt_answers;
 
@@ -132,6 +142,7 @@
 extern  bool_t xdr_pmt_part (XDR *, pmt_part*);
 extern  bool_t xdr_pmt_batch (XDR *, pmt_batch*);
 extern  bool_t xdr_pmt_answer (XDR *, pmt_answer*);
+extern  bool_t xdr_pmt_query (XDR *, pmt_query*);
 extern  bool_t xdr_pmt_answers (XDR *, pmt_answers*);
 
 #else /* K&R C */
@@ -142,6 +153,7 @@
 extern bool_t xdr_pmt_part ();
 extern bool_t xdr_pmt_batch ();
 extern bool_t xdr_pmt_answer ();
+extern bool_t xdr_pmt_query ();
 extern bool_t xdr_pmt_answers ();
 
 #endif /* K&R C */
--- a/schema/gen/permit_xdr.c
+++ b/schema/gen/permit_xdr.c
@@ -148,6 +148,18 @@
 	return TRUE;
 }
 
+bool_t
+xdr_pmt_query (XDR *xdrs, pmt_query *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_pst_id (xdrs, &objp->service))
+		 return FALSE;
+	 if (!xdr_pst_id (xdrs, &objp->domain))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_pmt_answers (XDR *xdrs, pmt_answers *objp)
 {
@@ -166,5 +178,8 @@
 	 if (!xdr_array (xdrs, (char **)&objp->answers.answers_val, (u_int *) &objp->answers.answers_len, PMT_ITEMS_MAX,
 		sizeof (pmt_answer), (xdrproc_t) xdr_pmt_answer))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->queries.queries_val, (u_int *) &objp->queries.queries_len, PMT_PARTS_MAX,
+		sizeof (pmt_query), (xdrproc_t) xdr_pmt_query))
+		 return FALSE;
 	return TRUE;
 }
--- a/schema/permit.x
+++ b/schema/permit.x
@@ -84,14 +84,21 @@
 	unsigned int retry_ms;
 };
 
+/* Asks for the complete list of what is held of these upstreams. */
+struct pmt_query {
+	pst_id service;
+	pst_id domain;
+};
+
 struct pmt_answers {
 	pst_id broker;
 	unsigned hyper incarnation;
-	/* Incarnation of the entry process that is addressed. */
+	/* Incarnation of the entry process that is addressed; 0 for any. */
 	unsigned hyper entry_incarnation;
 	/* Counts the messages to this entry, from 1. */
 	unsigned hyper seq;
 	/* A batch was missed: send everything again. */
 	bool resync;
 	pmt_answer answers<PMT_ITEMS_MAX>;
+	pmt_query queries<PMT_PARTS_MAX>;
 };
--- /dev/null
+++ b/tests/fix_permit.c
@@ -0,0 +1,377 @@
+#include "tests/fix_permit.h"
+
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/clk.h"
+
+#define STEP	    CLK_MS(1)
+#define HOP	    CLK_MS(1)
+#define TICK_STEPS  5
+
+#define SERVICE	    "status"
+#define DOMAIN	    "almaty-1"
+#define BROKER_PORT 8083
+#define ENTRY_PORT  8081
+
+static const char manifest[] =
+	"{\"regions\":[\"almaty\"],\"domains\":[{\"name\":\"almaty-1\","
+	"\"region\":\"almaty\"}],\"links\":[],\"services\":[\"status\"]}";
+
+#define ROW(rank, reserved)                                  \
+	"{\"rank\":\"" rank                                  \
+	"\",\"deadline_ms\":1000,\"reserved_pct\":" reserved \
+	",\"shift_cap_pct_per_s\":10,"                       \
+	"\"weights\":{\"almaty-1\":100},\"region_limits\":{}}"
+
+static const char rows[] = "{\"rows\":[" ROW("urgent", "50") "," ROW(
+	"normal", "30") "," ROW("bulk", "20") "]}";
+
+static struct tbl *make_table(void)
+{
+	const struct tbl_part parts[] = {
+		{STR_LIT("/pst/table/manifest"), 1, str_from_c(manifest)},
+		{STR_LIT("/pst/table/service/status"), 1, str_from_c(rows)},
+	};
+	struct tbl_problem problem;
+	struct tbl *tbl = NULL;
+
+	ck_assert_int_eq(tbl_parse(&tbl, parts, 2, 1, &problem), 0);
+	return tbl;
+}
+
+static size_t write_vms(const struct fix_net *net, char *out, size_t size)
+{
+	size_t len = 0;
+
+	for (int i = 0; i < FIX_VMS; i++)
+		len += (size_t)snprintf(
+			out + len, size - len,
+			"{\"id\":\"e%d\",\"kind\":\"entry\",\"state\":\"%s\","
+			"\"region\":\"almaty\",\"failure_domain\":\"" DOMAIN
+			"\",\"address\":\"127.0.1.%d\"},",
+			i + 1, net->vm_leaving[i] ? "leaving" : "live", i + 1);
+	for (unsigned i = 0; i < FIX_UPSTREAMS; i++)
+		len += (size_t)snprintf(
+			out + len, size - len,
+			"%s{\"id\":\"u%u\",\"kind\":\"upstream\","
+			"\"state\":\"%s\",\"region\":\"almaty\","
+			"\"failure_domain\":\"" DOMAIN
+			"\",\"address\":\"127.0.2.%u\",\"port\":9000,"
+			"\"service\":\"" SERVICE "\",\"slots\":%u}",
+			i ? "," : "", i + 1,
+			net->leaving[i] ? "leaving" : "live", i + 1, FIX_SLOTS);
+	return len;
+}
+
+static struct vml *make_list(struct fix_net *net)
+{
+	struct vml *vml = NULL;
+	char json[4096];
+	size_t len;
+
+	len = (size_t)snprintf(json, sizeof(json),
+			       "{\"revision\":%llu,\"vms\":[",
+			       (unsigned long long)++net->revision);
+	len += write_vms(net, json + len, sizeof(json) - len);
+	len += (size_t)snprintf(json + len, sizeof(json) - len, "]}");
+	ck_assert_int_eq(vml_parse(&vml, (struct str){json, len}), 0);
+	return vml;
+}
+
+void fix_net_list(struct fix_net *net)
+{
+	struct tbl *tbl = make_table();
+	struct vml *vml = make_list(net);
+
+	if (net->view)
+		ctl_view_put(net->view);
+	net->view = ctl_view_make(tbl, vml);
+	tbl_put(tbl);
+	vml_put(vml);
+	for (int i = 0; i < FIX_VMS; i++) {
+		if (net->vms[i].state)
+			permit_state_view(net->vms[i].state, net->view,
+					  net->now);
+		if (net->vms[i].host)
+			brk_host_view(net->vms[i].host, net->view, net->now);
+	}
+}
+
+static void free_mail(struct fix_mail *m)
+{
+	xdr_free(m->mail.xargs, m->mail.args);
+	free(m->mail.args);
+}
+
+static void send_mail(void *ctx, const struct permit_mail *mail)
+{
+	struct fix_vm *vm = ctx;
+	struct fix_net *net = vm->net;
+	struct fix_mail m = {.mail = *mail, .from = vm->number};
+
+	m.at = net->now + HOP;
+	if (net->now < net->lossy_until) {
+		free_mail(&m);
+		return;
+	}
+	if (net->mail_count == net->mail_room) {
+		net->mail_room = net->mail_room * 2 + 64;
+		net->mails = realloc(net->mails,
+				     net->mail_room * sizeof(*net->mails));
+		ck_assert_ptr_nonnull(net->mails);
+	}
+	net->mails[net->mail_count++] = m;
+}
+
+static unsigned in_use(const struct fix_net *net, const struct strbuf *upstream)
+{
+	unsigned used = 0;
+
+	for (int i = 0; i < FIX_VMS; i++) {
+		const struct fix_vm *vm = &net->vms[i];
+
+		for (size_t a = 0; a < vm->answer_count; a++) {
+			const struct fix_answer *f = &vm->answers[a];
+
+			used += f->answer.result == PERMIT_GRANTED &&
+				!f->released &&
+				strbuf_eq(&f->answer.upstream, upstream);
+		}
+	}
+	return used;
+}
+
+static void keep_answer(void *ctx, const struct permit_answer *answer)
+{
+	struct fix_vm *vm = ctx;
+	unsigned used;
+
+	ck_assert_uint_lt(vm->answer_count, FIX_ANSWERS);
+	vm->answers[vm->answer_count++].answer = *answer;
+	if (answer->result != PERMIT_GRANTED)
+		return;
+	used = in_use(vm->net, &answer->upstream);
+	if (used > FIX_SLOTS && used - FIX_SLOTS > vm->net->excess)
+		vm->net->excess = used - FIX_SLOTS;
+}
+
+void fix_net_start_state(struct fix_vm *vm)
+{
+	const struct permit_state_cfg cfg = {
+		.policy = PICK_BROKER,
+		.entry = str_from_c(vm->id),
+		.region = STR_LIT("almaty"),
+		.incarnation = 1000 * (uint64_t)vm->number + ++vm->starts,
+		.broker_port = BROKER_PORT,
+		.heartbeat = CLK_MS(1000),
+		.silent_timeout = CLK_MS(400),
+	};
+	const struct permit_io io = {send_mail, keep_answer, vm};
+
+	ck_assert_int_eq(permit_state_create(&vm->state, &cfg, io), 0);
+	if (vm->net->view)
+		permit_state_view(vm->state, vm->net->view, vm->net->now);
+}
+
+void fix_net_start_host(struct fix_vm *vm)
+{
+	const struct brk_host_io io = {send_mail, vm};
+
+	vm->set.vm.id = str_from_c(vm->id);
+	vm->set.vm.region = STR_LIT("almaty");
+	vm->set.entry.rpc_port = ENTRY_PORT;
+	vm->set.broker = (struct set_broker){
+		.permit_ttl_ms = 3500,
+		.learn_ms = 600,
+		.ramp_ms = 10000,
+		.ramp_start_pct = 25,
+		.shed_hold_ms = 100,
+		.silent_hold_ms = 500,
+		.drain_hold_ms = 10000,
+		.line_max = 4096,
+	};
+	ck_assert_int_eq(brk_host_create(&vm->host, &vm->set,
+					 7000 + 100 * (uint64_t)vm->number +
+						 ++vm->starts,
+					 io),
+			 0);
+	if (vm->net->view)
+		brk_host_view(vm->host, vm->net->view, vm->net->now);
+}
+
+void fix_net_kill_state(struct fix_vm *vm)
+{
+	permit_state_destroy(vm->state);
+	vm->state = NULL;
+	for (size_t i = 0; i < vm->answer_count; i++)
+		vm->answers[i].released = true;
+}
+
+void fix_net_kill_host(struct fix_vm *vm)
+{
+	brk_host_destroy(vm->host);
+	vm->host = NULL;
+}
+
+void fix_net_start(struct fix_net *net)
+{
+	*net = (struct fix_net){.now = CLK_SEC(100)};
+	fix_net_list(net);
+	for (int i = 0; i < FIX_VMS; i++) {
+		struct fix_vm *vm = &net->vms[i];
+
+		vm->net = net;
+		vm->number = i;
+		snprintf(vm->id, sizeof(vm->id), "e%d", i + 1);
+		snprintf(vm->ip, sizeof(vm->ip), "127.0.1.%d", i + 1);
+		fix_net_start_state(vm);
+		fix_net_start_host(vm);
+	}
+}
+
+void fix_net_stop(struct fix_net *net)
+{
+	for (size_t i = 0; i < net->mail_count; i++)
+		free_mail(&net->mails[i]);
+	free(net->mails);
+	for (int i = 0; i < FIX_VMS; i++) {
+		permit_state_destroy(net->vms[i].state);
+		brk_host_destroy(net->vms[i].host);
+	}
+	ctl_view_put(net->view);
+}
+
+static struct fix_vm *vm_at(struct fix_net *net, const struct strbuf *address)
+{
+	for (int i = 0; i < FIX_VMS; i++) {
+		if (!strcmp(net->vms[i].ip, address->ptr))
+			return &net->vms[i];
+	}
+	return NULL;
+}
+
+static void deliver(struct fix_net *net, const struct fix_mail *m)
+{
+	struct fix_vm *to = vm_at(net, &m->mail.address);
+	struct strbuf from;
+
+	ck_assert_ptr_nonnull(to);
+	strbuf_set(&from, str_from_c(net->vms[m->from].ip));
+	net->delivered++;
+	if (m->mail.port == BROKER_PORT && to->host)
+		brk_host_batch(to->host, m->mail.args, &from, net->now);
+	else if (m->mail.port == ENTRY_PORT && to->state)
+		permit_state_answers(to->state, m->mail.args, net->now);
+}
+
+static bool held_up(struct fix_net *net, const struct fix_mail *m)
+{
+	const struct fix_vm *to = vm_at(net, &m->mail.address);
+
+	return m->mail.port == BROKER_PORT ? to->host_paused : to->state_paused;
+}
+
+static void deliver_due(struct fix_net *net)
+{
+	size_t i = 0;
+
+	while (i < net->mail_count) {
+		struct fix_mail m = net->mails[i];
+
+		if (m.at > net->now || held_up(net, &m)) {
+			i++;
+			continue;
+		}
+		net->mail_count--;
+		memmove(&net->mails[i], &net->mails[i + 1],
+			(net->mail_count - i) * sizeof(m));
+		deliver(net, &m);
+		free_mail(&m);
+	}
+}
+
+static void step(struct fix_net *net)
+{
+	const bool tick = net->now / STEP % TICK_STEPS == 0;
+
+	net->now += STEP;
+	deliver_due(net);
+	for (int i = 0; i < FIX_VMS; i++) {
+		struct fix_vm *vm = &net->vms[i];
+
+		if (vm->state && !vm->state_paused) {
+			if (tick)
+				permit_state_tick(vm->state, net->now);
+			permit_state_flush(vm->state, net->now);
+		}
+		if (vm->host && !vm->host_paused) {
+			if (tick)
+				brk_host_tick(vm->host, net->now);
+			brk_host_flush(vm->host, net->now);
+		}
+	}
+}
+
+void fix_net_run(struct fix_net *net, apr_interval_time_t time)
+{
+	const apr_time_t end = net->now + time;
+
+	while (net->now < end)
+		step(net);
+}
+
+struct fix_vm *fix_net_broker(struct fix_net *net)
+{
+	const struct vm *vm = NULL;
+
+	ck_assert_uint_eq(vml_rendezvous(net->view->vml,
+					 STR_LIT(SERVICE "/" DOMAIN),
+					 STR_LIT(DOMAIN), &vm, 1),
+			  1);
+	return vm_at(net, &vm->address);
+}
+
+void fix_net_ask(struct fix_vm *vm, uint64_t id, enum rank rank,
+		 apr_interval_time_t deadline)
+{
+	struct permit_ask ask = {
+		.id = id,
+		.rank = rank,
+		.deadline = vm->net->now + deadline,
+	};
+
+	strbuf_set(&ask.service, STR_LIT(SERVICE));
+	strbuf_set(&ask.domain, STR_LIT(DOMAIN));
+	permit_state_ask(vm->state, &ask, vm->net->now);
+}
+
+void fix_net_release_all(struct fix_vm *vm, enum permit_outcome outcome)
+{
+	for (size_t i = 0; vm->state && i < vm->answer_count; i++) {
+		struct fix_answer *f = &vm->answers[i];
+
+		if (f->released || f->answer.result != PERMIT_GRANTED)
+			continue;
+		f->released = true;
+		permit_state_release(vm->state, f->answer.permit_id, outcome,
+				     vm->net->now);
+	}
+}
+
+size_t fix_net_answers(const struct fix_vm *vm, uint64_t id,
+		       struct permit_answer *last)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < vm->answer_count; i++) {
+		if (vm->answers[i].answer.ask_id != id)
+			continue;
+		count++;
+		if (last)
+			*last = vm->answers[i].answer;
+	}
+	return count;
+}
--- /dev/null
+++ b/tests/test_permit_faults.c
@@ -0,0 +1,331 @@
+#include <check.h>
+#include <stdio.h>
+
+#include "common/clk.h"
+#include "tests/fix_permit.h"
+#include "tests/fix_run.h"
+
+/* The ask that each fault hits. */
+#define ASK	 500
+#define DEADLINE CLK_SEC(5)
+
+/* Seeds of pairs of faults: 1 to this. */
+#define PAIRS 200
+
+/* Longer than any expiry, hold, trial or reconciliation. */
+#define SETTLE CLK_SEC(12)
+
+/* Where the ask is when the fault comes. */
+enum step {
+	STEP_ASKING,
+	STEP_WAITING,
+	STEP_ANSWERING,
+	STEP_HELD,
+	STEP_RELEASING,
+	STEP_COUNT,
+};
+
+enum fault {
+	FAULT_LOSS,
+	FAULT_BROKER_RESTART,
+	FAULT_BROKER_DEAD,
+	FAULT_BROKER_PAUSED,
+	FAULT_BROKER_MOVED,
+	FAULT_ENTRY_RESTART,
+	FAULT_ENTRY_PAUSED,
+	FAULT_UPSTREAM_LEAVING,
+	FAULT_COUNT,
+};
+
+static const char *const steps[] = {"asking", "waiting", "answering", "held",
+				    "releasing"};
+static const char *const faults[] = {
+	"loss",		"broker_restart", "broker_dead",  "broker_paused",
+	"broker_moved", "entry_restart",  "entry_paused", "upstream_leaving",
+};
+
+enum expected {
+	/* One answer, which is a permit. */
+	GRANTED,
+	/* One answer of either kind by the deadline. */
+	ANSWERED,
+	/* The asker is gone. */
+	NONE,
+};
+
+struct cell {
+	enum expected expected;
+	/* Permits above an upstream's slots that upstreams have to shed. */
+	unsigned excess;
+};
+
+/*
+ * A restarted or moved broker may not have heard of what is held, and local
+ * shares are used beside a broker that is thought dead: one for each entry.
+ */
+static const struct cell matrix[FAULT_COUNT][STEP_COUNT] = {
+	[FAULT_LOSS] = {{GRANTED, 0},
+			{GRANTED, 0},
+			{GRANTED, 0},
+			{GRANTED, 0},
+			{GRANTED, 0}},
+	[FAULT_BROKER_RESTART] = {{GRANTED, 0},
+				  {GRANTED, 0},
+				  {GRANTED, 0},
+				  {GRANTED, 0},
+				  {GRANTED, 0}},
+	[FAULT_BROKER_DEAD] = {{GRANTED, 1},
+			       {GRANTED, 1},
+			       {GRANTED, 1},
+			       {GRANTED, 0},
+			       {GRANTED, 0}},
+	[FAULT_BROKER_PAUSED] = {{GRANTED, 1},
+				 {GRANTED, 1},
+				 {GRANTED, 1},
+				 {GRANTED, 0},
+				 {GRANTED, 0}},
+	[FAULT_BROKER_MOVED] = {{GRANTED, 0},
+				{GRANTED, 0},
+				{GRANTED, 0},
+				{GRANTED, 0},
+				{GRANTED, 0}},
+	[FAULT_ENTRY_RESTART] =
+		{{NONE, 0}, {NONE, 0}, {NONE, 0}, {NONE, 0}, {NONE, 0}},
+	/* Paused before it asked, it wakes at the deadline. */
+	[FAULT_ENTRY_PAUSED] = {{ANSWERED, 0},
+				{GRANTED, 0},
+				{GRANTED, 0},
+				{GRANTED, 0},
+				{GRANTED, 0}},
+	[FAULT_UPSTREAM_LEAVING] = {{GRANTED, 0},
+				    {ANSWERED, 0},
+				    {GRANTED, 0},
+				    {GRANTED, 0},
+				    {GRANTED, 0}},
+};
+
+/* An entry VM other than the broker's, and another one. */
+static struct fix_vm *asker_of(struct fix_net *net, int other)
+{
+	for (int i = 0; i < FIX_VMS; i++) {
+		if (&net->vms[i] != fix_net_broker(net) && other-- == 0)
+			return &net->vms[i];
+	}
+	return NULL;
+}
+
+static void fill_slots(struct fix_vm *vm)
+{
+	for (uint64_t i = 0; i < FIX_UPSTREAMS * FIX_SLOTS; i++)
+		fix_net_ask(vm, i + 1, RANK_NORMAL, DEADLINE);
+	fix_net_run(vm->net, CLK_MS(10));
+	ck_assert_uint_eq(vm->answer_count, FIX_UPSTREAMS * FIX_SLOTS);
+}
+
+/* Brings the ask to the step; a message takes 1 ms. */
+static void reach(struct fix_vm *asker, struct fix_vm *other, enum step step)
+{
+	struct fix_net *net = asker->net;
+
+	if (step == STEP_WAITING)
+		fill_slots(other);
+	fix_net_ask(asker, ASK, RANK_NORMAL, DEADLINE);
+	if (step == STEP_ASKING)
+		return;
+	fix_net_run(net, CLK_MS(step == STEP_ANSWERING ? 2 : 10));
+	if (step == STEP_RELEASING)
+		fix_net_release_all(asker, PERMIT_DONE);
+}
+
+static void inject(struct fix_vm *asker, enum fault fault)
+{
+	struct fix_net *net = asker->net;
+	struct fix_vm *broker = fix_net_broker(net);
+
+	switch (fault) {
+	case FAULT_LOSS:
+		net->lossy_until = net->now + CLK_MS(50);
+		break;
+	case FAULT_BROKER_RESTART:
+		fix_net_kill_host(broker);
+		fix_net_start_host(broker);
+		break;
+	case FAULT_BROKER_DEAD:
+		fix_net_kill_host(broker);
+		break;
+	case FAULT_BROKER_PAUSED:
+		broker->host_paused = true;
+		break;
+	case FAULT_BROKER_MOVED:
+		net->vm_leaving[broker->number] = true;
+		fix_net_list(net);
+		break;
+	case FAULT_ENTRY_RESTART:
+		fix_net_kill_state(asker);
+		fix_net_start_state(asker);
+		break;
+	case FAULT_ENTRY_PAUSED:
+		asker->state_paused = true;
+		break;
+	case FAULT_UPSTREAM_LEAVING:
+		net->leaving[0] = true;
+		fix_net_list(net);
+		break;
+	case FAULT_COUNT:
+		break;
+	}
+}
+
+static void mend(struct fix_vm *asker, struct fix_vm *broker)
+{
+	asker->state_paused = false;
+	broker->host_paused = false;
+	if (!broker->host)
+		fix_net_start_host(broker);
+}
+
+static void check_clean(struct fix_net *net, const char *name)
+{
+	for (int i = 0; i < FIX_VMS; i++) {
+		const struct fix_vm *vm = &net->vms[i];
+
+		ck_assert_msg(brk_host_held(vm->host) == 0,
+			      "%s: %zu permits leaked at %s", name,
+			      brk_host_held(vm->host), vm->id);
+	}
+}
+
+/* The brokers serve as before. */
+static void check_recovered(struct fix_vm *asker, const char *name)
+{
+	struct permit_answer last = {0};
+
+	fix_net_ask(asker, ASK + 1, RANK_NORMAL, DEADLINE);
+	fix_net_run(asker->net, CLK_MS(20));
+	ck_assert_msg(fix_net_answers(asker, ASK + 1, &last) == 1 &&
+			      last.result == PERMIT_GRANTED &&
+			      !(last.permit_id & PERMIT_LOCAL_BIT),
+		      "%s: no permit from the broker afterwards", name);
+	fix_net_release_all(asker, PERMIT_DONE);
+	fix_net_run(asker->net, CLK_MS(20));
+	check_clean(asker->net, name);
+}
+
+static void check_cell(enum fault fault, enum step step)
+{
+	const struct cell *cell = &matrix[fault][step];
+	struct permit_answer last = {0};
+	struct fix_net net;
+	struct fix_vm *asker;
+	struct fix_vm *other;
+	struct fix_vm *broker;
+	size_t count;
+	char name[64];
+
+	snprintf(name, sizeof(name), "%s at %s", faults[fault], steps[step]);
+	fix_net_start(&net);
+	broker = fix_net_broker(&net);
+	asker = asker_of(&net, 0);
+	other = asker_of(&net, 1);
+	fix_net_ask(asker, 1, RANK_NORMAL, DEADLINE);
+	fix_net_run(&net, CLK_SEC(1));
+	fix_net_release_all(asker, PERMIT_DONE);
+	fix_net_run(&net, CLK_MS(20));
+	reach(asker, other, step);
+	inject(asker, fault);
+	fix_net_run(&net, CLK_SEC(1));
+	fix_net_release_all(other, PERMIT_DONE);
+	fix_net_run(&net, CLK_SEC(4));
+	mend(asker, broker);
+	fix_net_run(&net, CLK_SEC(1));
+	count = fix_net_answers(asker, ASK, &last);
+	ck_assert_msg(count == (cell->expected != NONE || step >= STEP_HELD ||
+				count == 1),
+		      "%s: %zu answers", name, count);
+	if (cell->expected == GRANTED)
+		ck_assert_msg(last.result == PERMIT_GRANTED, "%s: result %d",
+			      name, last.result);
+	ck_assert_msg(net.excess <= cell->excess, "%s: %u above the slots",
+		      name, net.excess);
+	fix_net_release_all(asker, PERMIT_DONE);
+	fix_net_run(&net, SETTLE);
+	check_clean(&net, name);
+	check_recovered(asker, name);
+	fix_net_stop(&net);
+}
+
+START_TEST(every_fault_at_every_step)
+{
+	check_cell((enum fault)(_i / STEP_COUNT), (enum step)(_i % STEP_COUNT));
+}
+END_TEST
+
+static uint64_t next_random(uint64_t *random)
+{
+	*random ^= *random << 13;
+	*random ^= *random >> 7;
+	*random ^= *random << 17;
+	return *random;
+}
+
+/* Two faults at two moments; what holds for each cell has to hold again. */
+static void check_pair(uint64_t seed)
+{
+	uint64_t random = seed * 0x9e3779b97f4a7c15u;
+	struct fix_net net;
+	struct fix_vm *asker;
+	struct fix_vm *broker;
+	char name[64];
+	enum fault first = (enum fault)(next_random(&random) % FAULT_COUNT);
+	enum fault second = (enum fault)(next_random(&random) % FAULT_COUNT);
+
+	snprintf(name, sizeof(name), "seed %llu: %s, %s",
+		 (unsigned long long)seed, faults[first], faults[second]);
+	fix_net_start(&net);
+	broker = fix_net_broker(&net);
+	asker = asker_of(&net, 0);
+	reach(asker, asker_of(&net, 1),
+	      (enum step)(next_random(&random) % STEP_COUNT));
+	inject(asker, first);
+	fix_net_run(&net,
+		    (apr_interval_time_t)(next_random(&random) % CLK_SEC(2)));
+	/* A dead broker cannot fail once more. */
+	if (broker->host && fix_net_broker(&net)->host)
+		inject(asker, second);
+	fix_net_run(&net, CLK_SEC(6));
+	mend(asker, broker);
+	for (int i = 0; i < FIX_VMS; i++) {
+		if (!net.vms[i].host)
+			fix_net_start_host(&net.vms[i]);
+		net.vms[i].host_paused = false;
+	}
+	/* What waited for a paused process comes first. */
+	fix_net_run(&net, CLK_SEC(1));
+	for (int i = 0; i < FIX_VMS; i++)
+		fix_net_release_all(&net.vms[i], PERMIT_DONE);
+	ck_assert_msg(fix_net_answers(asker, ASK, NULL) <= 1,
+		      "%s: answered twice", name);
+	ck_assert_msg(net.excess <= FIX_SLOTS, "%s: %u above the slots", name,
+		      net.excess);
+	fix_net_run(&net, SETTLE);
+	check_clean(&net, name);
+	check_recovered(asker, name);
+	fix_net_stop(&net);
+}
+
+START_TEST(pairs_of_faults)
+{
+	check_pair((uint64_t)_i);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("permit_faults");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, every_fault_at_every_step, 0,
+			    FAULT_COUNT * STEP_COUNT);
+	tcase_add_loop_test(tc, pairs_of_faults, 1, PAIRS + 1);
+	return fix_run("permit_faults", tc);
+}
