pstctl: VM list from the own pst-controld in a platform outage

Cause: a trial of an outage of store and list together left 'pstctl status' without a list. It now asks the pst-controld at vm.address, which keeps the last one. Ruled out: keeping a list on disk, of which VMs have none.

--- a/pstctl/cmd_status.c
+++ b/pstctl/cmd_status.c
@@ -5,8 +5,8 @@
 
 #include <curl/curl.h>
 
-#include "agent/lst.h"
 #include "common/err.h"
+#include "pstctl/members.h"
 #include "pstctl/poll.h"
 
 #define CHECK_WAIT CLK_MS(5)
@@ -214,8 +214,7 @@
 	struct vml *list = NULL;
 	size_t silent = 0;
 	size_t found;
-	long status;
-	const int err = lst_read(cmd->set, &list, &status);
+	const int err = members_read(cmd, &list);
 
 	if (err) {
 		cmd_complain("list of VMs", err);
--- /dev/null
+++ b/pstctl/members.c
@@ -0,0 +1,52 @@
+#include "pstctl/members.h"
+
+#include "agent/lst.h"
+#include "agent/tmsg.h"
+#include "common/err.h"
+#include "common/net.h"
+#include "common/rpcc.h"
+
+static int ask(struct cmd *cmd, struct rpcc *rpcc, struct vml **out)
+{
+	table_ask args = {
+		.from = (char *)cmd->set->vm.id.ptr,
+		/* No parts are wanted. */
+		.after = UINT64_MAX,
+	};
+	table_answer answer = {0};
+	int err = rpcc_call(rpcc, TABLE_SYNC, (xdrproc_t)xdr_table_ask, &args,
+			    (xdrproc_t)xdr_table_answer, &answer,
+			    CLK_MS(cmd->set->net.rpc_timeout_ms));
+
+	if (err)
+		return PST_ERR_UNAVAILABLE;
+	err = answer.list ? tmsg_list_take(out, answer.list)
+			  : PST_ERR_UNAVAILABLE;
+	xdr_free((xdrproc_t)xdr_table_answer, &answer);
+	return err;
+}
+
+static int ask_own(struct cmd *cmd, struct vml **out)
+{
+	const struct settings *set = cmd->set;
+	struct rpcc *rpcc = NULL;
+	struct net_addr peer;
+	int err = net_addr_make(&peer, set->vm.address,
+				(uint16_t)set->control.rpc_port);
+
+	if (!err)
+		err = rpcc_create(&rpcc, set, cmd->clk, set->vm.region, &peer,
+				  TABLE_PROGRAM, TABLE_VERSION);
+	if (!err)
+		err = ask(cmd, rpcc, out);
+	rpcc_destroy(rpcc);
+	return err;
+}
+
+int members_read(struct cmd *cmd, struct vml **out)
+{
+	long status;
+	const int err = lst_read(cmd->set, out, &status);
+
+	return err && ask_own(cmd, out) ? err : 0;
+}
--- a/pstctl/poll.c
+++ b/pstctl/poll.c
@@ -2,11 +2,11 @@
 
 #include <stdlib.h>
 
-#include "agent/lst.h"
 #include "agent/tmsg.h"
 #include "common/err.h"
 #include "common/net.h"
 #include "common/rpcc.h"
+#include "pstctl/members.h"
 
 /* Wait between two rounds of one thread. */
 #define ROUND_WAIT CLK_MS(20)
@@ -132,12 +132,11 @@
 
 int poll_start(struct poll *poll, struct cmd *cmd, uint64_t wanted, bool repeat)
 {
-	long status;
 	int err;
 
 	*poll = (struct poll){.cmd = cmd, .wanted = wanted, .repeat = repeat};
 	pthread_mutex_init(&poll->lock, NULL);
-	err = lst_read(cmd->set, &poll->list, &status);
+	err = members_read(cmd, &poll->list);
 	if (err)
 		return err;
 	err = take_entries(poll);
--- a/pstctl/write.c
+++ b/pstctl/write.c
@@ -99,8 +99,9 @@
 	edit_cell_key(cell, key);
 	return json_pack("[{s:s, s:s, s:s, s:s, s:s, s:s}]", "key", key,
 			 "service", cell->service.ptr, "rank",
-			 rank_name(cell->rank), "cell", edit->label, "from",
-			 edit->base, "to", edit->wanted);
+			 cell->service.len ? rank_name(cell->rank) : "-",
+			 "cell", edit->label, "from", edit->base, "to",
+			 edit->wanted);
 }
 
 static int swap_part(struct cmd *cmd, struct edit *edit,
