--- a/agent/stc.c
+++ b/agent/stc.c
@@ -10,6 +10,7 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "common/ctr.h"
 #include "common/err.h"
 #include "common/evt.h"
 
@@ -170,6 +171,17 @@
 	return err || !*out ? PST_ERR_PROTOCOL : 0;
 }
 
+static void count_call(const struct call *call, int err)
+{
+	char labels[64];
+
+	snprintf(labels, sizeof(labels), "call=\"%s\",result=\"%s\"",
+		 call->path, err_name(err));
+	ctr_add(ctr_get("pst_store_calls_total", labels,
+			"Calls of the platform's store."),
+		1);
+}
+
 static void note_result(struct stc *stc, const struct call *call, int err)
 {
 	const bool failed = err == PST_ERR_UNAVAILABLE ||
@@ -181,6 +193,7 @@
 	else if (!failed && stc->down)
 		evt_log(STORE_BACK, "path=%s", call->path);
 	stc->down = failed;
+	count_call(call, err);
 }
 
 /* Whether any byte of the request may have reached the store. */
