fake-platform: store with leases and watches, VM list, fault orders

The other parts need a platform to run against before any daemon exists. Ruled out: a thread a connection (memory at full size); libmicrohttpd runs in external epoll mode on one loop with timers of our own. Tried by hand: range, put, txn both ways, lease lapse seen by a watch, lag of the VM list, down and slow.

--- /dev/null
+++ b/fakes/http.h
@@ -0,0 +1,91 @@
+/*
+ * HTTP server of the stand-ins, on libmicrohttpd and the event loop.
+ *
+ * A request may be answered at its head, once it has arrived whole, or at
+ * any later time; until then its connection is suspended. Everything runs on
+ * the loop's thread.
+ */
+#ifndef FAKES_HTTP_H
+#define FAKES_HTTP_H
+
+#include <jansson.h>
+#include <microhttpd.h>
+
+#include "common/str.h"
+#include "fakes/loop.h"
+
+/* Largest body gathered in memory when there is no body callback, in bytes. */
+#define FHT_MAX_BODY (4 * 1024 * 1024)
+
+struct fht;
+
+struct fht_req {
+	struct fht *server;
+	struct MHD_Connection *conn;
+	char *method;
+	char *path;
+	/* Gathered body when the handler has no body callback. */
+	char *body;
+	size_t body_len;
+	/* For the handler. */
+	void *user;
+	/* Number of the connection, counted from 1. */
+	uint64_t conn_number;
+	/* Private. */
+	struct MHD_Response *response;
+	unsigned status;
+	bool seen;
+	bool asked;
+	bool held;
+	bool aborted;
+};
+
+struct fht_ops {
+	/* The head has arrived; an answer now leaves the body unread. */
+	void (*head)(void *ctx, struct fht_req *req);
+	/* A part of the body has arrived. */
+	void (*body)(void *ctx, struct fht_req *req, const char *data,
+		     size_t len);
+	/* The request is whole; answered now or later. */
+	void (*request)(void *ctx, struct fht_req *req);
+	/* The request is over; whole tells whether its answer was sent. */
+	void (*end)(void *ctx, struct fht_req *req, bool whole);
+};
+
+/*
+ * Listens on ip:port. Borrows loop and ops, whose callbacks may be NULL
+ * except request. Returns 0, PST_ERR_NOMEM, PST_ERR_IO or PST_ERR_HTTP.
+ */
+int fht_start(struct fht **out, struct flp *loop, struct str ip, uint16_t port,
+	      const struct fht_ops *ops, void *ctx);
+
+/* Every held request must have been answered or aborted; NULL is allowed. */
+void fht_stop(struct fht *server);
+
+/* Returns the header's value, or an empty string. */
+struct str fht_header(const struct fht_req *req, const char *name);
+
+/* Returns the argument of the query string, or fallback. */
+uint64_t fht_query_u64(const struct fht_req *req, const char *name,
+		       uint64_t fallback);
+
+/* Resumes a connection that a streamed answer has suspended. */
+void fht_resume(struct fht *server, struct MHD_Connection *conn);
+
+/* Whether the caller has closed its end. */
+bool fht_gone(const struct fht_req *req);
+
+/* Answers; takes over response. */
+void fht_answer(struct fht_req *req, unsigned status,
+		struct MHD_Response *response);
+
+/* Answers with JSON; takes over root. */
+void fht_answer_json(struct fht_req *req, unsigned status, json_t *root);
+
+/* Makes a response that copies body. */
+struct MHD_Response *fht_response(struct str body, const char *type);
+
+/* Closes the connection without an answer. */
+void fht_abort(struct fht_req *req);
+
+#endif
--- /dev/null
+++ b/fakes/platform/calls.c
@@ -0,0 +1,331 @@
+#include "fakes/platform/calls.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "fakes/fault.h"
+#include "fakes/platform/etcd.h"
+#include "fakes/platform/vms.h"
+#include "fakes/platform/watch.h"
+
+#define LOG_MODULE "fake-platform"
+
+enum fault_kind {
+	FAULT_NONE,
+	/* Every connection is closed without an answer. */
+	FAULT_DOWN,
+	/* Answers come after ms. */
+	FAULT_SLOW,
+	/* The call takes effect; its connection is closed. */
+	FAULT_LOSE_REPLY,
+	/* Present watches never tell anything again. */
+	FAULT_SILENT_WATCH,
+	/* Reads show the state at the time of the order. */
+	FAULT_STALE_READ,
+	/* Calls are accepted and never answered. */
+	FAULT_SILENT,
+};
+
+static const char *const fault_names[] = {
+	"none",		"down",	      "slow",	"lose_reply",
+	"silent_watch", "stale_read", "silent", NULL,
+};
+
+enum call {
+	CALL_RANGE,
+	CALL_PUT,
+	CALL_DELETE,
+	CALL_TXN,
+	CALL_GRANT,
+	CALL_KEEPALIVE,
+	CALL_REVOKE,
+	CALL_WATCH,
+	CALL_VMS,
+	CALL_COUNT,
+};
+
+static const struct {
+	const char *path;
+	const char *name;
+} calls[CALL_COUNT] = {
+	[CALL_RANGE] = {"/v3/kv/range", "range"},
+	[CALL_PUT] = {"/v3/kv/put", "put"},
+	[CALL_DELETE] = {"/v3/kv/deleterange", "deleterange"},
+	[CALL_TXN] = {"/v3/kv/txn", "txn"},
+	[CALL_GRANT] = {"/v3/lease/grant", "lease_grant"},
+	[CALL_KEEPALIVE] = {"/v3/lease/keepalive", "lease_keepalive"},
+	[CALL_REVOKE] = {"/v3/lease/revoke", "lease_revoke"},
+	[CALL_WATCH] = {"/v3/watch", "watch"},
+	[CALL_VMS] = {"/v1/vms", "vms"},
+};
+
+struct cal {
+	struct flp *loop;
+	struct fht *server;
+	struct fst *store;
+	/* State shown by stale reads, or NULL. */
+	struct fst *stale;
+	struct wat_list *watches;
+	struct vms *vms;
+	struct flt fault;
+	struct flp_timer lapse;
+	uint64_t counts[CALL_COUNT];
+};
+
+/* An answer that waits for its time. */
+struct delayed {
+	struct flp_timer timer;
+	struct fht_req *req;
+	json_t *root;
+};
+
+static void on_lapse(struct flp_timer *timer)
+{
+	struct cal *cal = (struct cal *)(void *)((char *)timer -
+						 offsetof(struct cal, lapse));
+	const uint64_t before = fst_revision(cal->store);
+	const apr_time_t next =
+		fst_lease_expire(cal->store, flp_now(cal->loop));
+
+	if (fst_revision(cal->store) != before)
+		wat_notify(cal->watches);
+	if (next)
+		flp_timer_set(cal->loop, &cal->lapse, next);
+}
+
+static void reply(struct fht_req *req, json_t *root)
+{
+	if (root)
+		fht_answer_json(req, MHD_HTTP_OK, root);
+	else
+		fht_answer_json(req, MHD_HTTP_NOT_FOUND,
+				json_pack("{s:s,s:i}", "error", "not found",
+					  "code", 5));
+}
+
+static void on_delayed(struct flp_timer *timer)
+{
+	struct delayed *delayed = (struct delayed *)(void *)timer;
+
+	reply(delayed->req, delayed->root);
+	free(delayed);
+}
+
+static void send_later(struct cal *cal, struct fht_req *req, json_t *root,
+		       uint64_t ms)
+{
+	struct delayed *delayed = calloc(1, sizeof(*delayed));
+
+	if (!delayed) {
+		json_decref(root);
+		fht_abort(req);
+		return;
+	}
+	delayed->timer.fire = on_delayed;
+	delayed->req = req;
+	delayed->root = root;
+	flp_timer_set(cal->loop, &delayed->timer,
+		      flp_now(cal->loop) + CLK_MS(ms));
+}
+
+static const struct fst *readable(struct cal *cal, struct str name)
+{
+	if (cal->stale && flt_take(&cal->fault, FAULT_STALE_READ, name))
+		return cal->stale;
+	return cal->store;
+}
+
+static json_t *run_call(struct cal *cal, enum call call, const json_t *request)
+{
+	const apr_time_t now = flp_now(cal->loop);
+
+	switch (call) {
+	case CALL_RANGE:
+		return etc_range(readable(cal, STR_LIT("range")), request);
+	case CALL_PUT:
+		return etc_put(cal->store, request);
+	case CALL_DELETE:
+		return etc_delete(cal->store, request);
+	case CALL_TXN:
+		return etc_txn(cal->store, request);
+	case CALL_GRANT:
+		return etc_grant(cal->store, request, now);
+	case CALL_KEEPALIVE:
+		return etc_renew(cal->store, request, now);
+	case CALL_REVOKE:
+		return etc_revoke(cal->store, request);
+	case CALL_VMS:
+		return vms_visible(cal->vms);
+	case CALL_WATCH:
+	case CALL_COUNT:
+		break;
+	}
+	return NULL;
+}
+
+static void serve(struct cal *cal, struct fht_req *req, enum call call)
+{
+	const struct str name = str_from_c(calls[call].name);
+	json_t *request =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	const uint64_t before = fst_revision(cal->store);
+	json_t *root;
+
+	cal->counts[call]++;
+	if (call == CALL_WATCH) {
+		wat_add(cal->watches, req, request);
+		json_decref(request);
+		return;
+	}
+	root = run_call(cal, call, request);
+	json_decref(request);
+	if (fst_revision(cal->store) != before)
+		wat_notify(cal->watches);
+	on_lapse(&cal->lapse);
+	if (flt_take(&cal->fault, FAULT_LOSE_REPLY, name)) {
+		json_decref(root);
+		fht_abort(req);
+		return;
+	}
+	if (flt_take(&cal->fault, FAULT_SLOW, name))
+		send_later(cal, req, root, cal->fault.ms);
+	else
+		reply(req, root);
+}
+
+static json_t *stats(const struct cal *cal)
+{
+	json_t *root = json_object();
+
+	for (int i = 0; i < CALL_COUNT; i++)
+		json_object_set_new(root, calls[i].name,
+				    json_integer((json_int_t)cal->counts[i]));
+	json_object_set_new(root, "waiting_watches",
+			    json_integer((json_int_t)wat_count(cal->watches)));
+	json_object_set_new(root, "revision",
+			    json_integer((json_int_t)fst_revision(cal->store)));
+	return root;
+}
+
+static int apply_fault(struct cal *cal, const struct flt *fault)
+{
+	fst_destroy(cal->stale);
+	cal->stale = NULL;
+	cal->fault = *fault;
+	evt_log(FAKE_FAULT_SET, "kind=%s count=%lld ms=%llu",
+		fault_names[fault->kind], (long long)fault->count,
+		(unsigned long long)fault->ms);
+	if (fault->kind == FAULT_DOWN)
+		wat_close(cal->watches);
+	if (fault->kind == FAULT_SILENT_WATCH || fault->kind == FAULT_SILENT)
+		wat_mute(cal->watches);
+	if (fault->kind == FAULT_STALE_READ)
+		return fst_clone(cal->store, &cal->stale);
+	return 0;
+}
+
+static int set_fault(struct cal *cal, const struct fht_req *req)
+{
+	const struct str text = {.ptr = req->body, .len = req->body_len};
+	struct flt fault;
+	const int err = flt_parse(text, fault_names, &fault);
+
+	return err ? err : apply_fault(cal, &fault);
+}
+
+static int set_vms(struct cal *cal, const struct fht_req *req)
+{
+	json_t *root =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	json_t *lag = json_object_get(root, "lag_ms");
+
+	if (json_is_integer(lag))
+		vms_set_lag(cal->vms, CLK_MS(json_integer_value(lag)));
+	if (!json_is_array(json_object_get(root, "vms"))) {
+		json_decref(root);
+		return json_is_integer(lag) ? 0 : PST_ERR_INVALID;
+	}
+	vms_set(cal->vms, root);
+	return 0;
+}
+
+static int mark_vm(struct cal *cal, const struct fht_req *req)
+{
+	json_t *root =
+		json_loadb(req->body ? req->body : "", req->body_len, 0, NULL);
+	const char *id = NULL;
+	const char *state = NULL;
+	int err = PST_ERR_INVALID;
+
+	if (!json_unpack(root, "{s:s,s:s}", "id", &id, "state", &state))
+		err = vms_mark(cal->vms, id, state);
+	json_decref(root);
+	return err;
+}
+
+static void answer_order(struct fht_req *req, int err)
+{
+	fht_answer_json(req, err ? MHD_HTTP_BAD_REQUEST : MHD_HTTP_OK,
+			json_pack("{s:s}", "result", err_name(err)));
+}
+
+/* Returns whether the path is one of the test's own calls. */
+static bool serve_test(struct cal *cal, struct fht_req *req)
+{
+	if (!strcmp(req->path, "/fake/stats"))
+		fht_answer_json(req, MHD_HTTP_OK, stats(cal));
+	else if (!strcmp(req->path, "/fake/fault"))
+		answer_order(req, set_fault(cal, req));
+	else if (!strcmp(req->path, "/fake/vms"))
+		answer_order(req, set_vms(cal, req));
+	else if (!strcmp(req->path, "/fake/vms/state"))
+		answer_order(req, mark_vm(cal, req));
+	else
+		return false;
+	return true;
+}
+
+static void on_request(void *ctx, struct fht_req *req)
+{
+	struct cal *cal = ctx;
+
+	if (serve_test(cal, req))
+		return;
+	for (int i = 0; i < CALL_COUNT; i++) {
+		const struct str name = str_from_c(calls[i].name);
+
+		if (strcmp(req->path, calls[i].path) != 0)
+			continue;
+		if (flt_take(&cal->fault, FAULT_DOWN, name))
+			fht_abort(req);
+		else if (!flt_take(&cal->fault, FAULT_SILENT, name))
+			serve(cal, req, (enum call)i);
+		return;
+	}
+	reply(req, NULL);
+}
+
+static const struct fht_ops ops = {.request = on_request};
+
+int cal_start(struct cal **out, struct flp *loop, struct str ip, uint16_t port,
+	      apr_interval_time_t vms_lag)
+{
+	struct cal *cal = calloc(1, sizeof(*cal));
+	int err;
+
+	if (!cal)
+		return PST_ERR_NOMEM;
+	cal->loop = loop;
+	cal->lapse.fire = on_lapse;
+	err = fst_create(&cal->store);
+	if (!err)
+		err = wat_create(&cal->watches, loop, cal->store);
+	if (!err)
+		err = vms_create(&cal->vms, loop, vms_lag);
+	if (!err)
+		err = fht_start(&cal->server, loop, ip, port, &ops, cal);
+	*out = cal;
+	return err;
+}
--- /dev/null
+++ b/fakes/platform/calls.h
@@ -0,0 +1,15 @@
+/*
+ * The platform's HTTP calls: store gateway, VM list, counts and fault orders.
+ */
+#ifndef FAKES_PLATFORM_CALLS_H
+#define FAKES_PLATFORM_CALLS_H
+
+#include "fakes/http.h"
+
+struct cal;
+
+/* Borrows loop. Returns 0, PST_ERR_NOMEM, PST_ERR_IO or PST_ERR_HTTP. */
+int cal_start(struct cal **out, struct flp *loop, struct str ip, uint16_t port,
+	      apr_interval_time_t vms_lag);
+
+#endif
--- /dev/null
+++ b/fakes/platform/etcd.h
@@ -0,0 +1,29 @@
+/* etcd v3's JSON shapes over the store: parsing calls and writing answers. */
+#ifndef FAKES_PLATFORM_ETCD_H
+#define FAKES_PLATFORM_ETCD_H
+
+#include <jansson.h>
+
+#include "fakes/store.h"
+
+/* Decodes a member in base64; the caller frees it. Empty when absent. */
+char *etc_bytes(const json_t *object, const char *name, size_t *len);
+
+/* A number that may stand as a string; 0 when absent. */
+uint64_t etc_number(const json_t *object, const char *name);
+
+json_t *etc_header(uint64_t revision);
+json_t *etc_item(const struct fst_item *item);
+
+/* Each returns the answer; the request is the call's JSON. */
+json_t *etc_range(const struct fst *store, const json_t *request);
+json_t *etc_put(struct fst *store, const json_t *request);
+json_t *etc_delete(struct fst *store, const json_t *request);
+json_t *etc_txn(struct fst *store, const json_t *request);
+
+/* Returns NULL for a lease that does not exist. */
+json_t *etc_grant(struct fst *store, const json_t *request, apr_time_t now);
+json_t *etc_renew(struct fst *store, const json_t *request, apr_time_t now);
+json_t *etc_revoke(struct fst *store, const json_t *request);
+
+#endif
