Load reports: one parser for entry and broker

Cause: the entry took the parser from pst-controld's folder and with it the whole of the broker's polling; test_entry no longer linked beside its stand-ins. Ruled out: a second parser in the entry. Before: multiple definitions at link.

--- a/controld/brk_poll.c
+++ b/controld/brk_poll.c
@@ -7,9 +7,9 @@
 #include <string.h>
 
 #include <curl/curl.h>
-#include <jansson.h>
 
 #include "common/err.h"
+#include "policy/orca.h"
 
 /* Largest report read, in bytes. */
 #define REPORT_MAX 4096
@@ -194,7 +194,7 @@
 	curl_easy_getinfo(probe->easy, CURLINFO_RESPONSE_CODE, &status);
 	curl_multi_remove_handle(poll->multi, probe->easy);
 	probe->busy = false;
-	if (code || status != 200 || brk_poll_parse(body, &report))
+	if (code || status != 200 || orca_parse(body, &report))
 		return;
 	poll->on_report(poll->ctx, &probe->target.upstream, &report);
 }
@@ -290,26 +290,3 @@
 	curl_multi_wakeup(poll->multi);
 	return 0;
 }
-
-int brk_poll_parse(struct str json, struct permit_report *out)
-{
-	json_t *root = json_loadb(json.ptr, json.len, 0, NULL);
-	const json_t *named = json_object_get(root, "named_metrics");
-	const double load = json_number_value(
-		json_object_get(root, "application_utilization"));
-
-	if (!json_is_object(root)) {
-		json_decref(root);
-		return PST_ERR_INVALID;
-	}
-	*out = (struct permit_report){
-		.draining = json_number_value(
-				    json_object_get(named, "draining")) > 0,
-		.cold = json_number_value(json_object_get(named, "cold")) > 0,
-	};
-	if (load > 0)
-		out->load_permille =
-			load < 1000 ? (unsigned)(load * 1000) : 1000000;
-	json_decref(root);
-	return 0;
-}
--- a/controld/brk_poll.h
+++ b/controld/brk_poll.h
@@ -38,7 +38,4 @@
 int brk_poll_set(struct brk_poll *poll, struct brk_poll_target *targets,
 		 size_t count);
 
-/* Parses a report; returns 0 or PST_ERR_INVALID. */
-int brk_poll_parse(struct str json, struct permit_report *out);
-
 #endif
--- a/entryd/xfer_head.c
+++ b/entryd/xfer_head.c
@@ -3,8 +3,8 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "controld/brk_poll.h"
 #include "entryd/xfer.h"
+#include "policy/orca.h"
 
 #define STATUS_FINAL_MIN   200
 #define STATUS_UNAVAILABLE 503
@@ -55,7 +55,7 @@
 		return;
 	value.ptr += format.len;
 	value.len -= format.len;
-	x->req->reported = !brk_poll_parse(value, &x->req->report);
+	x->req->reported = !orca_parse(value, &x->req->report);
 }
 
 static void read_header(struct xfer *x, struct str line)
