Tests link only the fixtures they use

Cause: every test program linked every fixture, and the permit fixture brought agent/ctl.c in beside test_entry's stand-ins. Before: test_entry failed to link. After: all programs link and pass. Conclusion: fixtures are a library.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,7 @@
 $(B)/libparts.a: $(call obj,$(PART_SRC))
 $(B)/libgen.a: $(call obj,$(GEN_SRC))
 $(B)/libfakes.a: $(call obj,$(FAKE_SRC))
+$(B)/libfix.a: $(call obj,$(FIX_SRC))
 $(B)/lib%.a:
 	@mkdir -p $(@D)
 	@rm -f $@
@@ -81,10 +82,10 @@
 $(eval $(call bin_rule,pstctl,pstctl,))
 $(foreach f,$(FAKES),$(eval $(call bin_rule,fake-$(f),fakes/$(f),$(B)/libfakes.a)))
 
-$(B)/tests/%: $(B)/tests/%.o $(call obj,$(FIX_SRC)) $(B)/libfakes.a $(LIBS)
+$(B)/tests/%: $(B)/tests/%.o $(B)/libfix.a $(B)/libfakes.a $(LIBS)
 	@mkdir -p $(@D)
 	@echo LD $@
-	@$(CC) $(CFLAGS) $(filter %.o,$^) $(B)/libfakes.a $(LIBS) $(LDLIBS) \
+	@$(CC) $(CFLAGS) $< $(B)/libfix.a $(B)/libfakes.a $(LIBS) $(LDLIBS) \
 		$(CHECK_LIBS) -o $@
 
 $(B)/bench/%: $(B)/bench/%.o $(B)/libfakes.a $(LIBS)
