--- /dev/null
+++ b/fakes/upstream/work.c
@@ -0,0 +1,437 @@
+#include "fakes/upstream/work.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "fakes/upstream/answer.h"
+
+#define LOG_MODULE	     "fake-upstream"
+
+#define ORDERED_DEATH_STATUS 99
+
+static const char *const fault_names[] = {
+	"none", "die_before", "die_during", "die_after", "truncate",
+	"late", "crossed",    "silence",    "lie",	 "slow",
+	"shed", "error",      NULL,
+};
+
+TAILQ_HEAD(items, wrk_item);
+
+struct wrk {
+	struct flp *loop;
+	const struct wrk_config *config;
+	struct key *keys;
+	struct items waiting;
+	uint32_t waiting_count;
+	uint32_t busy;
+	apr_time_t started;
+	bool draining;
+	apr_time_t drain_began;
+	apr_time_t last_arrival;
+	uint64_t arrived_draining;
+	uint64_t random;
+	struct flt fault;
+	/* Connections up to this number are silent for good. */
+	uint64_t silent_up_to;
+	uint64_t newest_conn;
+	uint64_t runs;
+	uint64_t sheds;
+	uint64_t cancelled;
+	uint64_t expired;
+	uint32_t max_busy;
+	apr_time_t busy_since;
+	uint64_t busy_us;
+};
+
+static uint64_t next_random(struct wrk *work)
+{
+	work->random ^= work->random << 13;
+	work->random ^= work->random >> 7;
+	work->random ^= work->random << 17;
+	return work->random;
+}
+
+static void account(struct wrk *work)
+{
+	const apr_time_t now = flp_now(work->loop);
+
+	work->busy_us += (uint64_t)(now - work->busy_since) * work->busy;
+	work->busy_since = now;
+}
+
+/* Running takes cold_factor times as long at first, falling to once. */
+static double cold_factor(const struct wrk *work)
+{
+	const apr_interval_time_t age = flp_now(work->loop) - work->started;
+	const double left =
+		1.0 - (double)age / ((double)work->config->cold_ms * 1000.0);
+
+	if (!work->config->cold_ms || left <= 0)
+		return 1.0;
+	return 1.0 + left * (work->config->cold_factor - 1.0);
+}
+
+static apr_interval_time_t running_time(struct wrk_item *item)
+{
+	struct wrk *work = item->work;
+	double us = 1000.0 * (double)fht_query_u64(item->req, "ms",
+						   work->config->mean_ms);
+	const double unit =
+		((double)(next_random(work) >> 11) + 1.0) / 9007199254740993.0;
+
+	if (work->config->vary)
+		us *= -log(unit);
+	us *= cold_factor(work);
+	if (flt_take(&work->fault, WRK_FAULT_SLOW, str_from_c(item->req->path)))
+		us += 1000.0 * (double)work->fault.ms;
+	return (apr_interval_time_t)us;
+}
+
+static void die_if(struct wrk_item *item, enum wrk_fault kind)
+{
+	struct wrk *work = item->work;
+
+	if (!flt_take(&work->fault, (int)kind, str_from_c(item->req->path)))
+		return;
+	evt_log(FAKE_DIE, "upstream=%s request_id=%.*s step=%s",
+		work->config->id,
+		STR_ARG(fht_header(item->req, "X-Request-Id")),
+		fault_names[kind]);
+	_exit(ORDERED_DEATH_STATUS);
+}
+
+static bool is_silent(const struct wrk *work, const struct fht_req *req)
+{
+	return req->conn_number <= work->silent_up_to;
+}
+
+static void begin(struct wrk_item *item)
+{
+	struct wrk *work = item->work;
+	const struct str key = fht_header(item->req, "Idempotency-Key");
+
+	die_if(item, WRK_FAULT_DIE_BEFORE);
+	item->state = WRK_RUNNING;
+	work->runs++;
+	if (key.len)
+		item->run = key_count(work->keys, key);
+	evt_log(FAKE_RUN, "upstream=%s request_id=%.*s key=%.*s busy=%u",
+		work->config->id,
+		STR_ARG(fht_header(item->req, "X-Request-Id")), STR_ARG(key),
+		work->busy);
+	die_if(item, WRK_FAULT_DIE_DURING);
+	flp_timer_set(work->loop, &item->timer,
+		      flp_now(work->loop) + running_time(item));
+}
+
+/* Begins a whole request that has a slot, unless it has become pointless. */
+static void try_begin(struct wrk_item *item)
+{
+	struct wrk *work = item->work;
+
+	if (!item->whole || !item->has_slot || item->state == WRK_RUNNING)
+		return;
+	if (fht_gone(item->req)) {
+		work->cancelled++;
+		fht_abort(item->req);
+		return;
+	}
+	if (item->deadline && item->deadline <= flp_now(work->loop)) {
+		work->expired++;
+		item->state = WRK_READY;
+		ans_shed(work, item->req, "deadline passed");
+		return;
+	}
+	begin(item);
+}
+
+static void take_slot(struct wrk_item *item)
+{
+	struct wrk *work = item->work;
+
+	account(work);
+	work->busy++;
+	if (work->busy > work->max_busy)
+		work->max_busy = work->busy;
+	item->has_slot = true;
+	item->state = WRK_ARRIVING;
+}
+
+static void drop_slot(struct wrk_item *item)
+{
+	struct wrk *work = item->work;
+	struct wrk_item *next;
+
+	if (!item->has_slot)
+		return;
+	account(work);
+	item->has_slot = false;
+	work->busy--;
+	next = TAILQ_FIRST(&work->waiting);
+	if (!next)
+		return;
+	TAILQ_REMOVE(&work->waiting, next, link);
+	work->waiting_count--;
+	take_slot(next);
+	try_begin(next);
+}
+
+static void on_timer(struct flp_timer *timer)
+{
+	struct wrk_item *item =
+		(struct wrk_item *)(void *)((char *)timer -
+					    offsetof(struct wrk_item, timer));
+	struct wrk *work = item->work;
+	const struct str path = str_from_c(item->req->path);
+
+	if (item->state == WRK_RUNNING) {
+		item->state = WRK_READY;
+		die_if(item, WRK_FAULT_DIE_AFTER);
+		if (flt_take(&work->fault, WRK_FAULT_LATE, path)) {
+			flp_timer_set(work->loop, &item->timer,
+				      flp_now(work->loop) +
+					      CLK_MS(work->fault.ms));
+			return;
+		}
+	}
+	if (is_silent(work, item->req) ||
+	    flt_take(&work->fault, WRK_FAULT_SILENCE, path)) {
+		drop_slot(item);
+		return;
+	}
+	wrk_send(item, &work->fault);
+}
+
+static bool is_own_path(const char *path)
+{
+	return !strcmp(path, "/load") || !strncmp(path, "/fake/", 6);
+}
+
+/* Returns the reason for refusing a new request, or NULL. */
+static const char *refuse(struct wrk *work, const struct fht_req *req)
+{
+	if (work->draining)
+		return "draining";
+	if (flt_take(&work->fault, WRK_FAULT_SHED, str_from_c(req->path)))
+		return "ordered";
+	if (work->busy >= work->config->slots &&
+	    work->waiting_count >= work->config->queue)
+		return "full";
+	return NULL;
+}
+
+static struct wrk_item *make_item(struct wrk *work, struct fht_req *req)
+{
+	struct wrk_item *item = calloc(1, sizeof(*item));
+	uint64_t ms;
+
+	if (!item)
+		return NULL;
+	item->work = work;
+	item->req = req;
+	item->timer.fire = on_timer;
+	item->digest = dig_start();
+	if (!str_to_u64(fht_header(req, "X-Deadline-Ms"), &ms))
+		item->deadline = flp_now(work->loop) + CLK_MS(ms);
+	req->user = item;
+	return item;
+}
+
+static void on_head(void *ctx, struct fht_req *req)
+{
+	struct wrk *work = ctx;
+	struct wrk_item *item;
+	const char *reason;
+
+	if (req->conn_number > work->newest_conn)
+		work->newest_conn = req->conn_number;
+	if (is_own_path(req->path) || is_silent(work, req))
+		return;
+	if (work->draining) {
+		work->arrived_draining++;
+		work->last_arrival = flp_now(work->loop);
+	}
+	reason = refuse(work, req);
+	if (reason) {
+		work->sheds++;
+		ans_shed(work, req, reason);
+		return;
+	}
+	item = make_item(work, req);
+	if (!item) {
+		fht_abort(req);
+		return;
+	}
+	if (work->busy < work->config->slots) {
+		take_slot(item);
+		return;
+	}
+	item->state = WRK_WAITING;
+	work->waiting_count++;
+	TAILQ_INSERT_TAIL(&work->waiting, item, link);
+}
+
+static void gather_own(struct fht_req *req, const char *data, size_t len)
+{
+	char *grown = realloc(req->body, req->body_len + len);
+
+	if (!grown)
+		return;
+	memcpy(grown + req->body_len, data, len);
+	req->body = grown;
+	req->body_len += len;
+}
+
+static void on_body(void *ctx, struct fht_req *req, const char *data,
+		    size_t len)
+{
+	struct wrk_item *item = req->user;
+
+	(void)ctx;
+	if (!item) {
+		gather_own(req, data, len);
+		return;
+	}
+	item->received += len;
+	dig_add(item->digest, data, len);
+}
+
+static void on_request(void *ctx, struct fht_req *req)
+{
+	struct wrk_item *item = req->user;
+
+	if (is_silent(ctx, req))
+		return;
+	if (!item) {
+		if (!ans_own(ctx, req))
+			fht_abort(req);
+		return;
+	}
+	item->whole = true;
+	dig_finish(item->digest, item->received_digest);
+	item->digest = NULL;
+	try_begin(item);
+}
+
+static void on_end(void *ctx, struct fht_req *req, bool whole)
+{
+	struct wrk_item *item = req->user;
+
+	(void)ctx;
+	(void)whole;
+	if (!item)
+		return;
+	if (item->state == WRK_WAITING) {
+		TAILQ_REMOVE(&item->work->waiting, item, link);
+		item->work->waiting_count--;
+	}
+	flp_timer_clear(item->work->loop, &item->timer);
+	drop_slot(item);
+	dig_drop(item->digest);
+	free(item);
+}
+
+static const struct fht_ops ops = {
+	.head = on_head,
+	.body = on_body,
+	.request = on_request,
+	.end = on_end,
+};
+
+const struct fht_ops *wrk_ops(void)
+{
+	return &ops;
+}
+
+int wrk_create(struct wrk **out, struct flp *loop,
+	       const struct wrk_config *config, struct key *keys)
+{
+	struct wrk *work = calloc(1, sizeof(*work));
+
+	if (!work)
+		return PST_ERR_NOMEM;
+	work->loop = loop;
+	work->config = config;
+	work->keys = keys;
+	work->started = flp_now(loop);
+	work->busy_since = work->started;
+	work->random = config->seed * 2 + 1;
+	TAILQ_INIT(&work->waiting);
+	*out = work;
+	return 0;
+}
+
+const struct wrk_config *wrk_config(const struct wrk *work)
+{
+	return work->config;
+}
+
+struct key *wrk_keys(struct wrk *work)
+{
+	return work->keys;
+}
+
+struct wrk_load wrk_load(struct wrk *work)
+{
+	struct wrk_load load = {
+		.utilization = (double)work->busy / (double)work->config->slots,
+		.draining = work->draining,
+		.cold = cold_factor(work) > 1.0,
+	};
+
+	if (flt_take(&work->fault, WRK_FAULT_LIE, STR_LIT("")))
+		load.utilization = 0;
+	return load;
+}
+
+json_t *wrk_stats(struct wrk *work)
+{
+	const apr_interval_time_t last =
+		work->arrived_draining ? work->last_arrival - work->drain_began
+				       : -1;
+
+	account(work);
+	return json_pack(
+		"{s:s,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "upstream",
+		work->config->id, "busy", (int)work->busy, "max_busy",
+		(int)work->max_busy, "waiting", (int)work->waiting_count,
+		"runs", (json_int_t)work->runs, "sheds",
+		(json_int_t)work->sheds, "cancelled",
+		(json_int_t)work->cancelled, "expired",
+		(json_int_t)work->expired, "busy_us", (json_int_t)work->busy_us,
+		"age_us", (json_int_t)(flp_now(work->loop) - work->started),
+		"arrived_draining", (json_int_t)work->arrived_draining,
+		"last_arrival_draining_us", (json_int_t)last);
+}
+
+int wrk_set_fault(struct wrk *work, struct str json)
+{
+	struct flt fault;
+	const int err = flt_parse(json, fault_names, &fault);
+
+	if (err)
+		return err;
+	evt_log(FAKE_FAULT_SET, "kind=%s count=%lld ms=%llu",
+		fault_names[fault.kind], (long long)fault.count,
+		(unsigned long long)fault.ms);
+	work->fault = fault;
+	if (fault.kind != WRK_FAULT_SILENCE ||
+	    !str_eq(strbuf_str(&fault.scope), STR_LIT("existing")))
+		return 0;
+	work->silent_up_to = work->newest_conn;
+	work->fault.kind = WRK_FAULT_NONE;
+	return 0;
+}
+
+void wrk_set_drain(struct wrk *work, bool on)
+{
+	evt_log(FAKE_DRAIN, "upstream=%s on=%d busy=%u queued=%u",
+		work->config->id, on, work->busy, work->waiting_count);
+	work->draining = on;
+	work->drain_began = flp_now(work->loop);
+	work->arrived_draining = 0;
+}
