--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -61,6 +61,30 @@
 	uint64_t leave_grace_ms;
 	/* How an upstream is chosen; all but broker are baselines for measurement. */
 	struct str policy;
+	/* Threads that serve callers. */
+	uint64_t threads;
+	/* Bytes of an answer from another region that may be on the way to one request; taken from the link's limit before the request is sent. */
+	uint64_t link_window_bytes;
+};
+
+/* At-most-once tickets and callers' own keys. */
+struct set_ticket {
+	/* Largest number of tickets in one block of a witness. */
+	uint64_t block_tickets;
+	/* Blocks that this process holds as a witness at once. */
+	uint64_t max_blocks;
+	/* Life of a block at its witness, in milliseconds; a ticket is good for at least half of it. */
+	uint64_t ttl_ms;
+	/* Keyed requests that this process remembers, in progress or ended. */
+	uint64_t max_open;
+	/* Time after which a key that no arbiter has decided is answered as unknown, in milliseconds. */
+	uint64_t give_up_ms;
+	/* Time allowed for one call to a witness or home, in milliseconds. */
+	uint64_t call_timeout_ms;
+	/* Claims of callers' own keys that this VM may write to the store in a second. */
+	uint64_t store_writes_per_s;
+	/* Least time for which the store remembers a caller's own key, in seconds. */
+	uint64_t key_retention_s;
 };
 
 /* pst-entryd: permits for the slots of upstreams. */
@@ -123,6 +147,14 @@
 	uint64_t backoff_max_ms;
 };
 
+/* Shares of the table's limits, lent between VMs and processes. */
+struct set_share {
+	/* Longest time that a lent part of a limit is valid, in milliseconds. */
+	uint64_t loan_ms;
+	/* Time between two requests for the same part, in milliseconds; at most a quarter of loan_ms, or parts lapse in between. */
+	uint64_t interval_ms;
+};
+
 /* pst-lookupd: which entry VMs a caller should use. */
 struct set_lookup {
 	/* Port for callers. */
@@ -157,10 +189,12 @@
 	struct set_vm vm;
 	struct set_platform platform;
 	struct set_entry entry;
+	struct set_ticket ticket;
 	struct set_permit permit;
 	struct set_control control;
 	struct set_broker broker;
 	struct set_table table;
+	struct set_share share;
 	struct set_lookup lookup;
 	struct set_net net;
 	struct set_log log;
