--- a/tests/test_permit_faults.c
+++ b/tests/test_permit_faults.c
@@ -116,10 +116,12 @@
 
 static void fill_slots(struct fix_vm *vm)
 {
-	for (uint64_t i = 0; i < FIX_UPSTREAMS * FIX_SLOTS; i++)
+	const unsigned all = FIX_UPSTREAMS * FIX_SLOTS;
+
+	for (unsigned i = 0; i < all; i++)
 		fix_net_ask(vm, i + 1, RANK_NORMAL, DEADLINE);
 	fix_net_run(vm->net, CLK_MS(10));
-	ck_assert_uint_eq(vm->answer_count, FIX_UPSTREAMS * FIX_SLOTS);
+	ck_assert_uint_eq(vm->answer_count, all);
 }
 
 /* Brings the ask to the step; a message takes 1 ms. */
