Permits: test fixture without agent/ctl.c

Cause: every test program links all fixtures; this one pulled in agent/ctl.c, which test_entry replaces by its own, so that program no longer linked. Ruled out: weak symbols in the product. Before: test_entry does not link. Conclusion: the fixture makes its view from the public structure.

--- a/tests/fix_permit.c
+++ b/tests/fix_permit.c
@@ -81,16 +81,32 @@
 	return vml;
 }
 
-void fix_net_list(struct fix_net *net)
+static void release_view(struct ref *ref)
+{
+	struct ctl_view *view = REF_CONTAINER(ref, struct ctl_view, ref);
+
+	tbl_put(view->tbl);
+	vml_put(view->vml);
+	free(view);
+}
+
+/* Not ctl_view_make(): programs that replace agent/ctl.c link this too. */
+static struct ctl_view *make_view(struct fix_net *net)
 {
-	struct tbl *tbl = make_table();
-	struct vml *vml = make_list(net);
+	struct ctl_view *view = calloc(1, sizeof(*view));
 
+	ck_assert_ptr_nonnull(view);
+	ref_init(&view->ref, release_view);
+	view->tbl = make_table();
+	view->vml = make_list(net);
+	return view;
+}
+
+void fix_net_list(struct fix_net *net)
+{
 	if (net->view)
-		ctl_view_put(net->view);
-	net->view = ctl_view_make(tbl, vml);
-	tbl_put(tbl);
-	vml_put(vml);
+		ref_put(&net->view->ref);
+	net->view = make_view(net);
 	for (int i = 0; i < FIX_VMS; i++) {
 		if (net->vms[i].state)
 			permit_state_view(net->vms[i].state, net->view,
@@ -241,7 +257,7 @@
 		permit_state_destroy(net->vms[i].state);
 		brk_host_destroy(net->vms[i].host);
 	}
-	ctl_view_put(net->view);
+	ref_put(&net->view->ref);
 }
 
 static struct fix_vm *vm_at(struct fix_net *net, const struct strbuf *address)
