--- /dev/null
+++ b/tests/test_brk_up.c
@@ -0,0 +1,236 @@
+#include <check.h>
+#include <string.h>
+
+#include "common/clk.h"
+#include "policy/brk_up.h"
+#include "tests/fix_run.h"
+
+#define SLOTS 8
+
+static const struct brk_up_cfg cfg = {
+	.ramp = CLK_SEC(10),
+	.ramp_start_pct = 25,
+	.shed_hold = CLK_MS(100),
+	.silent_hold = CLK_MS(500),
+	.drain_hold = CLK_SEC(10),
+};
+
+static struct brk_fleet fleet;
+
+static struct brk_listed vm_of(const char *name, bool leaving)
+{
+	struct brk_listed vm = {.slots = SLOTS, .leaving = leaving};
+
+	strbuf_set(&vm.name, str_from_c(name));
+	strbuf_set(&vm.address, STR_LIT("127.0.0.2"));
+	return vm;
+}
+
+static void list(const char *names, apr_time_t now)
+{
+	struct brk_listed vms[8];
+	size_t count = 0;
+
+	for (; *names; names++) {
+		const char name[2] = {*names, 0};
+
+		vms[count++] = vm_of(name, false);
+	}
+	ck_assert_int_eq(brk_fleet_list(&fleet, vms, count, now), 0);
+}
+
+static struct brk_up *up_of(const char *name)
+{
+	struct brk_up *up = brk_fleet_find(&fleet, str_from_c(name));
+
+	ck_assert_ptr_nonnull(up);
+	return up;
+}
+
+static void setup(void)
+{
+	brk_fleet_init(&fleet, &cfg);
+	list("ab", 0);
+}
+
+static void teardown(void)
+{
+	brk_fleet_done(&fleet);
+}
+
+/* Uses a slot and gives it back. */
+static void use(const char *name, enum permit_outcome outcome, double pace,
+		apr_time_t now)
+{
+	brk_up_take(&fleet, up_of(name), now);
+	brk_up_free(&fleet, up_of(name), outcome, pace, now);
+}
+
+START_TEST(first_list_is_warm_and_later_ones_ramp_up)
+{
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+	list("abc", CLK_SEC(1));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+	ck_assert_uint_eq(up_of("c")->usable, SLOTS / 4);
+	ck_assert_int_eq(up_of("c")->why, BRK_UP_RAMP);
+	brk_fleet_tick(&fleet, CLK_SEC(6));
+	ck_assert_uint_eq(up_of("c")->usable, SLOTS * 5 / 8);
+	brk_fleet_tick(&fleet, CLK_SEC(11));
+	ck_assert_uint_eq(up_of("c")->usable, SLOTS);
+}
+END_TEST
+
+START_TEST(replaced_or_returning_upstream_is_cold)
+{
+	struct brk_listed vms[] = {vm_of("a", false), vm_of("b", false)};
+
+	strbuf_set(&vms[0].address, STR_LIT("127.0.0.3"));
+	brk_fleet_list(&fleet, vms, 2, CLK_SEC(1));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS / 4);
+	brk_up_take(&fleet, up_of("b"), CLK_SEC(1));
+	list("a", CLK_SEC(2));
+	ck_assert_uint_eq(up_of("b")->usable, 0);
+	list("ab", CLK_SEC(3));
+	ck_assert_uint_eq(up_of("b")->usable, SLOTS / 4);
+}
+END_TEST
+
+/* The first sign, of whichever kind, ends new work at once. */
+START_TEST(leaving_upstream_gets_no_new_work)
+{
+	const struct permit_report draining = {.draining = true};
+	struct brk_listed vms[] = {vm_of("a", _i == 0), vm_of("b", false)};
+
+	if (_i == 0)
+		brk_fleet_list(&fleet, vms, 2, CLK_SEC(1));
+	if (_i == 1)
+		brk_up_report(&fleet, up_of("a"), &draining, CLK_SEC(1));
+	if (_i == 2)
+		use("a", PERMIT_DRAINING, 0, CLK_SEC(1));
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+	for (int i = 0; i < SLOTS; i++) {
+		struct brk_up *up = brk_fleet_pick(&fleet, RANK_URGENT);
+
+		ck_assert_str_eq(up->vm.name.ptr, "b");
+		brk_up_take(&fleet, up, CLK_SEC(1));
+	}
+	ck_assert_ptr_null(brk_fleet_pick(&fleet, RANK_URGENT));
+}
+END_TEST
+
+START_TEST(report_does_not_outvote_a_refusal)
+{
+	const struct permit_report fine = {.load_permille = 10};
+
+	use("a", PERMIT_DRAINING, 0, CLK_SEC(1));
+	brk_up_report(&fleet, up_of("a"), &fine, CLK_SEC(2));
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+	brk_fleet_tick(&fleet, CLK_SEC(12));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+}
+END_TEST
+
+START_TEST(refusals_lower_the_slots_for_a_short_while)
+{
+	brk_up_take(&fleet, up_of("a"), 0);
+	brk_up_take(&fleet, up_of("a"), 0);
+	use("a", PERMIT_SHED, 0, CLK_MS(1));
+	ck_assert_uint_eq(up_of("a")->usable, 2);
+	brk_fleet_tick(&fleet, CLK_MS(102));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+	use("a", PERMIT_SHED, 0, CLK_MS(103));
+	brk_fleet_tick(&fleet, CLK_MS(300));
+	ck_assert_uint_eq(up_of("a")->usable, 2);
+	brk_fleet_tick(&fleet, CLK_MS(304));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+}
+END_TEST
+
+START_TEST(silent_upstream_is_tried_and_then_ramps_up)
+{
+	use("a", PERMIT_SILENT, 0, 0);
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+	brk_fleet_tick(&fleet, CLK_MS(501));
+	ck_assert_uint_eq(up_of("a")->usable, 1);
+	use("a", PERMIT_SILENT, 0, CLK_MS(502));
+	brk_fleet_tick(&fleet, CLK_MS(1501));
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+	brk_fleet_tick(&fleet, CLK_MS(1503));
+	ck_assert_uint_eq(up_of("a")->usable, 1);
+	use("a", PERMIT_DONE, 1, CLK_MS(1504));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS / 4);
+	ck_assert_int_eq(up_of("a")->why, BRK_UP_RAMP);
+}
+END_TEST
+
+START_TEST(upstream_that_keeps_failing_counts_as_silent)
+{
+	use("a", PERMIT_FAILED, 0, 0);
+	use("a", PERMIT_FAILED, 0, 0);
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+	use("a", PERMIT_FAILED, 0, 0);
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+}
+END_TEST
+
+START_TEST(slow_upstream_keeps_one_slot_and_no_urgent_work)
+{
+	for (int i = 0; i < 20; i++)
+		use("a", PERMIT_DONE, 6, 0);
+	ck_assert_uint_eq(up_of("a")->usable, 1);
+	ck_assert_int_eq(up_of("a")->why, BRK_UP_SLOW);
+	for (int i = 0; i < SLOTS; i++)
+		brk_up_take(&fleet, brk_fleet_pick(&fleet, RANK_URGENT), 0);
+	ck_assert_ptr_null(brk_fleet_pick(&fleet, RANK_URGENT));
+	ck_assert_str_eq(brk_fleet_pick(&fleet, RANK_BULK)->vm.name.ptr, "a");
+	for (int i = 0; i < 30; i++)
+		use("a", PERMIT_DONE, 1, 0);
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+}
+END_TEST
+
+/* A report of cold starts one ramp; repeating it does not hold it up. */
+START_TEST(cold_report_starts_one_ramp)
+{
+	const struct permit_report cold = {.cold = true};
+
+	brk_up_report(&fleet, up_of("a"), &cold, CLK_SEC(1));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS / 4);
+	for (int s = 2; s < 11; s++)
+		brk_up_report(&fleet, up_of("a"), &cold, CLK_SEC(s));
+	brk_fleet_tick(&fleet, CLK_SEC(11));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+}
+END_TEST
+
+START_TEST(upstream_off_the_list_is_kept_while_permits_are_out)
+{
+	brk_up_take(&fleet, up_of("a"), 0);
+	list("b", CLK_SEC(1));
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+	ck_assert_uint_eq(fleet.held, 1);
+	brk_up_free(&fleet, up_of("a"), PERMIT_DONE, 1, CLK_SEC(2));
+	ck_assert_ptr_null(brk_fleet_find(&fleet, STR_LIT("a")));
+	ck_assert_uint_eq(fleet.held, 0);
+	ck_assert_uint_eq(fleet.usable, SLOTS);
+	ck_assert_uint_eq(fleet.free, SLOTS);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("brk_up");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, first_list_is_warm_and_later_ones_ramp_up);
+	tcase_add_test(tc, replaced_or_returning_upstream_is_cold);
+	tcase_add_loop_test(tc, leaving_upstream_gets_no_new_work, 0, 3);
+	tcase_add_test(tc, report_does_not_outvote_a_refusal);
+	tcase_add_test(tc, refusals_lower_the_slots_for_a_short_while);
+	tcase_add_test(tc, silent_upstream_is_tried_and_then_ramps_up);
+	tcase_add_test(tc, upstream_that_keeps_failing_counts_as_silent);
+	tcase_add_test(tc, slow_upstream_keeps_one_slot_and_no_urgent_work);
+	tcase_add_test(tc, cold_report_starts_one_ramp);
+	tcase_add_test(tc, upstream_off_the_list_is_kept_while_permits_are_out);
+	return fix_run("brk_up", tc);
+}
