Broker: capacity measurement

Cause: the cost of a permit at several sizes was not known. Ruled out: counting only the processor time of grants (ends and lines cost too). Before: not measured.

--- /dev/null
+++ b/bench/cap_broker.c
@@ -0,0 +1,190 @@
+/*
+ * What a broker costs: time for one permit (ask, grant, release), bytes for
+ * one that is held and one ask that waits, at several numbers of slots, with
+ * and without a waiting line; bytes and count of messages for each request.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "agent/permit_batch.h"
+#include "common/clk.h"
+#include "policy/brk_core.h"
+#include "policy/brk_hold.h"
+
+#define SLOTS_EACH 3
+#define ENTRIES	   24
+#define ROUNDS	   200000
+#define LINE	   200
+
+struct permits {
+	uint64_t *ids;
+	struct strbuf *entries;
+	size_t count;
+	size_t next;
+};
+
+static void keep(void *ctx, const struct brk_answer *answer)
+{
+	struct permits *p = ctx;
+
+	if (answer->result != PERMIT_GRANTED)
+		return;
+	p->ids[p->count] = answer->permit;
+	p->entries[p->count++] = *answer->entry;
+}
+
+static struct brk_entry *entry_of(struct brk *b, unsigned number)
+{
+	char name[16];
+	const int len =
+		snprintf(name, sizeof(name), "entry-%u", number % ENTRIES);
+
+	return brk_hello(b, (struct str){name, (size_t)len}, 1, 0);
+}
+
+static void ask(struct brk *b, uint64_t id, apr_time_t now)
+{
+	const struct brk_ask a = {
+		.id = id,
+		.rank = (enum rank)(id % RANK_COUNT),
+		.deadline = now + CLK_SEC(3600),
+	};
+
+	brk_ask(b, entry_of(b, (unsigned)id), &a, now);
+}
+
+static struct brk *new_broker(size_t slots, struct permits *p)
+{
+	const struct brk_cfg cfg = {
+		.permit_ttl = CLK_SEC(3600),
+		.line_max = 1000000,
+		.epoch = 1,
+	};
+	const struct brk_sink sink = {.answer = keep, .ctx = p};
+	const uint32_t pct[RANK_COUNT] = {50, 30, 20};
+	const size_t count = slots / SLOTS_EACH;
+	struct brk_listed *vms = calloc(count, sizeof(*vms));
+	struct brk *b = NULL;
+
+	for (size_t i = 0; vms && i < count; i++) {
+		char name[24];
+		const int len = snprintf(name, sizeof(name), "upstream-%zu", i);
+
+		strbuf_set(&vms[i].name, (struct str){name, (size_t)len});
+		vms[i].slots = SLOTS_EACH;
+	}
+	if (vms && !brk_create(&b, &cfg, sink, 0)) {
+		brk_set_reserves(b, pct, 0);
+		brk_set_upstreams(b, vms, count, 0);
+	}
+	free(vms);
+	return b;
+}
+
+static void end_oldest(struct brk *b, struct permits *p, apr_time_t now)
+{
+	const uint64_t id = p->ids[p->next];
+	const struct strbuf name = p->entries[p->next++];
+	struct brk_entry *entry = brk_hello(b, strbuf_str(&name), 1, now);
+
+	brk_release(b, entry, id, PERMIT_DONE, now);
+}
+
+/* Fills half of the slots, or all with a line; then ends and asks in turn. */
+static void measure(size_t slots, bool line)
+{
+	struct permits p = {
+		.ids = calloc(ROUNDS + slots + LINE, sizeof(uint64_t)),
+		.entries = calloc(ROUNDS + slots + LINE, sizeof(struct strbuf)),
+	};
+	struct brk *b = new_broker(slots, &p);
+	const size_t first = line ? slots + LINE : slots / 2;
+	apr_time_t from;
+	apr_time_t took;
+
+	for (uint64_t i = 0; b && p.ids && p.entries && i < first; i++)
+		ask(b, i, 0);
+	from = clk_now(clk_system());
+	for (uint64_t i = 0; b && p.ids && p.entries && i < ROUNDS; i++) {
+		end_oldest(b, &p, (apr_time_t)i);
+		ask(b, first + i, (apr_time_t)i);
+	}
+	took = clk_now(clk_system()) - from;
+	printf("broker,time_per_permit_%s,%zu,%.0f,ns\n",
+	       line ? "with_line" : "free", slots,
+	       (double)took * 1000 / ROUNDS);
+	from = clk_now(clk_system());
+	for (int i = 0; b && i < 1000; i++)
+		brk_tick(b, ROUNDS + i);
+	took = clk_now(clk_system()) - from;
+	if (!line)
+		printf("broker,time_per_tick,%zu,%.0f,ns\n", slots,
+		       (double)took);
+	brk_destroy(b);
+	free(p.ids);
+	free(p.entries);
+}
+
+static void print_bytes(void)
+{
+	printf("broker,bytes_per_held_permit,1,%zu,bytes\n",
+	       sizeof(struct brk_permit) + sizeof(void *) * 2);
+	printf("broker,bytes_per_waiting_ask,1,%zu,bytes\n",
+	       sizeof(struct brk_wait) + sizeof(void *));
+	printf("broker,bytes_per_entry,1,%zu,bytes\n",
+	       sizeof(struct brk_entry) + sizeof(void *));
+	printf("broker,bytes_per_upstream,1,%zu,bytes\n",
+	       sizeof(struct brk_up) + sizeof(void *));
+}
+
+static size_t size_of(xdrproc_t proc, void *message)
+{
+	return xdr_sizeof(proc, message);
+}
+
+/* A batch of asks and releases of one broker, and its answers. */
+static void print_messages(unsigned requests)
+{
+	pmt_batch *batch =
+		permit_batch_new(STR_LIT("entry-12"), STR_LIT("almaty"), 1);
+	pmt_answers *answers = permit_answers_new(STR_LIT("entry-3"), 1, 1);
+	const pmt_answer answer = {.ask = 1, .permit = 1};
+	pmt_part *part;
+
+	if (!batch || !answers ||
+	    permit_batch_part(batch, STR_LIT("status"), STR_LIT("almaty-1")))
+		return;
+	part = batch->parts.parts_val;
+	for (unsigned i = 0; i < requests; i++) {
+		permit_batch_ask(part, i, RANK_NORMAL, CLK_SEC(1));
+		permit_batch_release(part, i, PERMIT_DONE);
+		permit_answers_add(answers, &answer, STR_LIT("status"),
+				   STR_LIT("almaty-1"), STR_LIT("status-12"),
+				   STR_LIT("127.1.1.101"));
+	}
+	printf("broker,bytes_per_request_up,%u,%.0f,bytes\n", requests,
+	       (double)size_of((xdrproc_t)xdr_pmt_batch, batch) / requests);
+	printf("broker,bytes_per_request_down,%u,%.0f,bytes\n", requests,
+	       (double)size_of((xdrproc_t)xdr_pmt_answers, answers) / requests);
+	printf("broker,messages_per_request,%u,%.2f,messages\n", requests,
+	       requests > 1 ? 2.0 / requests : 3.0);
+	xdr_free((xdrproc_t)xdr_pmt_batch, batch);
+	xdr_free((xdrproc_t)xdr_pmt_answers, answers);
+	free(batch);
+	free(answers);
+}
+
+int main(void)
+{
+	static const size_t slots[] = {69, 699, 6999};
+
+	for (size_t i = 0; i < 3; i++) {
+		measure(slots[i], false);
+		measure(slots[i], true);
+	}
+	print_bytes();
+	print_messages(1);
+	print_messages(10);
+	print_messages(100);
+	return 0;
+}
