--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -112,6 +112,8 @@
 	if (!status->revision)
 		return 0;
 	rev_heard(&agent->hold.rev, status->revision);
+	if (status->voter)
+		rev_introduce(&agent->hold.rev);
 	err = hold_apply(&agent->hold, status->revision, status->vm, &changed);
 	if (changed) {
 		publish(agent);
@@ -364,7 +366,8 @@
 	bool fresh;
 
 	pthread_mutex_lock(&agent->lock);
-	fresh = agent->view && rev_fresh(&agent->rev, clk_now(agent->clk));
+	fresh = agent->view &&
+		rev_fresh(&agent->rev, clk_now(agent->clk), apr_time_now());
 	pthread_mutex_unlock(&agent->lock);
 	return fresh;
 }
--- a/agent/hold.c
+++ b/agent/hold.c
@@ -101,7 +101,7 @@
 	const apr_time_t now = clk_now(hold->clk);
 	const apr_interval_time_t gap =
 		rev_tick(&hold->rev, now, apr_time_now());
-	const bool fresh = rev_fresh(&hold->rev, now);
+	const bool fresh = rev_fresh(&hold->rev, now, apr_time_now());
 	const apr_interval_time_t age = rev_age(&hold->rev, now);
 
 	if (gap)
--- a/controld/node.c
+++ b/controld/node.c
@@ -43,6 +43,7 @@
 	apr_time_t relay_since;
 	/* Last exchange with a relay of the own domain, or the start. */
 	apr_time_t relay_heard_at;
+	apr_time_t started_at;
 	struct clients clients;
 };
 
@@ -154,7 +155,8 @@
 	node->clk = clk;
 	node->cview = cview;
 	node->incarnation = (uint64_t)apr_time_now();
-	node->relay_heard_at = clk_now(clk);
+	node->started_at = clk_now(clk);
+	node->relay_heard_at = node->started_at;
 	pthread_mutex_init(&node->lock, NULL);
 	pthread_cond_init(&node->newer, NULL);
 	err = hold_init(&node->hold, set, clk);
@@ -237,12 +239,27 @@
 	return err;
 }
 
+/* Whether no other entry VM is listed, or none has answered in time. */
+static bool is_alone(const struct node *node)
+{
+	size_t entries = 0;
+
+	if (clk_now(node->clk) - node->started_at >
+	    node->hold.rev.freshness_timeout)
+		return true;
+	for (size_t i = 0; node->members && i < node->members->count; i++)
+		entries += node->members->vms[i].kind == VM_ENTRY;
+	return entries == 1;
+}
+
 void node_confirm(struct node *node, uint64_t newest, apr_time_t at,
 		  enum node_source source)
 {
 	bool confirmed;
 
 	pthread_mutex_lock(&node->lock);
+	if (is_alone(node))
+		rev_introduce(&node->hold.rev);
 	confirmed = rev_confirm(&node->hold.rev, newest, at);
 	if (confirmed && source != node->source) {
 		evt_log(TABLE_CONFIRM_BY, "source=%s revision=%llu",
@@ -252,6 +269,15 @@
 	pthread_mutex_unlock(&node->lock);
 }
 
+void node_meet(struct node *node, const table_status *peer)
+{
+	pthread_mutex_lock(&node->lock);
+	rev_heard(&node->hold.rev, peer->revision);
+	if (peer->voter)
+		rev_introduce(&node->hold.rev);
+	pthread_mutex_unlock(&node->lock);
+}
+
 uint64_t node_revision(struct node *node)
 {
 	uint64_t revision;
@@ -542,7 +568,7 @@
 	out->voter = rev->voter;
 	out->relay = node->relay;
 	out->store_reachable = node->store_reachable;
-	out->fresh = rev_fresh(rev, now);
+	out->fresh = rev_fresh(rev, now, apr_time_now());
 	return out->vm ? 0 : PST_ERR_NOMEM;
 }
 
--- a/controld/node.h
+++ b/controld/node.h
@@ -43,6 +43,9 @@
 void node_confirm(struct node *node, uint64_t newest, apr_time_t at,
 		  enum node_source source);
 
+/* Notes what another VM has said of its table; see rev_introduce(). */
+void node_meet(struct node *node, const table_status *peer);
+
 /* Held revision; 0 before the first. */
 uint64_t node_revision(struct node *node);
 
--- a/controld/vote_duty.c
+++ b/controld/vote_duty.c
@@ -67,6 +67,7 @@
 
 	if (xchg_status(duty->xchg, vm, &status, &asked_at))
 		return;
+	node_meet(duty->node, &status);
 	*vote = (struct rev_vote){
 		.valid = status.voter,
 		.revision = status.revision,
--- a/controld/xchg.c
+++ b/controld/xchg.c
@@ -104,6 +104,7 @@
 {
 	const table_status *status = &answer->status;
 
+	node_meet(xchg->node, status);
 	if (!status->revision)
 		return;
 	if (status->revision > node_revision(xchg->node))
--- a/policy/rev.c
+++ b/policy/rev.c
@@ -20,6 +20,16 @@
 	return part * 2 > all;
 }
 
+/* The wall clock moved away from the monotonic one since the last tick. */
+static bool clocks_parted(const struct rev *rev, apr_time_t now,
+			  apr_time_t wall)
+{
+	const apr_interval_time_t by =
+		(wall - rev->last_wall) - (now - rev->last_tick);
+
+	return rev->ticked && (by > rev->pause_bound || by < -rev->pause_bound);
+}
+
 void rev_init(struct rev *rev, apr_interval_time_t freshness_timeout,
 	      apr_interval_time_t pause_bound)
 {
@@ -29,6 +39,11 @@
 	};
 }
 
+void rev_introduce(struct rev *rev)
+{
+	rev->introduced = true;
+}
+
 bool rev_heard(struct rev *rev, uint64_t revision)
 {
 	if (revision > rev->heard)
@@ -50,7 +65,7 @@
 	rev_heard(rev, newest);
 	if (!rev->revision || rev->heard > rev->revision)
 		return false;
-	if (at < rev->not_before)
+	if (!rev->introduced || at < rev->not_before)
 		return false;
 	if (rev->confirmed && at <= rev->confirmed_at)
 		return false;
@@ -65,9 +80,10 @@
 	return rev->confirmed ? now - rev->confirmed_at : REV_NEVER;
 }
 
-bool rev_fresh(const struct rev *rev, apr_time_t now)
+bool rev_fresh(const struct rev *rev, apr_time_t now, apr_time_t wall)
 {
-	return rev_age(rev, now) <= rev->freshness_timeout;
+	return rev_age(rev, now) <= rev->freshness_timeout &&
+	       !clocks_parted(rev, now, wall);
 }
 
 apr_interval_time_t rev_tick(struct rev *rev, apr_time_t now, apr_time_t wall)
@@ -109,14 +125,19 @@
 	return found;
 }
 
+bool rev_held_by_majority(const struct rev_holders *holders)
+{
+	return is_majority(holders->domains_whole, holders->domains);
+}
+
 bool rev_accepted(const struct rev_holders *holders,
-		  apr_interval_time_t since_write,
+		  apr_interval_time_t since_majority,
 		  apr_interval_time_t freshness_timeout)
 {
-	if (!is_majority(holders->domains_whole, holders->domains))
+	if (!rev_held_by_majority(holders))
 		return false;
 	if (holders->vms_holding == holders->vms)
 		return true;
-	return since_write >
+	return since_majority >
 	       freshness_timeout + freshness_timeout / CLOCK_DRIFT_DIVISOR;
 }
--- a/policy/rev.h
+++ b/policy/rev.h
@@ -30,6 +30,8 @@
 	bool confirmed;
 	/* The held revision was the newest at this time. */
 	apr_time_t confirmed_at;
+	/* A confirmed peer was heard, or there is none; see rev_introduce(). */
+	bool introduced;
 	/* Its revision may count in a majority: it was confirmed once. */
 	bool voter;
 	/* Confirmations as of an earlier time do not count. */
@@ -42,6 +44,13 @@
 void rev_init(struct rev *rev, apr_interval_time_t freshness_timeout,
 	      apr_interval_time_t pause_bound);
 
+/*
+ * Notes that a peer that was once confirmed has told its revision, or that
+ * there is no such peer. Until then nothing confirms a new process: the store
+ * may offer it an older table than the one in force.
+ */
+void rev_introduce(struct rev *rev);
+
 /* Notes that a revision exists. Returns whether it must be fetched. */
 bool rev_heard(struct rev *rev, uint64_t revision);
 
@@ -58,8 +67,11 @@
 /* Time since the held revision was confirmed, or REV_NEVER. */
 apr_interval_time_t rev_age(const struct rev *rev, apr_time_t now);
 
-/* Whether new work may be taken. */
-bool rev_fresh(const struct rev *rev, apr_time_t now);
+/*
+ * Whether new work may be taken. wall finds a VM that was suspended with its
+ * monotonic clock and has not run rev_tick() since.
+ */
+bool rev_fresh(const struct rev *rev, apr_time_t now, apr_time_t wall);
 
 /*
  * Called regularly with the monotonic and the wall clock. After a gap of
@@ -85,11 +97,7 @@
 bool rev_majority(const struct rev_vote *votes, size_t count, uint64_t held,
 		  apr_time_t *at);
 
-/*
- * Whether an edit is accepted: every VM of a majority of the domains holds
- * it, and every other VM either holds it or has had the freshness timeout,
- * counted from when the edit was written, to stop.
- */
+/* Who holds an edit. */
 struct rev_holders {
 	size_t domains;
 	/* Domains of which every live VM holds the edit. */
@@ -98,8 +106,17 @@
 	size_t vms_holding;
 };
 
+/* Whether a majority of the domains holds it whole. */
+bool rev_held_by_majority(const struct rev_holders *holders);
+
+/*
+ * Whether an edit is accepted: a majority of the domains holds it whole, and
+ * every other VM either holds it or has had the freshness timeout to stop.
+ * That time counts from when the majority was first seen (since_majority),
+ * for only from then on can no older revision be confirmed by a majority.
+ */
 bool rev_accepted(const struct rev_holders *holders,
-		  apr_interval_time_t since_write,
+		  apr_interval_time_t since_majority,
 		  apr_interval_time_t freshness_timeout);
 
 #endif
--- a/pstctl/accept.c
+++ b/pstctl/accept.c
@@ -106,8 +106,8 @@
 {
 	const apr_interval_time_t timeout =
 		CLK_MS(cmd->set->control.freshness_timeout_ms);
-	/* A VM may have confirmed its old table until the write's end. */
 	const apr_time_t written = clk_now(cmd->clk);
+	apr_time_t majority_at = 0;
 	struct rev_holders holders = {0};
 
 	while (clk_now(cmd->clk) - written < BOUND_TIMEOUTS * timeout) {
@@ -115,8 +115,10 @@
 
 		if (!count_holders(poll, frame, &holders))
 			break;
+		if (!majority_at && rev_held_by_majority(&holders))
+			majority_at = now;
 		if (!out->accepted &&
-		    rev_accepted(&holders, now - written, timeout)) {
+		    rev_accepted(&holders, now - majority_at, timeout)) {
 			out->accepted = true;
 			out->accepted_after = now - began;
 		}
