fake-caller: all kinds of work, every answer checked, keys compared

The proof needs a caller that knows what it was told: whole, not run or unknown for each key, and compares that with the upstreams' journals. Ruled out: asking upstreams for their counts at the end, as some will have died by order; the journals outlive them.

--- /dev/null
+++ b/fakes/caller/job.c
@@ -0,0 +1,299 @@
+#include "fakes/caller/job.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fakes/caller/check.h"
+
+#define BOOK_BYTES 200
+/* Above the deadline, so that a refusal at the deadline still arrives. */
+#define ANSWER_MARGIN_MS 2000
+#define IDLE_LIMIT_S	 6
+#define BULK_TIMEOUT_MS	 120000
+#define BACKOFF_MS	 100
+#define BODY_VARIANTS	 4
+
+struct job {
+	struct job_env *env;
+	struct wdl *work;
+	uint64_t number;
+	uint32_t attempt;
+	/* Position in the list of entry VMs. */
+	uint32_t turn;
+	uint32_t block;
+	apr_time_t began;
+	enum wdl_outcome outcome;
+	char key[LUK_TICKET_BYTES];
+	char request_id[64];
+	char entry[LUK_URL_BYTES];
+	char sent_digest[DIG_TEXT_BYTES];
+	char reason[64];
+	struct luk_wait wait;
+	struct flp_timer timer;
+	struct cll_call call;
+};
+
+static void go(struct job *job);
+
+static bool needs_key(const struct job *job)
+{
+	return job->work->kind == WDL_BOOK || job->work->kind == WDL_UPLOAD;
+}
+
+static void trace(const struct job *job, apr_interval_time_t took)
+{
+	static const char *const names[] = {
+		[WDL_WHOLE] = "whole",
+		[WDL_NOT_RUN] = "not_run",
+		[WDL_UNKNOWN] = "unknown",
+		[WDL_WRONG] = "wrong",
+	};
+
+	if (!job->env->trace)
+		return;
+	fprintf(job->env->trace, "%lld,%s,%s,%s,%lld,%s,%s,%s,%s,%u,%s\n",
+		(long long)(job->began - job->env->started),
+		job->work->name.ptr, rank_name(job->work->rank),
+		names[job->outcome], (long long)took, job->call.served_by,
+		job->entry, job->request_id, job->key, job->attempt,
+		job->reason);
+	fflush(job->env->trace);
+}
+
+static void end_job(struct job *job)
+{
+	struct job_env *env = job->env;
+	struct wdl *work = job->work;
+	const apr_interval_time_t took = flp_now(env->loop) - job->began;
+
+	work->outcomes[job->outcome]++;
+	work->open--;
+	if (job->outcome == WDL_WHOLE) {
+		if (took <= CLK_MS(work->deadline_ms))
+			work->in_time++;
+		if (job->began >= env->measure_from)
+			wdl_sample(&work->samples, took);
+	}
+	if (job->key[0])
+		krc_note(env->keys, job->key, job->outcome);
+	trace(job, took);
+	free(job);
+	env->ended(env, work);
+}
+
+static void on_backoff(struct flp_timer *timer)
+{
+	go((struct job *)(void *)((char *)timer - offsetof(struct job, timer)));
+}
+
+/* Tries again elsewhere, or ends with the verdict at hand. */
+static void next_attempt(struct job *job)
+{
+	struct job_env *env = job->env;
+
+	if (job->attempt >= job->work->tries) {
+		end_job(job);
+		return;
+	}
+	job->turn++;
+	/* A key that was refused is spent; an unknown one is asked again. */
+	if (job->key[0] && job->outcome == WDL_NOT_RUN) {
+		krc_note(env->keys, job->key, WDL_NOT_RUN);
+		job->key[0] = '\0';
+	}
+	job->timer.fire = on_backoff;
+	flp_timer_set(env->loop, &job->timer,
+		      flp_now(env->loop) + CLK_MS(BACKOFF_MS) * job->attempt);
+}
+
+static void count_reason(struct job_env *env, const char *reason)
+{
+	json_t *count = json_object_get(env->reasons, reason);
+
+	if (count)
+		json_integer_set(count, json_integer_value(count) + 1);
+	else
+		json_object_set_new(env->reasons, reason, json_integer(1));
+}
+
+static void on_done(struct cll_call *call)
+{
+	struct job *job = (struct job *)(void *)((char *)call -
+						 offsetof(struct job, call));
+	const struct chk_want want = {
+		.kind = job->work->kind,
+		.service = job->work->service.ptr,
+		.request_id = job->request_id,
+		.key = job->key,
+		.bytes = call->body_len ? call->body_len : job->work->bytes,
+		.sent_digest = job->sent_digest,
+	};
+	const struct chk_result result = chk_answer(call, &want);
+
+	memcpy(job->reason, result.reason, sizeof(job->reason));
+	if (result.reason[0])
+		count_reason(job->env, result.reason);
+	if (!result.no_verdict)
+		job->outcome = result.outcome;
+	if (result.outcome == WDL_WHOLE || result.outcome == WDL_WRONG)
+		end_job(job);
+	else
+		next_attempt(job);
+}
+
+static void add_header(struct cll_call *call, const char *name,
+		       const char *value)
+{
+	char line[256];
+
+	snprintf(line, sizeof(line), "%s: %s", name, value);
+	call->headers = curl_slist_append(call->headers, line);
+}
+
+static void add_headers(struct job *job)
+{
+	static const char *const urgencies[RANK_COUNT] = {
+		[RANK_URGENT] = "u=1",
+		[RANK_NORMAL] = "u=3",
+		[RANK_BULK] = "u=6",
+	};
+	char number[32];
+
+	snprintf(number, sizeof(number), "%u", job->work->deadline_ms);
+	add_header(&job->call, "X-Request-Id", job->request_id);
+	add_header(&job->call, "Priority", urgencies[job->work->rank]);
+	add_header(&job->call, "X-Deadline-Ms", number);
+	if (job->key[0])
+		add_header(&job->call, "Idempotency-Key", job->key);
+}
+
+static void set_body(struct job *job)
+{
+	struct cll_call *call = &job->call;
+
+	if (!needs_key(job))
+		return;
+	call->has_body = true;
+	call->body_len =
+		job->work->kind == WDL_UPLOAD ? job->work->bytes : BOOK_BYTES;
+	/* Few variants, whose digests are computed once. */
+	call->body_seed = job->env->seed + job->number % BODY_VARIANTS;
+	dig_of_fill(call->body_seed, call->body_len, job->sent_digest);
+	add_header(call, "Content-Digest", job->sent_digest);
+}
+
+static void set_url(struct job *job)
+{
+	static const char *const paths[] = {
+		[WDL_GET] = "item",
+		[WDL_BOOK] = "book",
+		[WDL_UPLOAD] = "scan",
+		[WDL_BLOB] = "blob",
+	};
+	const struct wdl *work = job->work;
+	struct cll_call *call = &job->call;
+	int used;
+
+	used = snprintf(call->url, sizeof(call->url), "%s%s%s/%s?n=%llu",
+			job->entry, job->env->direct ? "" : "/s/",
+			job->env->direct ? "" : work->service.ptr,
+			paths[work->kind], (unsigned long long)job->number);
+	if (work->ms != UINT32_MAX)
+		used += snprintf(call->url + used,
+				 sizeof(call->url) - (size_t)used, "&ms=%u",
+				 work->ms);
+	if (work->kind == WDL_BLOB)
+		snprintf(call->url + used, sizeof(call->url) - (size_t)used,
+			 "&bytes=%llu", (unsigned long long)work->bytes);
+}
+
+static void send_attempt(struct job *job)
+{
+	static const char *const methods[] = {
+		[WDL_GET] = "GET",
+		[WDL_BOOK] = "POST",
+		[WDL_UPLOAD] = "PUT",
+		[WDL_BLOB] = "GET",
+	};
+	const bool bulk =
+		job->work->kind == WDL_UPLOAD || job->work->kind == WDL_BLOB;
+	struct cll_call *call = &job->call;
+
+	memset(call, 0, sizeof(*call));
+	job->attempt++;
+	job->work->attempts++;
+	snprintf(job->request_id, sizeof(job->request_id), "c%llu-%llu-%u",
+		 (unsigned long long)job->env->seed,
+		 (unsigned long long)job->number, job->attempt);
+	set_url(job);
+	add_headers(job);
+	set_body(job);
+	call->method = methods[job->work->kind];
+	call->timeout_ms =
+		bulk ? BULK_TIMEOUT_MS
+		     : (long)job->work->deadline_ms + ANSWER_MARGIN_MS;
+	call->idle_s = bulk ? IDLE_LIMIT_S : 0;
+	call->done = on_done;
+	cll_start(job->env->cll, call);
+}
+
+static void on_wait(struct luk_wait *wait, bool ok)
+{
+	struct job *job = (struct job *)(void *)((char *)wait -
+						 offsetof(struct job, wait));
+
+	if (ok) {
+		go(job);
+		return;
+	}
+	job->attempt++;
+	count_reason(job->env, "no_entry_or_ticket");
+	next_attempt(job);
+}
+
+/* Returns whether the job has its key, or needs none. */
+static bool has_key(struct job *job)
+{
+	if (!needs_key(job) || job->key[0])
+		return true;
+	if (job->env->own_keys || job->env->direct) {
+		snprintf(job->key, sizeof(job->key), "own-%llu-%llu-%u",
+			 (unsigned long long)job->env->seed,
+			 (unsigned long long)job->number, job->attempt);
+		return true;
+	}
+	return luk_ticket(job->env->luk, job->entry, job->key, &job->wait);
+}
+
+static void go(struct job *job)
+{
+	const char *urls[LUK_ENTRIES];
+	const size_t count =
+		luk_entries(job->env->luk, strbuf_str(&job->work->service),
+			    job->block, urls, &job->wait);
+
+	if (!count)
+		return;
+	snprintf(job->entry, sizeof(job->entry), "%s", urls[job->turn % count]);
+	if (has_key(job))
+		send_attempt(job);
+}
+
+void job_start(struct job_env *env, struct wdl *work)
+{
+	struct job *job = calloc(1, sizeof(*job));
+
+	if (!job)
+		abort();
+	job->env = env;
+	job->work = work;
+	job->number = ++env->next_number;
+	job->block = (uint32_t)(job->number % env->blocks);
+	job->began = flp_now(env->loop);
+	/* Nothing has been sent yet. */
+	job->outcome = WDL_NOT_RUN;
+	job->wait.ready = on_wait;
+	work->sent++;
+	work->open++;
+	go(job);
+}
--- /dev/null
+++ b/fakes/caller/keyrec.c
@@ -0,0 +1,124 @@
+#include "fakes/caller/keyrec.h"
+
+#include <dirent.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <jansson.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+
+#define LOG_MODULE "fake-caller"
+
+#define PATH_BYTES 1024
+#define LINE_BYTES 256
+#define SUFFIX	   ".journal"
+
+static const char *const outcome_names[] = {
+	[WDL_WHOLE] = "whole",
+	[WDL_NOT_RUN] = "not_run",
+	[WDL_UNKNOWN] = "unknown",
+	[WDL_WRONG] = "wrong",
+};
+
+struct krc {
+	/* Key to outcome. */
+	json_t *told;
+};
+
+static void count_line(json_t *runs, char *line)
+{
+	json_t *count;
+
+	line[strcspn(line, "\n")] = '\0';
+	count = json_object_get(runs, line);
+	if (count)
+		json_integer_set(count, json_integer_value(count) + 1);
+	else if (line[0])
+		json_object_set_new(runs, line, json_integer(1));
+}
+
+static void read_journal(json_t *runs, const char *path)
+{
+	char line[LINE_BYTES];
+	FILE *file = fopen(path, "re");
+
+	if (!file)
+		return;
+	while (fgets(line, sizeof(line), file))
+		count_line(runs, line);
+	fclose(file);
+}
+
+static int read_journals(json_t *runs, const char *folder)
+{
+	char path[PATH_BYTES];
+	DIR *dir = opendir(folder);
+	struct dirent *entry;
+
+	if (!dir)
+		return PST_ERR_IO;
+	while ((entry = readdir(dir))) {
+		const size_t len = strlen(entry->d_name);
+
+		if (len <= strlen(SUFFIX) ||
+		    strcmp(entry->d_name + len - strlen(SUFFIX), SUFFIX) != 0)
+			continue;
+		snprintf(path, sizeof(path), "%s/%s", folder, entry->d_name);
+		read_journal(runs, path);
+	}
+	closedir(dir);
+	return 0;
+}
+
+static void judge(const char *key, enum wdl_outcome told, json_int_t runs,
+		  struct krc_result *out)
+{
+	const bool untrue = told == WDL_NOT_RUN && runs > 0;
+	const bool lost = told == WDL_WHOLE && runs == 0;
+
+	out->keys++;
+	out->doubled += runs > 1;
+	out->untrue += untrue;
+	out->lost += lost;
+	if (told == WDL_UNKNOWN && runs)
+		out->unknown_run++;
+	if (told == WDL_UNKNOWN && !runs)
+		out->unknown_not_run++;
+	if (runs > 1 || untrue || lost)
+		evt_log(FAKE_DOUBLED, "key=%s runs=%lld outcome=%s", key,
+			(long long)runs, outcome_names[told]);
+}
+
+int krc_create(struct krc **out)
+{
+	struct krc *keys = calloc(1, sizeof(*keys));
+
+	if (!keys)
+		return PST_ERR_NOMEM;
+	keys->told = json_object();
+	*out = keys;
+	return 0;
+}
+
+void krc_note(struct krc *keys, const char *key, enum wdl_outcome outcome)
+{
+	json_object_set_new(keys->told, key, json_integer((int)outcome));
+}
+
+int krc_check(struct krc *keys, const char *folder, struct krc_result *out)
+{
+	json_t *runs = json_object();
+	const char *key;
+	json_t *told;
+	const int err = read_journals(runs, folder);
+
+	memset(out, 0, sizeof(*out));
+	json_object_foreach(keys->told, key, told)
+		judge(key, (enum wdl_outcome)json_integer_value(told),
+		      json_integer_value(json_object_get(runs, key)), out);
+	json_decref(runs);
+	return err;
+}
--- /dev/null
+++ b/fakes/caller/load.c
@@ -0,0 +1,137 @@
+#include "fakes/caller/load.h"
+
+#include <math.h>
+
+/* Jobs of one work that may be open at once. */
+#define MAX_OPEN 6000
+
+struct load {
+	struct job_env *env;
+	const struct lod_config *config;
+	apr_time_t stops;
+	uint64_t random;
+	struct flp_timer end;
+	bool closing;
+};
+
+/* One run a process, as the streams' timers hold no pointer to it. */
+static struct load load;
+
+static double unit(void)
+{
+	load.random ^= load.random << 13;
+	load.random ^= load.random >> 7;
+	load.random ^= load.random << 17;
+	return ((double)(load.random >> 11) + 1.0) / 9007199254740993.0;
+}
+
+static struct wdl *work_of(struct flp_timer *timer)
+{
+	return (struct wdl *)(void *)((char *)timer -
+				      offsetof(struct wdl, next));
+}
+
+static apr_time_t stop_of(const struct wdl *work)
+{
+	const apr_time_t to = load.env->started + CLK_MS(work->to_ms);
+
+	return to < load.stops ? to : load.stops;
+}
+
+static uint64_t open_jobs(void)
+{
+	uint64_t open = 0;
+
+	for (size_t i = 0; i < load.config->count; i++)
+		open += load.config->works[i].open;
+	return open;
+}
+
+static void stop_if_done(void)
+{
+	if (load.closing && !open_jobs())
+		flp_stop(load.env->loop);
+}
+
+static void start_one(struct wdl *work)
+{
+	if (work->open >= MAX_OPEN)
+		work->held_back++;
+	else
+		job_start(load.env, work);
+}
+
+static void on_arrival(struct flp_timer *timer)
+{
+	struct wdl *work = work_of(timer);
+	apr_time_t at = timer->at;
+
+	/* From the planned time, so that a late loop does not slow the rate. */
+	while (at <= flp_now(load.env->loop) && at < stop_of(work)) {
+		start_one(work);
+		at += (apr_interval_time_t)(-log(unit()) * APR_USEC_PER_SEC /
+					    work->rate);
+	}
+	if (at < stop_of(work))
+		flp_timer_set(load.env->loop, timer, at);
+}
+
+static void on_closed_start(struct flp_timer *timer)
+{
+	struct wdl *work = work_of(timer);
+
+	for (uint32_t i = 0; i < work->closed; i++)
+		start_one(work);
+}
+
+static void on_again(struct flp_timer *timer)
+{
+	start_one(work_of(timer));
+}
+
+static void on_ended(struct job_env *env, struct wdl *work)
+{
+	if (work->closed && flp_now(env->loop) < stop_of(work)) {
+		/* Through the loop, so that failures cannot recurse. */
+		if (work->next.armed) {
+			start_one(work);
+			return;
+		}
+		work->next.fire = on_again;
+		flp_timer_set(env->loop, &work->next, flp_now(env->loop));
+		return;
+	}
+	stop_if_done();
+}
+
+static void on_end(struct flp_timer *timer)
+{
+	if (load.closing) {
+		flp_stop(load.env->loop);
+		return;
+	}
+	load.closing = true;
+	flp_timer_set(load.env->loop, timer,
+		      flp_now(load.env->loop) + load.config->drain);
+	stop_if_done();
+}
+
+uint64_t lod_run(struct job_env *env, const struct lod_config *config)
+{
+	load.env = env;
+	load.config = config;
+	load.random = env->seed * 2 + 1;
+	load.stops = env->started + config->duration;
+	load.end.fire = on_end;
+	env->ended = on_ended;
+	for (size_t i = 0; i < config->count; i++) {
+		struct wdl *work = &config->works[i];
+
+		work->next.fire = work->closed ? on_closed_start : on_arrival;
+		flp_timer_set(env->loop, &work->next,
+			      env->started + CLK_MS(work->from_ms));
+	}
+	flp_timer_set(env->loop, &load.end, load.stops);
+	flp_run(env->loop);
+	return open_jobs();
+}
--- /dev/null
+++ b/fakes/caller/load.h
@@ -0,0 +1,18 @@
+/* Arrivals: Poisson streams or closed loops for a bounded time. */
+#ifndef FAKES_CALLER_LOAD_H
+#define FAKES_CALLER_LOAD_H
+
+#include "fakes/caller/job.h"
+
+struct lod_config {
+	struct wdl *works;
+	size_t count;
+	apr_interval_time_t duration;
+	/* Time after the last arrival until open jobs are given up. */
+	apr_interval_time_t drain;
+};
+
+/* Runs the whole load. Returns the number of jobs without an end. */
+uint64_t lod_run(struct job_env *env, const struct lod_config *config);
+
+#endif
--- /dev/null
+++ b/fakes/caller/report.h
@@ -0,0 +1,31 @@
+/* The caller's report: a table on standard output and a CSV file. */
+#ifndef FAKES_CALLER_REPORT_H
+#define FAKES_CALLER_REPORT_H
+
+#include <jansson.h>
+
+#include "fakes/caller/keyrec.h"
+#include "fakes/caller/work.h"
+
+struct rpt {
+	struct wdl *works;
+	size_t count;
+	const json_t *reasons;
+	/* NULL when the journals were not read. */
+	const struct krc_result *keys;
+	uint64_t seed;
+	double seconds;
+	uint64_t stale_lookups;
+	/* Jobs without an end when the time ran out. */
+	uint64_t unfinished;
+};
+
+void rpt_print(const struct rpt *report);
+
+/* Returns 0 or PST_ERR_IO. */
+int rpt_write_csv(const struct rpt *report, const char *path);
+
+/* Whether nothing was lost, doubled or mixed up. */
+bool rpt_clean(const struct rpt *report);
+
+#endif
