--- a/agent/stc.c
+++ b/agent/stc.c
@@ -1,6 +1,7 @@
 #include "agent/stc.h"
 
 #include <pthread.h>
+#include <stdatomic.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +10,7 @@
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "common/ctr.h"
 #include "common/err.h"
 #include "common/evt.h"
 
@@ -36,6 +38,7 @@
 	char base[URL_MAX];
 	/* Whether the last call failed, to log changes only. */
 	bool down;
+	atomic_bool cancelled;
 };
 
 struct body {
@@ -86,6 +89,18 @@
 	return add;
 }
 
+static int on_progress(void *ctx, curl_off_t down_total, curl_off_t down,
+		       curl_off_t up_total, curl_off_t up)
+{
+	const struct stc *stc = ctx;
+
+	(void)down_total;
+	(void)down;
+	(void)up_total;
+	(void)up;
+	return stc->cancelled;
+}
+
 static json_t *json_b64(struct str s)
 {
 	const int need = apr_base64_encode_len((int)s.len);
@@ -156,6 +171,17 @@
 	return err || !*out ? PST_ERR_PROTOCOL : 0;
 }
 
+static void count_call(const struct call *call, int err)
+{
+	char labels[64];
+
+	snprintf(labels, sizeof(labels), "call=\"%s\",result=\"%s\"",
+		 call->path, err_name(err));
+	ctr_add(ctr_get("pst_store_calls_total", labels,
+			"Calls of the platform's store."),
+		1);
+}
+
 static void note_result(struct stc *stc, const struct call *call, int err)
 {
 	const bool failed = err == PST_ERR_UNAVAILABLE ||
@@ -167,6 +193,7 @@
 	else if (!failed && stc->down)
 		evt_log(STORE_BACK, "path=%s", call->path);
 	stc->down = failed;
+	count_call(call, err);
 }
 
 /* Whether any byte of the request may have reached the store. */
@@ -209,6 +236,9 @@
 	curl_easy_setopt(stc->easy, CURLOPT_INTERFACE, interface);
 	curl_easy_setopt(stc->easy, CURLOPT_FRESH_CONNECT, once);
 	curl_easy_setopt(stc->easy, CURLOPT_FORBID_REUSE, once);
+	curl_easy_setopt(stc->easy, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(stc->easy, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(stc->easy, CURLOPT_XFERINFODATA, stc);
 	curl_easy_setopt(stc->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(stc->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(stc->easy, CURLOPT_TCP_NODELAY, 1L);
@@ -465,6 +495,11 @@
 	free(stc);
 }
 
+void stc_cancel(struct stc *stc)
+{
+	stc->cancelled = true;
+}
+
 int stc_read(struct stc *stc, struct str prefix, struct stc_list *out)
 {
 	if (prefix.len > STC_KEY_MAX)
--- /dev/null
+++ b/entryd/route.c
@@ -0,0 +1,484 @@
+#include "entryd/route.h"
+
+#include <poll.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "entryd/route_act.h"
+
+#define LOG_MODULE "entry.route"
+
+/* Messages that one request can have under way at once, and spare. */
+#define MESSAGES_PER_REQUEST 8
+#define MESSAGES_SPARE	     64
+
+/* Ticks between two looks at the callers' connections. */
+#define GONE_TICKS  20
+
+#define NO_DEADLINE INT64_MAX
+
+enum msg_kind {
+	MSG_ARRIVED,
+	MSG_TICKET,
+	MSG_PERMIT,
+	MSG_HEAD,
+	MSG_RESULT,
+	MSG_GONE,
+	MSG_TICK,
+	MSG_STOP,
+};
+
+struct msg {
+	enum msg_kind kind;
+	/* A reference, or NULL. */
+	struct req *req;
+	union {
+		struct tkt_answer ticket;
+		struct permit_answer permit;
+		struct {
+			enum pth_result result;
+			bool replayable;
+			unsigned status;
+		} result;
+	};
+};
+
+static struct msg *msg_create(enum msg_kind kind, struct req *req)
+{
+	struct msg *msg = calloc(1, sizeof(*msg));
+
+	if (!msg)
+		abort();
+	msg->kind = kind;
+	msg->req = req;
+	if (req)
+		req_get(req);
+	return msg;
+}
+
+static void post(struct rte *rte, struct msg *msg)
+{
+	if (apr_queue_push(rte->ring, msg) == APR_SUCCESS)
+		return;
+	if (msg->req)
+		req_put(msg->req);
+	free(msg);
+}
+
+static struct req *find(struct rte *rte, uint64_t number)
+{
+	return apr_hash_get(rte->by_number, &number, sizeof(number));
+}
+
+static void enlist(struct rte *rte, struct req *req)
+{
+	req_get(req);
+	req->listed = true;
+	req->next = rte->active;
+	req->prev = NULL;
+	if (rte->active)
+		rte->active->prev = req;
+	rte->active = req;
+	apr_hash_set(rte->by_number, &req->number, sizeof(req->number), req);
+}
+
+static void set_stage(struct req *req, enum req_stage stage)
+{
+	pthread_mutex_lock(&req->lock);
+	req->stage = stage;
+	req_wake(req);
+	pthread_mutex_unlock(&req->lock);
+}
+
+static void run(struct rte *rte, struct req *req, struct pth_event event)
+{
+	struct pth_actions actions;
+
+	req_get(req);
+	for (;;) {
+		pth_step(&req->pth, &event, &actions);
+		for (size_t i = 0; i < actions.count; i++)
+			rte_act(rte, req, &actions.list[i]);
+		if (!rte->deferred_count)
+			break;
+		event = rte->deferred[0];
+		rte->deferred_count--;
+		memmove(&rte->deferred[0], &rte->deferred[1],
+			rte->deferred_count * sizeof(event));
+	}
+	req_put(req);
+}
+
+/* Refuses an arrival before it entered the path; a key is not sealed. */
+static void refuse_arrival(struct rte *rte, struct req *req, int reason)
+{
+	atomic_fetch_sub(&rte->in_progress, 1);
+	rte_refuse(rte, req, !req->keyed, reason);
+}
+
+static void on_arrived(struct rte *rte, struct req *req)
+{
+	struct ctl_view *view = ctl_agent_view(rte->parts.ctl);
+	const struct tbl_row *row;
+	int service = -1;
+
+	if (!view || !ctl_agent_fresh(rte->parts.ctl)) {
+		evt_log(REQ_WAIT_TABLE, "req=%s", req->id.ptr);
+		refuse_arrival(rte, req, PST_ERR_REQ_NO_TABLE);
+		goto out;
+	}
+	service = tbl_service_find(view->tbl, strbuf_str(&req->service));
+	if (service < 0) {
+		refuse_arrival(rte, req, PST_ERR_REQ_SERVICE);
+		goto out;
+	}
+	row = tbl_row(view->tbl, (uint32_t)service, req->rank);
+	if (!req->deadline_ms || req->deadline_ms > row->deadline_ms)
+		req->deadline_ms = row->deadline_ms;
+	req->deadline = req->arrived + CLK_MS(req->deadline_ms);
+	evt_log(REQ_ARRIVED,
+		"req=%s service=%s rank=%s method=%s keyed=%d deadline_ms=%u",
+		req->id.ptr, req->service.ptr, rank_name(req->rank),
+		req->method, req->keyed, req->deadline_ms);
+	enlist(rte, req);
+	pth_init(&req->pth, req->idempotent, req->keyed);
+	run(rte, req, (struct pth_event){.kind = PTH_EV_START});
+out:
+	if (view)
+		ctl_view_put(view);
+}
+
+static void on_ticket(struct rte *rte, const struct tkt_answer *answer)
+{
+	static const enum pth_ticket verdicts[] = {
+		[TKT_RUN] = PTH_TICKET_RUN,
+		[TKT_NOT_RUN] = PTH_TICKET_NOT_RUN,
+		[TKT_UNKNOWN] = PTH_TICKET_UNKNOWN,
+		[TKT_REFUSED] = PTH_TICKET_NOT_RUN,
+	};
+	static const char *const names[] = {
+		[TKT_RUN] = "run",
+		[TKT_NOT_RUN] = "not_run",
+		[TKT_UNKNOWN] = "unknown",
+		[TKT_REFUSED] = "refused",
+	};
+	struct req *req = find(rte, answer->request_id);
+
+	if (!req)
+		return;
+	evt_log(REQ_KEY_VERDICT, "req=%s verdict=%s reason=%s", req->id.ptr,
+		names[answer->verdict], err_name(answer->reason));
+	run(rte, req,
+	    (struct pth_event){
+		    .kind = PTH_EV_TICKET,
+		    .ticket = verdicts[answer->verdict],
+	    });
+}
+
+static void on_permit(struct rte *rte, const struct permit_answer *answer)
+{
+	struct req *req = find(rte, answer->ask_id >> RTE_ASK_BITS);
+	struct pth_event event = {.kind = PTH_EV_PERMIT};
+
+	if (!req || !req->pth.permit_pending ||
+	    req->pth.asks != (answer->ask_id & RTE_ASK_MASK)) {
+		if (answer->result == PERMIT_GRANTED)
+			permit_agent_release(rte->parts.permit,
+					     answer->permit_id, PERMIT_UNUSED);
+		return;
+	}
+	switch (answer->result) {
+	case PERMIT_GRANTED:
+		event.permit = PTH_PERMIT_GRANTED;
+		req->permit_id = answer->permit_id;
+		req->upstream = answer->upstream;
+		req->upstream_address = answer->address;
+		req->upstream_port = answer->port;
+		break;
+	case PERMIT_FULL:
+	case PERMIT_NO_UPSTREAM:
+		event.permit = PTH_PERMIT_ELSEWHERE;
+		break;
+	case PERMIT_LATE:
+		event.permit = PTH_PERMIT_LATE;
+		break;
+	}
+	if (answer->result != PERMIT_GRANTED)
+		evt_log(REQ_PERMIT_REFUSED, "req=%s domain=%s result=%d",
+			req->id.ptr, req->domain.ptr, (int)answer->result);
+	if (event.permit == PTH_PERMIT_ELSEWHERE) {
+		struct ctl_view *view = ctl_agent_view(rte->parts.ctl);
+		const int i =
+			tbl_domain_find(view->tbl, strbuf_str(&req->domain));
+
+		if (i >= 0)
+			req->tried[i] = true;
+		ctl_view_put(view);
+	}
+	run(rte, req, event);
+}
+
+static void on_result(struct rte *rte, struct req *req, const struct msg *msg)
+{
+	if (!req->listed)
+		return;
+	evt_log(REQ_TRY_ENDED, "req=%s upstream=%s result=%s status=%u",
+		req->id.ptr, req->upstream.ptr,
+		pth_result_name(msg->result.result), msg->result.status);
+	run(rte, req,
+	    (struct pth_event){
+		    .kind = PTH_EV_RESULT,
+		    .result = msg->result.result,
+		    .replayable = msg->result.replayable,
+	    });
+}
+
+static void on_gone(struct rte *rte, struct req *req)
+{
+	if (!req->listed || req->gone_noted)
+		return;
+	req->gone_noted = true;
+	evt_log(REQ_CALLER_GONE, "req=%s", req->id.ptr);
+	set_stage(req, REQ_BROKEN);
+	run(rte, req, (struct pth_event){.kind = PTH_EV_CALLER_GONE});
+}
+
+/* An upload takes as long as it takes: its deadline starts at its end. */
+static void check_deadline(struct rte *rte, struct req *req, apr_time_t now)
+{
+	bool uploading;
+
+	if (req->deadline == NO_DEADLINE)
+		return;
+	pthread_mutex_lock(&req->lock);
+	uploading =
+		req->stage == REQ_OPEN && req->body_length && !req->body.closed;
+	pthread_mutex_unlock(&req->lock);
+	if (uploading) {
+		req->deadline = now + CLK_MS(req->deadline_ms);
+		return;
+	}
+	if (now < req->deadline)
+		return;
+	req->deadline = NO_DEADLINE;
+	run(rte, req, (struct pth_event){.kind = PTH_EV_DEADLINE});
+}
+
+/* A suspended connection is not watched by the HTTP library. */
+static bool caller_lost(struct req *req)
+{
+	struct pollfd pfd = {.fd = -1, .events = POLLRDHUP};
+
+	pthread_mutex_lock(&req->lock);
+	if (req->conn && req->parked)
+		pfd.fd = req->caller_fd;
+	pthread_mutex_unlock(&req->lock);
+	if (pfd.fd < 0 || poll(&pfd, 1, 0) <= 0)
+		return false;
+	return pfd.revents & (POLLRDHUP | POLLHUP | POLLERR);
+}
+
+static void on_tick(struct rte *rte)
+{
+	const apr_time_t now = clk_now(rte->clk);
+	const bool look = ++rte->ticks % GONE_TICKS == 0;
+	struct req *next;
+
+	rte->tick_pending = false;
+	for (struct req *req = rte->active; req; req = next) {
+		next = req->next;
+		if (look && caller_lost(req))
+			on_gone(rte, req);
+		else
+			check_deadline(rte, req, now);
+	}
+}
+
+static void handle(struct rte *rte, struct msg *msg)
+{
+	switch (msg->kind) {
+	case MSG_ARRIVED:
+		on_arrived(rte, msg->req);
+		break;
+	case MSG_TICKET:
+		on_ticket(rte, &msg->ticket);
+		break;
+	case MSG_PERMIT:
+		on_permit(rte, &msg->permit);
+		break;
+	case MSG_HEAD:
+		if (msg->req->listed)
+			run(rte, msg->req,
+			    (struct pth_event){.kind = PTH_EV_HEAD});
+		break;
+	case MSG_RESULT:
+		on_result(rte, msg->req, msg);
+		break;
+	case MSG_GONE:
+		on_gone(rte, msg->req);
+		break;
+	case MSG_TICK:
+		on_tick(rte);
+		break;
+	case MSG_STOP:
+		break;
+	}
+}
+
+static void *decide(void *arg)
+{
+	struct rte *rte = arg;
+	bool stop = false;
+
+	while (!stop) {
+		void *item = NULL;
+		struct msg *msg;
+
+		if (apr_queue_pop(rte->ring, &item) != APR_SUCCESS)
+			continue;
+		msg = item;
+		stop = msg->kind == MSG_STOP;
+		handle(rte, msg);
+		if (msg->req)
+			req_put(msg->req);
+		free(msg);
+	}
+	return NULL;
+}
+
+static void create_metrics(struct rte *rte)
+{
+	for (int i = 0; i < RANK_COUNT; i++) {
+		char labels[64];
+
+		snprintf(labels, sizeof(labels), "rank=\"%s\"",
+			 rank_name((enum rank)i));
+		rte->refused[i] = ctr_get("pst_requests_refused", labels,
+					  "Requests refused.");
+		rte->answered[i] = ctr_get("pst_requests_answered", labels,
+					   "Requests answered whole.");
+		rte->latency[i] = hst_get("pst_request_us", labels,
+					  "Arrival to whole answer.");
+		rte->permit_wait[i] = hst_get("pst_permit_wait_us", labels,
+					      "Ask for a permit to its grant.");
+	}
+}
+
+int rte_create(struct rte **out, const struct settings *set,
+	       const struct clk *clk)
+{
+	struct rte *rte = calloc(1, sizeof(*rte));
+	const unsigned capacity =
+		(unsigned)set->entry.max_requests * MESSAGES_PER_REQUEST +
+		MESSAGES_SPARE;
+
+	if (!rte)
+		return PST_ERR_NOMEM;
+	rte->set = set;
+	rte->clk = clk;
+	if (apr_pool_create(&rte->pool, NULL) != APR_SUCCESS) {
+		free(rte);
+		return PST_ERR_NOMEM;
+	}
+	if (apr_queue_create(&rte->ring, capacity, rte->pool) != APR_SUCCESS) {
+		rte_destroy(rte);
+		return PST_ERR_NOMEM;
+	}
+	rte->by_number = apr_hash_make(rte->pool);
+	if (getrandom(&rte->random, sizeof(rte->random), 0) < 0)
+		rte->random = (uint64_t)clk_now(clk);
+	create_metrics(rte);
+	*out = rte;
+	return 0;
+}
+
+void rte_destroy(struct rte *rte)
+{
+	apr_pool_destroy(rte->pool);
+	free(rte);
+}
+
+int rte_start(struct rte *rte, const struct rte_parts *parts)
+{
+	rte->parts = *parts;
+	if (pthread_create(&rte->thread, NULL, decide, rte))
+		return PST_ERR_THREAD;
+	return 0;
+}
+
+void rte_stop(struct rte *rte)
+{
+	post(rte, msg_create(MSG_STOP, NULL));
+	pthread_join(rte->thread, NULL);
+}
+
+int rte_arrive(struct rte *rte, struct req *req)
+{
+	if (rte->closed)
+		return PST_ERR_REQ_STOPPING;
+	if (atomic_fetch_add(&rte->in_progress, 1) >=
+	    rte->set->entry.max_requests) {
+		atomic_fetch_sub(&rte->in_progress, 1);
+		return PST_ERR_REQ_BUSY;
+	}
+	post(rte, msg_create(MSG_ARRIVED, req));
+	return 0;
+}
+
+void rte_on_ticket(void *ctx, const struct tkt_answer *answer)
+{
+	struct msg *msg = msg_create(MSG_TICKET, NULL);
+
+	msg->ticket = *answer;
+	post(ctx, msg);
+}
+
+void rte_on_permit(void *ctx, const struct permit_answer *answer)
+{
+	struct msg *msg = msg_create(MSG_PERMIT, NULL);
+
+	msg->permit = *answer;
+	post(ctx, msg);
+}
+
+void rte_head(struct rte *rte, struct req *req)
+{
+	post(rte, msg_create(MSG_HEAD, req));
+}
+
+void rte_result(struct rte *rte, struct req *req, enum pth_result result,
+		bool replayable, unsigned status)
+{
+	struct msg *msg = msg_create(MSG_RESULT, req);
+
+	msg->result.result = result;
+	msg->result.replayable = replayable;
+	msg->result.status = status;
+	post(rte, msg);
+}
+
+void rte_gone(struct rte *rte, struct req *req)
+{
+	post(rte, msg_create(MSG_GONE, req));
+}
+
+void rte_tick(struct rte *rte)
+{
+	if (atomic_exchange(&rte->tick_pending, true))
+		return;
+	post(rte, msg_create(MSG_TICK, NULL));
+}
+
+void rte_close(struct rte *rte)
+{
+	rte->closed = true;
+}
+
+size_t rte_in_progress(const struct rte *rte)
+{
+	return rte->in_progress;
+}
