Tickets: own keys tested against a failing store; no doubled claims

Cause: the claim of an own key was not tested where a write takes effect and its reply is lost; and a claim was sent again after 100 ms, before the answer of a witness in another region (110 ms) can come. Ruled out: a key with a mark at its end so that no key begins another: the store's client now reads one key. Before: every claim at a far witness went twice (by the numbers, not measured). After: sent again when the call has had its time; 4 tests of the store's failures pass (build/tests/test_tkt_store). Conclusion: the contract's store key /pst/key/KEY holds as written.

--- a/agent/ticket.c
+++ b/agent/ticket.c
@@ -68,6 +68,7 @@
 {
 	if (!agent)
 		return;
+	tkt_store_cancel(agent->store);
 	tkt_service_stop(agent->service);
 	tkt_store_destroy(agent->store);
 	free(agent);
--- a/agent/tkt_service.c
+++ b/agent/tkt_service.c
@@ -22,7 +22,6 @@
 #define LOG_MODULE "ticket"
 
 #define TICK	   CLK_MS(5)
-#define RESEND	   CLK_MS(100)
 /* Answers in the ring for each key that may be remembered. */
 #define ANSWERS_PER_KEY 2
 
@@ -278,9 +277,9 @@
 		.capacity = (uint32_t)set->max_open,
 		.retain = CLK_MS(set->ttl_ms),
 		.give_up = CLK_MS(set->give_up_ms),
-		.resend = RESEND,
-		.resend_store =
-			CLK_MS(s->set->platform.call_timeout_ms) + RESEND,
+		/* When the call has had its time. */
+		.resend = CLK_MS(set->call_timeout_ms),
+		.resend_store = CLK_MS(s->set->platform.call_timeout_ms),
 		.act = act,
 		.ctx = s,
 	};
--- a/agent/tkt_store.c
+++ b/agent/tkt_store.c
@@ -7,8 +7,6 @@
 #include "policy/tkt_claim.h"
 
 #define KEY_PREFIX "/pst/key/"
-/* No key contains it, so that no key is the beginning of another. */
-#define KEY_END " "
 
 struct tkt_store {
 	struct stc *stc;
@@ -18,16 +16,6 @@
 	apr_time_t lease_until;
 };
 
-static struct tkt_ruling find_owner(const struct stc_list *list, struct str key,
-				    const struct tkt_owner *owner)
-{
-	for (size_t i = 0; i < list->count; i++) {
-		if (str_eq(list->items[i].key, key))
-			return tkt_claim_read(list->items[i].value, owner);
-	}
-	return (struct tkt_ruling){.grant = TKT_GRANT_SILENT};
-}
-
 /* The write was refused or went unanswered: whose claim is there? */
 static struct tkt_ruling read_back(struct tkt_store *s, struct str key,
 				   const struct tkt_owner *owner)
@@ -35,9 +23,10 @@
 	struct tkt_ruling ruling = {.grant = TKT_GRANT_SILENT};
 	struct stc_list list = {0};
 
-	if (stc_read(s->stc, key, &list))
+	if (stc_read_key(s->stc, key, &list))
 		return ruling;
-	ruling = find_owner(&list, key, owner);
+	if (list.count)
+		ruling = tkt_claim_read(list.items[0].value, owner);
 	stc_list_free(&list);
 	return ruling;
 }
@@ -85,6 +74,11 @@
 	free(s);
 }
 
+void tkt_store_cancel(struct tkt_store *s)
+{
+	stc_cancel(s->stc);
+}
+
 struct tkt_ruling tkt_store_claim(struct tkt_store *s, struct str key,
 				  const struct tkt_owner *owner)
 {
@@ -92,12 +86,11 @@
 		.grant = TKT_GRANT_DOWN,
 		.reason = PST_ERR_TKT_STORE_DOWN,
 	};
-	char name[sizeof(KEY_PREFIX KEY_END) + TKT_KEY_MAX];
+	char name[sizeof(KEY_PREFIX) + TKT_KEY_MAX];
 	char value[TKT_CLAIM_MAX + 1];
 	const struct str at = {
 		.ptr = name,
-		.len = (size_t)snprintf(name, sizeof(name),
-					KEY_PREFIX "%.*s" KEY_END,
+		.len = (size_t)snprintf(name, sizeof(name), KEY_PREFIX "%.*s",
 					STR_ARG(key)),
 	};
 	struct str text = {.ptr = value};
--- a/agent/tkt_store.h
+++ b/agent/tkt_store.h
@@ -20,6 +20,9 @@
 /* NULL is allowed. */
 void tkt_store_destroy(struct tkt_store *store);
 
+/* Makes a claim in progress end soon; any thread may call it. */
+void tkt_store_cancel(struct tkt_store *store);
+
 /* Claims key for owner, or finds out whose it is. Blocks. */
 struct tkt_ruling tkt_store_claim(struct tkt_store *store, struct str key,
 				  const struct tkt_owner *owner);
--- /dev/null
+++ b/tests/test_tkt_store.c
@@ -0,0 +1,211 @@
+/* Claims of own keys against a store that fails in each way it can. */
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "agent/tkt_store.h"
+#include "common/err.h"
+#include "policy/tkt_claim.h"
+#include "tests/fix_run.h"
+
+#define KEYS 8
+
+/* Stands in for the store's client. */
+struct stc {
+	char keys[KEYS][160];
+	char values[KEYS][TKT_CLAIM_MAX + 1];
+	size_t count;
+	uint64_t lease;
+	uint64_t last_lease;
+	uint32_t last_ttl_s;
+	/* What the next write, read or lease comes to. */
+	int swap_err;
+	bool swap_works;
+	int read_err;
+	int lease_err;
+};
+
+static struct stc store;
+
+int stc_create(struct stc **out, const struct settings *set,
+	       const struct clk *clk)
+{
+	(void)set;
+	(void)clk;
+	*out = &store;
+	return 0;
+}
+
+void stc_destroy(struct stc *stc)
+{
+	(void)stc;
+}
+
+static int find(const struct stc *stc, struct str key)
+{
+	for (size_t i = 0; i < stc->count; i++) {
+		if (str_eq(str_from_c(stc->keys[i]), key))
+			return (int)i;
+	}
+	return -1;
+}
+
+int stc_swap(struct stc *stc, struct str key, uint64_t expected,
+	     struct str value, uint64_t lease, uint64_t *revision)
+{
+	const int err = stc->swap_err;
+
+	ck_assert_uint_eq(expected, 0);
+	stc->swap_err = 0;
+	*revision = 1;
+	if (err && !stc->swap_works)
+		return err;
+	if (find(stc, key) >= 0)
+		return err ? err : PST_ERR_CONFLICT;
+	memcpy(stc->keys[stc->count], key.ptr, key.len);
+	memcpy(stc->values[stc->count++], value.ptr, value.len);
+	stc->last_lease = lease;
+	return err;
+}
+
+int stc_read_key(struct stc *stc, struct str key, struct stc_list *out)
+{
+	const int err = stc->read_err;
+	const int at = find(stc, key);
+
+	stc->read_err = 0;
+	if (err)
+		return err;
+	*out = (struct stc_list){.items = calloc(1, sizeof(*out->items))};
+	if (at < 0)
+		return 0;
+	out->count = 1;
+	out->items[0].value = str_from_c(stc->values[at]);
+	return 0;
+}
+
+void stc_cancel(struct stc *stc)
+{
+	(void)stc;
+}
+
+void stc_list_free(struct stc_list *list)
+{
+	free(list->items);
+}
+
+int stc_lease_grant(struct stc *stc, uint32_t ttl_s, uint64_t *lease)
+{
+	stc->last_ttl_s = ttl_s;
+	*lease = ++stc->lease;
+	return stc->lease_err;
+}
+
+static struct clk_manual clk;
+static struct tkt_store *claims;
+static const struct tkt_owner me = {.vm = 1, .incarnation = 2, .attempt = 3};
+static const struct tkt_owner you = {.vm = 4, .incarnation = 5, .attempt = 6};
+
+static void open_store(void)
+{
+	static struct settings set = {.ticket.key_retention_s = 100};
+
+	memset(&store, 0, sizeof(store));
+	clk_manual_init(&clk, CLK_SEC(1));
+	ck_assert_int_eq(tkt_store_create(&claims, &set, &clk.base), 0);
+}
+
+static struct tkt_ruling claim(const char *key, const struct tkt_owner *owner)
+{
+	return tkt_store_claim(claims, str_from_c(key), owner);
+}
+
+static void expect(const char *key, const struct tkt_owner *owner,
+		   enum tkt_grant grant, int reason)
+{
+	const struct tkt_ruling ruling = claim(key, owner);
+
+	ck_assert_int_eq(ruling.grant, grant);
+	ck_assert_int_eq(ruling.reason, reason);
+}
+
+START_TEST(first_claim_owns_the_key)
+{
+	struct tkt_ruling ruling;
+
+	open_store();
+	expect("a", &me, TKT_GRANT_YOURS, 0);
+	expect("a", &me, TKT_GRANT_YOURS, 0);
+	ruling = claim("a", &you);
+	ck_assert(tkt_owner_eq(&ruling.owner, &me));
+	/* A key that another one begins with is a key of its own. */
+	expect("ab", &you, TKT_GRANT_YOURS, 0);
+	expect("a", &you, TKT_GRANT_OTHER, 0);
+	tkt_store_destroy(claims);
+}
+END_TEST
+
+START_TEST(lost_reply_is_read_back)
+{
+	open_store();
+	store.swap_err = PST_ERR_TIMEOUT;
+	store.swap_works = true;
+	expect("a", &me, TKT_GRANT_YOURS, 0);
+	store.swap_err = PST_ERR_TIMEOUT;
+	expect("a", &you, TKT_GRANT_OTHER, 0);
+	store.swap_works = false;
+	store.swap_err = PST_ERR_TIMEOUT;
+	expect("b", &me, TKT_GRANT_SILENT, 0);
+	store.swap_err = PST_ERR_TIMEOUT;
+	store.read_err = PST_ERR_UNAVAILABLE;
+	expect("b", &me, TKT_GRANT_SILENT, 0);
+	expect("b", &me, TKT_GRANT_YOURS, 0);
+	tkt_store_destroy(claims);
+}
+END_TEST
+
+START_TEST(store_that_is_down_claims_nothing)
+{
+	open_store();
+	store.lease_err = PST_ERR_UNAVAILABLE;
+	expect("a", &me, TKT_GRANT_DOWN, PST_ERR_TKT_STORE_DOWN);
+	store.lease_err = 0;
+	store.swap_err = PST_ERR_UNAVAILABLE;
+	expect("a", &me, TKT_GRANT_DOWN, PST_ERR_TKT_STORE_DOWN);
+	ck_assert_uint_eq(store.count, 0);
+	expect("a", &you, TKT_GRANT_YOURS, 0);
+	tkt_store_destroy(claims);
+}
+END_TEST
+
+START_TEST(keys_outlive_the_retention_time)
+{
+	open_store();
+	claim("a", &me);
+	ck_assert_uint_eq(store.last_ttl_s, 200);
+	ck_assert_uint_eq(store.last_lease, 1);
+	clk_manual_advance(&clk, CLK_SEC(99));
+	claim("b", &me);
+	ck_assert_uint_eq(store.last_lease, 1);
+	clk_manual_advance(&clk, CLK_SEC(1));
+	claim("c", &me);
+	ck_assert_uint_eq(store.last_lease, 2);
+	/* The lease may be what the store refused. */
+	store.swap_err = PST_ERR_UNAVAILABLE;
+	claim("d", &me);
+	claim("d", &me);
+	ck_assert_uint_eq(store.last_lease, 3);
+	tkt_store_destroy(claims);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("tkt_store");
+
+	tcase_add_test(tc, first_claim_owns_the_key);
+	tcase_add_test(tc, lost_reply_is_read_back);
+	tcase_add_test(tc, store_that_is_down_claims_nothing);
+	tcase_add_test(tc, keys_outlive_the_retention_time);
+	return fix_run("tkt_store", tc);
+}
