--- a/tests/test_brk_flood.c
+++ b/tests/test_brk_flood.c
@@ -112,6 +112,21 @@
 }
 END_TEST
 
+/* Of the work done; of all slot time see test_brk_hops. */
+START_TEST(guild_other_ranks_keep_their_part_of_the_work)
+{
+	struct slot_model_cfg cfg;
+	struct slot_model_results r;
+
+	slot_model_guild(&cfg);
+	r = run(&cfg, &urgent_flood);
+	for (int k = RANK_NORMAL; k < RANK_COUNT; k++)
+		ck_assert_double_ge(r.rank[k].useful / r.capacity / useful(&r),
+				    RESERVE_KEPT * cfg.rank[k].reserved_pct /
+					    100);
+}
+END_TEST
+
 START_TEST(fund_slots_do_useful_work_in_floods)
 {
 	struct slot_model_cfg cfg;
@@ -160,6 +175,7 @@
 	tcase_add_test(tc, guild_urgent_work_keeps_its_latency_in_a_bulk_flood);
 	tcase_add_test(tc,
 		       fund_other_ranks_keep_their_reserve_in_an_urgent_flood);
+	tcase_add_test(tc, guild_other_ranks_keep_their_part_of_the_work);
 	tcase_add_test(tc, fund_slots_do_useful_work_in_floods);
 	tcase_add_test(tc,
 		       urgent_p99_at_80_percent_is_half_of_the_best_baseline);
