Broker bench: a slow upstream with and without steering around it

Cause: whether to keep work away from an upstream that is slow for good or for a while was not measured. Ruled out: a report of load as the sign (it lags or misleads). Before: no comparison.

--- a/bench/exp_ranks.c
+++ b/bench/exp_ranks.c
@@ -70,8 +70,14 @@
 {
 	cfg->slow = 7;
 	cfg->slow_factor = 10;
-	cfg->slow_from = CLK_SEC(0);
-	cfg->slow_until = CLK_SEC(1000);
+	cfg->slow_time = CLK_SEC(1);
+	cfg->slow_period = CLK_SEC(1);
+}
+
+static void slow_at_times(struct slot_model_cfg *cfg)
+{
+	slow(cfg);
+	cfg->slow_period = CLK_SEC(5);
 }
 
 static const struct deployment deployments[] = {
@@ -87,11 +93,23 @@
 	{"urgent_flood", urgent_flood},
 	{"liar", liar},
 	{"slow", slow},
+	{"slow_at_times", slow_at_times},
+};
+
+/* The broker twice: as it is, and without regard to slow upstreams. */
+struct variant {
+	const char *name;
+	enum pick_policy policy;
+	bool ignore_pace;
 };
 
-static const enum pick_policy policies[] = {
-	PICK_BROKER,	  PICK_RANDOM,	     PICK_LEAST_REPORTED,
-	PICK_TWO_CHOICES, PICK_STATIC_SPLIT,
+static const struct variant variants[] = {
+	{"broker", PICK_BROKER, false},
+	{"broker_no_pace", PICK_BROKER, true},
+	{"random", PICK_RANDOM, false},
+	{"least_reported", PICK_LEAST_REPORTED, false},
+	{"two_choices", PICK_TWO_CHOICES, false},
+	{"static_split", PICK_STATIC_SPLIT, false},
 };
 
 static void print_rank(const struct slot_model_results *r, int rank, bool csv)
@@ -107,15 +125,15 @@
 }
 
 static void print_row(const char *deployment, const char *scenario,
-		      enum pick_policy policy,
-		      const struct slot_model_results *r, bool csv)
+		      const char *variant, const struct slot_model_results *r,
+		      bool csv)
 {
 	double useful = 0;
 
 	for (int k = 0; k < RANK_COUNT; k++)
 		useful += r->rank[k].useful;
 	printf(csv ? "%s,%s,%s,%d" : "%-5s %-15s %-14s %d", deployment,
-	       scenario, pick_name(policy), SEED);
+	       scenario, variant, SEED);
 	for (int k = 0; k < RANK_COUNT; k++)
 		print_rank(r, k, csv);
 	printf(csv ? ",%.3f,%llu\n" : " | %5.3f %6llu\n", useful / r->capacity,
@@ -145,19 +163,20 @@
 static int run_scenario(const struct deployment *d, const struct scenario *s,
 			bool csv)
 {
-	for (size_t p = 0; p < sizeof(policies) / sizeof(*policies); p++) {
+	for (size_t v = 0; v < sizeof(variants) / sizeof(*variants); v++) {
 		struct slot_model_results results;
 		struct slot_model_cfg cfg;
 		int err;
 
 		d->fill(&cfg);
 		s->change(&cfg);
-		cfg.policy = policies[p];
+		cfg.policy = variants[v].policy;
+		cfg.ignore_pace = variants[v].ignore_pace;
 		cfg.seed = SEED;
 		err = slot_model_run(&cfg, &results);
 		if (err)
 			return err;
-		print_row(d->name, s->name, policies[p], &results, csv);
+		print_row(d->name, s->name, variants[v].name, &results, csv);
 	}
 	return 0;
 }
--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -256,8 +256,8 @@
 
 static double slowness(const struct model *m, int upstream)
 {
-	if (upstream != m->cfg.slow || m->now < m->cfg.slow_from ||
-	    m->now >= m->cfg.slow_until)
+	if (upstream != m->cfg.slow ||
+	    m->now % m->cfg.slow_period >= m->cfg.slow_time)
 		return 1;
 	return m->cfg.slow_factor;
 }
@@ -662,7 +662,8 @@
 		       .ramp_start_pct = 25,
 		       .shed_hold = CLK_MS(100),
 		       .silent_hold = CLK_MS(500),
-		       .drain_hold = CLK_SEC(10)},
+		       .drain_hold = CLK_SEC(10),
+		       .ignore_pace = m->cfg.ignore_pace},
 		.permit_ttl = SETTLE * 100,
 		.line_max = 100000,
 		.epoch = (uint32_t)domain + 1,
@@ -797,6 +798,7 @@
 		.liar = SLOT_MODEL_NONE,
 		.slow = SLOT_MODEL_NONE,
 		.slow_factor = 1,
+		.slow_period = 1,
 	};
 }
 
--- a/fakes/slot_model.h
+++ b/fakes/slot_model.h
@@ -46,12 +46,14 @@
 	struct slot_model_rank rank[RANK_COUNT];
 	/* An upstream that always reports no load. */
 	int liar;
-	/* An upstream that takes slow_factor times as long from slow_from to
-	 * slow_until. */
+	/* An upstream that takes slow_factor times as long for the first
+	 * slow_time of every slow_period. */
 	int slow;
 	double slow_factor;
-	apr_time_t slow_from;
-	apr_time_t slow_until;
+	apr_interval_time_t slow_time;
+	apr_interval_time_t slow_period;
+	/* For brk_up_cfg. */
+	bool ignore_pace;
 };
 
 struct slot_model_result {
--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -291,7 +291,7 @@
 {
 	bool slow = up->slow;
 
-	if (up->pace_samples < PACE_SAMPLES_MIN)
+	if (up->pace_samples < PACE_SAMPLES_MIN || fleet->cfg.ignore_pace)
 		return;
 	if (up->pace > PACE_SLOW)
 		slow = true;
--- a/policy/brk_up.h
+++ b/policy/brk_up.h
@@ -33,6 +33,8 @@
 	apr_interval_time_t shed_hold;
 	apr_interval_time_t silent_hold;
 	apr_interval_time_t drain_hold;
+	/* Gives a slow upstream as much work as others; for measurement. */
+	bool ignore_pace;
 };
 
 /* One upstream of the VM list. */
