--- /dev/null
+++ b/tests/test_relay.c
@@ -0,0 +1,77 @@
+#include <stdlib.h>
+
+#include <check.h>
+
+#include "policy/relay.h"
+#include "tests/fix_run.h"
+#include "tests/fix_table.h"
+
+static struct vml *fleet(int per_domain)
+{
+	char *text = fix_vm_list(per_domain);
+	struct vml *vml = NULL;
+
+	ck_assert_int_eq(vml_parse(&vml, str_from_c(text)), 0);
+	free(text);
+	return vml;
+}
+
+START_TEST(each_domain_has_two_of_its_own)
+{
+	static const char *const domains[] = {"almaty-1", "almaty-2",
+					      "astana-1", "astana-2",
+					      "aktobe-1", "aktobe-2"};
+	struct vml *vml = fleet(4);
+
+	for (size_t d = 0; d < 6; d++) {
+		const struct str domain = str_from_c(domains[d]);
+		const struct vm *relays[RELAY_PER_DOMAIN];
+		int count = 0;
+
+		ck_assert_uint_eq(relay_pick(vml, domain, relays), 2);
+		ck_assert_str_eq(relays[0]->domain.ptr, domains[d]);
+		for (size_t i = 0; i < vml->count; i++)
+			count += relay_is(vml, domain,
+					  strbuf_str(&vml->vms[i].id));
+		ck_assert_int_eq(count, 2);
+	}
+	vml_put(vml);
+}
+END_TEST
+
+START_TEST(next_best_follows_a_relay_that_leaves)
+{
+	struct vml *vml = fleet(4);
+	const struct str domain = STR_LIT("astana-1");
+	const struct vm *before[RELAY_PER_DOMAIN];
+	const struct vm *after[RELAY_PER_DOMAIN];
+
+	relay_pick(vml, domain, before);
+	((struct vm *)before[0])->state = VM_LEAVING;
+	ck_assert_uint_eq(relay_pick(vml, domain, after), 2);
+	ck_assert_ptr_eq(after[0], before[1]);
+	ck_assert(!relay_is(vml, domain, strbuf_str(&before[0]->id)));
+	vml_put(vml);
+}
+END_TEST
+
+START_TEST(small_domain_has_what_there_is)
+{
+	struct vml *vml = fleet(1);
+	const struct vm *relays[RELAY_PER_DOMAIN];
+
+	ck_assert_uint_eq(relay_pick(vml, STR_LIT("aktobe-2"), relays), 1);
+	ck_assert_uint_eq(relay_pick(vml, STR_LIT("nowhere"), relays), 0);
+	vml_put(vml);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("relay");
+
+	tcase_add_test(tc, each_domain_has_two_of_its_own);
+	tcase_add_test(tc, next_best_follows_a_relay_that_leaves);
+	tcase_add_test(tc, small_domain_has_what_there_is);
+	return fix_run("relay", tc);
+}
