--- /dev/null
+++ b/tests/test_mbr.c
@@ -0,0 +1,200 @@
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <check.h>
+
+#include "common/clk.h"
+#include "policy/mbr.h"
+#include "tests/fix_run.h"
+#include "tests/fix_table.h"
+
+#define TIMEOUT CLK_SEC(3)
+#define START	CLK_SEC(100)
+#define DOMAIN	"almaty-1"
+#define SELF	"entry-1"
+
+static struct vml *list;
+static struct mbr *mbr;
+static apr_time_t now;
+
+static void begin(void)
+{
+	char *text = fix_vm_list(4);
+
+	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
+	ck_assert_int_eq(mbr_create(&mbr, TIMEOUT), 0);
+	free(text);
+	now = START;
+}
+
+static void end(void)
+{
+	mbr_destroy(mbr);
+	vml_put(list);
+}
+
+static void observe(void)
+{
+	mbr_observe(mbr, list, STR_LIT(SELF), STR_LIT(DOMAIN), START, now);
+}
+
+/* Entry 2 to 4 of the domain send heartbeats, but for the silent one. */
+static void run_for(apr_interval_time_t time, int silent)
+{
+	const apr_time_t until = now + time;
+
+	for (; now < until; now += CLK_MS(500)) {
+		for (int i = 2; i <= 4; i++) {
+			char id[16];
+
+			snprintf(id, sizeof(id), "entry-%d", i);
+			if (i != silent)
+				mbr_heard(mbr, str_from_c(id), now);
+		}
+		observe();
+	}
+}
+
+static enum vm_state state_of(const char *id, const struct mbr_drain *drains,
+			      size_t count)
+{
+	struct vml *corrected = NULL;
+	enum vm_state state;
+
+	ck_assert_int_eq(mbr_correct(mbr, list, STR_LIT(SELF), drains, count, 9,
+				     now, &corrected),
+			 0);
+	ck_assert_uint_eq(corrected->revision, 9);
+	state = vml_find(corrected, str_from_c(id))->state;
+	ck_assert_int_eq(mbr_same(list, corrected), mbr_same(corrected, list));
+	vml_put(corrected);
+	return state;
+}
+
+START_TEST(silent_vm_is_absent_after_the_timeout_and_back_when_heard)
+{
+	begin();
+	run_for(CLK_SEC(2), 3);
+	ck_assert_int_eq(state_of("entry-3", NULL, 0), VM_LIVE);
+	run_for(CLK_SEC(3), 3);
+	ck_assert_int_eq(state_of("entry-3", NULL, 0), VM_LEAVING);
+	ck_assert_int_eq(state_of("entry-2", NULL, 0), VM_LIVE);
+	run_for(CLK_SEC(1), 0);
+	ck_assert_int_eq(state_of("entry-3", NULL, 0), VM_LIVE);
+	end();
+}
+END_TEST
+
+START_TEST(new_relay_waits_before_it_judges)
+{
+	begin();
+	now = START + CLK_SEC(1);
+	mbr_observe(mbr, list, STR_LIT(SELF), STR_LIT(DOMAIN), now, now);
+	now += CLK_SEC(2);
+	mbr_heard(mbr, STR_LIT("entry-2"), now);
+	mbr_observe(mbr, list, STR_LIT(SELF), STR_LIT(DOMAIN),
+		    START + CLK_SEC(1), now);
+	ck_assert_int_eq(state_of("entry-3", NULL, 0), VM_LIVE);
+	end();
+}
+END_TEST
+
+START_TEST(relay_that_hears_nobody_reports_nobody)
+{
+	size_t count;
+
+	begin();
+	now += CLK_SEC(30);
+	observe();
+	now += CLK_SEC(30);
+	observe();
+	ck_assert_int_eq(state_of("entry-2", NULL, 0), VM_LIVE);
+	ck_assert_uint_eq(mbr_reports(mbr, &count)[0].count, 0);
+	ck_assert_uint_eq(count, 1);
+	end();
+}
+END_TEST
+
+START_TEST(own_evidence_goes_before_a_report)
+{
+	const struct str absent[] = {STR_LIT("entry-9")};
+
+	begin();
+	mbr_merge(mbr, STR_LIT("astana-1"), absent, 1, now);
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LEAVING);
+	mbr_heard(mbr, absent[0], now);
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LIVE);
+	/* One failed call may be chance, two are not. */
+	mbr_failed(mbr, STR_LIT("entry-2"), now);
+	ck_assert_int_eq(state_of("entry-2", NULL, 0), VM_LIVE);
+	mbr_failed(mbr, STR_LIT("entry-2"), now);
+	ck_assert_int_eq(state_of("entry-2", NULL, 0), VM_LEAVING);
+	mbr_heard(mbr, STR_LIT("entry-2"), now);
+	ck_assert_int_eq(state_of("entry-2", NULL, 0), VM_LIVE);
+	/* Never oneself. */
+	mbr_failed(mbr, STR_LIT(SELF), now);
+	mbr_failed(mbr, STR_LIT(SELF), now);
+	ck_assert_int_eq(state_of(SELF, NULL, 0), VM_LIVE);
+	end();
+}
+END_TEST
+
+START_TEST(newer_report_wins_and_an_old_one_lapses)
+{
+	const struct str absent[] = {STR_LIT("entry-9")};
+
+	begin();
+	mbr_merge(mbr, STR_LIT("astana-1"), absent, 1, now);
+	mbr_merge(mbr, STR_LIT("astana-1"), NULL, 0, now - CLK_SEC(1));
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LEAVING);
+	mbr_merge(mbr, STR_LIT("astana-1"), NULL, 0, now + 1);
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LIVE);
+	mbr_merge(mbr, STR_LIT("astana-1"), absent, 1, now + 2);
+	now += CLK_SEC(11);
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LEAVING);
+	now += CLK_SEC(2);
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LIVE);
+	end();
+}
+END_TEST
+
+START_TEST(domain_cannot_be_judged_by_another)
+{
+	const struct str absent[] = {STR_LIT("entry-9")};
+
+	begin();
+	/* entry-9 is of astana-1. */
+	mbr_merge(mbr, STR_LIT("astana-2"), absent, 1, now);
+	ck_assert_int_eq(state_of("entry-9", NULL, 0), VM_LIVE);
+	end();
+}
+END_TEST
+
+START_TEST(drain_mark_and_platform_are_both_obeyed)
+{
+	const struct mbr_drain drains[] = {{.id = STR_LIT("entry-7")}};
+
+	begin();
+	ck_assert_int_eq(state_of("entry-7", drains, 1), VM_LEAVING);
+	ck_assert_int_eq(state_of("entry-8", drains, 1), VM_LIVE);
+	list->vms[0].state = VM_LEAVING;
+	mbr_heard(mbr, strbuf_str(&list->vms[0].id), now);
+	ck_assert_int_eq(state_of(list->vms[0].id.ptr, drains, 1), VM_LEAVING);
+	end();
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("mbr");
+
+	tcase_add_test(
+		tc, silent_vm_is_absent_after_the_timeout_and_back_when_heard);
+	tcase_add_test(tc, new_relay_waits_before_it_judges);
+	tcase_add_test(tc, relay_that_hears_nobody_reports_nobody);
+	tcase_add_test(tc, own_evidence_goes_before_a_report);
+	tcase_add_test(tc, newer_report_wins_and_an_old_one_lapses);
+	tcase_add_test(tc, domain_cannot_be_judged_by_another);
+	tcase_add_test(tc, drain_mark_and_platform_are_both_obeyed);
+	return fix_run("mbr", tc);
+}
