--- a/tests/test_edit.c
+++ b/tests/test_edit.c
@@ -401,6 +401,10 @@
 
 			if (r / 8 % 4 == 0)
 				land_late(&w, op);
+			/* The other begins at any time. */
+			if (op == &w.ops[1] &&
+			    i < (int)(seed / 2 % 2 * (seed % 10)))
+				op = &w.ops[0];
 			step(&w, op,
 			     r / 64 % 2 ? FATE_WORKS
 					: (enum fate)(r / 256 % FATE_COUNT));
@@ -418,6 +422,29 @@
 }
 END_TEST
 
+/* The swap lands after it was looked for, and another edit follows it. */
+START_TEST(late_swap_that_was_overwritten_is_done)
+{
+	static struct world w;
+	struct operator_ *a = &w.ops[0];
+	struct operator_ *b = &w.ops[1];
+
+	begin(&w, 1, "late, overwritten", "deadline_ms", "deadline_ms");
+	step(&w, a, FATE_WORKS);
+	step(&w, a, FATE_ARRIVES_LATE);
+	step(&w, a, FATE_WORKS);
+	ck_assert_int_eq(a->edit.step, EDIT_STEP_READ);
+	land_late(&w, a);
+	step(&w, b, FATE_WORKS);
+	step(&w, b, FATE_WORKS);
+	ck_assert_int_eq(b->edit.step, EDIT_STEP_DONE);
+	for (int i = 0; i < 10; i++)
+		step(&w, a, FATE_WORKS);
+	ck_assert_int_eq(a->edit.step, EDIT_STEP_DONE);
+	check_and_end(&w);
+}
+END_TEST
+
 START_TEST(outage_ends_in_unknown_only_after_a_lost_swap)
 {
 	static struct world w;
@@ -451,6 +478,7 @@
 			    0,
 			    (int)(sizeof(fate_cases) / sizeof(fate_cases[0])));
 	tcase_add_test(tc, two_operators_with_faults_are_told_the_truth);
+	tcase_add_test(tc, late_swap_that_was_overwritten_is_done);
 	tcase_add_test(tc, outage_ends_in_unknown_only_after_a_lost_swap);
 	return fix_run("edit", tc);
 }
