--- a/lab/demo.py
+++ b/lab/demo.py
@@ -1,44 +1,42 @@
 """The demo: a whole deployment, all kinds of work, one edit, a table of it."""
 import os
-import subprocess
 import sys
 import time
 
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 import lab as labs  # noqa: E402
+import works  # noqa: E402
 
-SECONDS = 8
-RATE = 120
-UPLOAD_BYTES = 20000000
-
-
-def run_caller(lab):
-    csv = lab.path("caller.csv")
-    command = [os.path.join(lab.bin, "fake-caller"), "--services=" + ",".join(lab.conf["services"]),
-               "--rate=%d" % RATE, "--seconds=%d" % SECONDS, "--seed=1", "--csv=" + csv,
-               "--upload-bytes=%d" % UPLOAD_BYTES]
-    command += ["--lookup=" + url for url in labs.lookup_urls(lab)]
-    return subprocess.Popen(command)
+SECONDS = {"conf/fund.yaml": 8, "conf/guild.yaml": 5}
+RATES = {"get": 40, "book": 15}
+SEED = 1
 
 
 def edit(lab):
     service = next(iter(lab.conf["services"]))
+    domain = lab.domains[0][0]
     began = time.monotonic()
-    out = lab.pstctl("table", "set", service, "urgent", "weight." + lab.domains[0][0], "80", "--wait", "--by", "demo")
-    print("edit in force on every VM after %.2f s: %s" % (time.monotonic() - began, out.stdout.strip()))
+    out = lab.pstctl("--wait", "--by=demo", "table", "set", service, "urgent", "weight." + domain, "80",
+                     check=False)
+    took = time.monotonic() - began
+    print("edit of %s urgent weight.%s to 80: exit status %d after %.2f s; %s" % (
+        service, domain, out.returncode, took, (out.stdout + out.stderr).strip()))
+    return out.returncode
 
 
 def demo(conf, full):
     with labs.Lab(conf, full=full) as lab:
         began = time.monotonic()
         lab.start()
-        print("%s: %d entry VMs, %d upstreams, %d processes, ready after %.1f s" % (
-            lab.conf["name"], len(lab.entries), len(lab.upstreams), len(lab.procs), time.monotonic() - began))
-        caller = run_caller(lab)
-        time.sleep(SECONDS / 2)
-        edit(lab)
-        status = caller.wait(timeout=60)
-        print("memory of all processes: %.1f MiB" % (lab.memory_kib() / 1024))
+        print("%s: %d entry VMs, %d upstreams, ready after %.1f s" % (
+            lab.conf["name"], len(lab.entries), len(lab.upstreams), time.monotonic() - began))
+        seconds = SECONDS.get(conf, 5)
+        caller = works.Caller(lab, works.all_kinds(lab.conf, RATES), seconds, seed=SEED)
+        time.sleep(seconds / 2)
+        status = edit(lab)
+        print("%d processes, %.0f MiB of memory" % (len(lab.procs), lab.memory_kib() / 1024))
+        status = caller.wait() or status
+        print(caller.report(), end="")
         return status
 
 
--- a/lab/lab.py
+++ b/lab/lab.py
@@ -23,6 +23,9 @@
 UPSTREAM_PORT = 9000
 LINK_PORT = 7000
 
+# Requests that an upstream lets wait for a slot before it sheds.
+UPSTREAM_QUEUE = 2
+
 PLATFORM_DOMAIN = 100
 LINK_DOMAIN = 200
 FIRST_UPSTREAM_HOST = 101
@@ -199,7 +202,7 @@
         for i, (a, b) in enumerate(self.links()):
             if region in (a, b):
                 end, other = (1, b) if region == a else (2, a)
-                out[other] = "127.%d.%d.%d:%d" % (self.net, LINK_DOMAIN, i + 1, LINK_PORT + end)
+                out[other] = "%s:%d" % (self._link_address(i + 1), LINK_PORT + end)
         return out
 
     def links(self):
@@ -229,21 +232,37 @@
                    "--port=%d" % PLATFORM_PORT)
         wait_for(lambda: get(self.platform + "/v1/vms"), what="platform")
 
-    def start_links(self):
+    def start_links(self, mbps=None):
+        """mbps: rate of the links themselves, other than the deployment's."""
+        args = ["--address=" + self._link_address(0), "--port=%d" % LINK_PORT]
         for i, (a, b) in enumerate(self.links()):
-            address = "127.%d.%d.%d" % (self.net, LINK_DOMAIN, i + 1)
-            self.spawn("link-%s-%s" % (a, b), "fake-link", "--a=%s:%d" % (address, LINK_PORT + 1),
-                       "--b=%s:%d" % (address, LINK_PORT + 2), "--admin=%s:%d" % (address, LINK_PORT),
-                       "--delay-ms=%d" % self.conf["region_delay_ms"], "--mbps=%d" % self.conf["link_mbps"])
+            address = self._link_address(i + 1)
+            args.append("--link=a=%s,b=%s,listen_a=%s:%d,listen_b=%s:%d,delay_us=%d,mbps=%d" % (
+                a, b, address, LINK_PORT + 1, address, LINK_PORT + 2,
+                self.conf["region_delay_ms"] * 1000, mbps or self.conf["link_mbps"]))
+        self.spawn("link", "fake-link", *args)
+        wait_for(lambda: self.link_stats(), what="link")
+
+    def _link_address(self, i):
+        return "127.%d.%d.%d" % (self.net, LINK_DOMAIN, i + 1)
+
+    @property
+    def link(self):
+        return "http://%s:%d" % (self._link_address(0), LINK_PORT)
+
+    def link_stats(self):
+        return json.loads(get(self.link + "/fake/stats"))["links"]
 
-    def link_admin(self, i):
-        return "http://127.%d.%d.%d:%d" % (self.net, LINK_DOMAIN, i + 1, LINK_PORT)
+    def journal(self, u):
+        return self.path(u.id + ".journal")
 
-    def start_upstream(self, u):
+    def start_upstream(self, u, *options):
         service = self.conf["services"][u.service]
-        self.spawn(u.id, "fake-upstream", "--service=" + u.service, "--slots=%d" % u.slots,
-                   "--port=%d" % UPSTREAM_PORT, "--service-ms=%d" % service["service_ms"],
-                   "--address=" + u.address)
+        self.spawn(u.id, "fake-upstream", "--id=" + u.id, "--service=" + u.service,
+                   "--slots=%d" % u.slots, "--queue=%d" % UPSTREAM_QUEUE,
+                   "--port=%d" % UPSTREAM_PORT, "--mean-ms=%d" % service["service_ms"], "--vary",
+                   "--seed=%d" % (1 + len(self.procs)), "--journal=" + self.journal(u),
+                   "--address=" + u.address, *options)
 
     def start_daemon(self, vm, name):
         self.spawn("%s.%s" % (vm.id, name), "pst-" + name,
