Entry: a small share of a link slows answers, never stops them

Cause: a request to another region took 262144 bytes of its link's limit at once or nothing; a share gives at most a 32nd of its rate at a time, so below 8.4 MB/s no request ever started. Failed first: small_share_of_a_link_slows_but_does_not_stop, 504 for 200. Conclusion: bytes are gathered over several calls; a window of 16 KiB is taken first and widened only for an answer that is longer.

--- a/entryd/xfer.c
+++ b/entryd/xfer.c
@@ -13,6 +13,9 @@
 /* Bytes that libcurl reads at a time. */
 #define READ_BYTES 16384
 
+/* Bytes of an answer that may be on the way when its request is sent. */
+#define WINDOW_START 16384
+
 /* How long an idle connection is kept, in seconds. */
 
 #define MAX_IDLE_S 30
@@ -43,19 +46,50 @@
 				x->req->rank, want);
 }
 
-/* Takes bytes of the link for an answer; all or none. */
-static bool take_inward(struct xfer *x, size_t want)
+/*
+ * Takes bytes of the link for an answer until *held reaches want; a small
+ * share of the link gives them over several calls.
+ */
+static bool take_inward(struct xfer *x, size_t *held, size_t want)
 {
-	size_t got;
-
 	if (!crosses_link(x))
 		return true;
+	if (*held < want)
+		*held += quota_take_bytes(x->env->quota, x->target.there,
+					  x->target.here, x->req->rank,
+					  want - *held);
+	return *held >= want;
+}
+
+/* The kernel doubles the value for its own bookkeeping. */
+static void bound_receive(const struct xfer *x, curl_socket_t fd)
+{
+	const int value = (int)x->prepaid / 2;
+
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+}
+
+/* More of a long answer than was prepaid may now be on the way here. */
+static void widen_window(struct xfer *x)
+{
+	const size_t most = x->env->set->entry.link_window_bytes;
+	const uint64_t due = (uint64_t)x->stated_length - x->received;
+	curl_socket_t fd = CURL_SOCKET_BAD;
+	size_t got;
+
+	if (!crosses_link(x) || x->prepaid + WINDOW_START > most)
+		return;
+	if (x->stated_length >= 0 && due <= x->prepaid)
+		return;
 	got = quota_take_bytes(x->env->quota, x->target.there, x->target.here,
-			       x->req->rank, want);
-	if (got == want)
-		return true;
-	quota_return_bytes(x->env->quota, x->target.there, x->target.here, got);
-	return false;
+			       x->req->rank, most - x->prepaid);
+	x->prepaid += got;
+	curl_easy_getinfo(x->easy, CURLINFO_ACTIVESOCKET, &fd);
+	if (!got || fd == CURL_SOCKET_BAD)
+		return;
+	bound_receive(x, fd);
+	/* A window once offered cannot be taken back from the sender. */
+	curl_easy_setopt(x->easy, CURLOPT_FORBID_REUSE, 1L);
 }
 
 static size_t on_send(char *buffer, size_t size, size_t count, void *ctx)
@@ -197,10 +231,12 @@
 		return len;
 	if (!room)
 		return halt_receive(x, false);
-	if (!take_inward(x, len))
+	if (!take_inward(x, &x->credit, len))
 		return halt_receive(x, true);
+	x->credit -= crosses_link(x) ? len : 0;
 	note_progress(x);
 	x->received += len;
+	widen_window(x);
 	update_digest(x, bytes, len);
 	publish_head(x);
 	pthread_mutex_lock(&x->req->lock);
@@ -217,11 +253,8 @@
 
 	(void)purpose;
 	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &value, sizeof(value));
-	if (crosses_link(x)) {
-		/* The kernel doubles the value for its own bookkeeping. */
-		value = (int)x->env->set->entry.link_window_bytes / 2;
-		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
-	}
+	if (crosses_link(x))
+		bound_receive(x, fd);
 	return CURL_SOCKOPT_OK;
 }
 
@@ -375,19 +408,14 @@
 
 bool xfer_prepay(struct xfer *x)
 {
-	if (!crosses_link(x) || x->prepaid)
-		return true;
-	if (!take_inward(x, x->env->set->entry.link_window_bytes))
-		return false;
-	x->prepaid = x->env->set->entry.link_window_bytes;
-	return true;
+	return take_inward(x, &x->prepaid, WINDOW_START);
 }
 
 void xfer_destroy(struct xfer *x)
 {
-	if (x->prepaid)
+	if (x->prepaid + x->credit)
 		quota_return_bytes(x->env->quota, x->target.there,
-				   x->target.here, x->prepaid);
+				   x->target.here, x->prepaid + x->credit);
 	if (x->easy)
 		curl_easy_cleanup(x->easy);
 	curl_slist_free_all(x->headers);
--- a/entryd/xfer.h
+++ b/entryd/xfer.h
@@ -60,8 +60,10 @@
 	unsigned char digest[HDR_DIGEST_BYTES];
 	EVP_MD_CTX *digest_ctx;
 
-	/* Bytes taken from the link's limit ahead of their arrival. */
+	/* Bytes of the link's limit for what may be on the way here. */
 	size_t prepaid;
+	/* Bytes of it for what libcurl holds for us. */
+	size_t credit;
 };
 
 /*
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -63,7 +63,7 @@
 	struct str policy;
 	/* Threads that serve callers. */
 	uint64_t threads;
-	/* Bytes of an answer from another region that may be on the way to one request; taken from the link's limit before the request is sent. */
+	/* Most bytes of an answer from another region that may be on the way to one request; taken from the link's limit beforehand. */
 	uint64_t link_window_bytes;
 };
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -20,6 +20,9 @@
 #define ENTRY_PORT    18080
 #define UPSTREAM_PORT 18090
 
+/* Bytes of the link that are given at a time. */
+#define LINK_PIECE 5000
+
 /* The row of one rank. */
 #define ROW(rank)                                                          \
 	"{\"rank\":\"" rank "\",\"deadline_ms\":3000,\"reserved_pct\":20," \
@@ -29,6 +32,10 @@
 static struct settings set;
 static struct rte *rte;
 static struct ctl_view view;
+/* Index of the domain that is picked: 0 in this region, 1 in another. */
+static int remote;
+/* Bytes of the link taken and not returned. */
+static atomic_uint_fast64_t taken;
 static atomic_uint granted;
 static atomic_uint released;
 static atomic_uint reported_load;
@@ -60,7 +67,7 @@
 	(void)tbl;
 	(void)row;
 	(void)random;
-	return skip[0] ? -1 : 0;
+	return skip[0] ? -1 : remote;
 }
 
 bool quota_take_request(struct quota_agent *agent, const struct tbl_row *row,
@@ -76,9 +83,12 @@
 			enum rank rank, size_t want)
 {
 	(void)agent;
-	(void)from;
-	(void)to;
 	(void)rank;
+	if (from == to)
+		return want;
+	ck_assert_uint_gt(want, 0);
+	want = want < LINK_PIECE ? want : LINK_PIECE;
+	taken += want;
 	return want;
 }
 
@@ -88,7 +98,7 @@
 	(void)agent;
 	(void)from;
 	(void)to;
-	(void)bytes;
+	taken -= bytes;
 }
 
 int permit_agent_ask(struct permit_agent *agent, const struct permit_ask *ask)
@@ -388,6 +398,29 @@
 }
 END_TEST
 
+START_TEST(small_share_of_a_link_slows_but_does_not_stop)
+{
+	struct caller c;
+
+	remote = 1;
+	c = call("GET", "/s/svc/ok", NULL, 0, false);
+	ck_assert_int_eq(c.status, 200);
+	wait_idle();
+	/* Every byte taken was sent, or has been returned. */
+	ck_assert_uint_eq(taken, 5);
+	c = call("GET", "/s/svc/big", NULL, 0, false);
+	ck_assert_int_eq(c.code, CURLE_OK);
+	ck_assert_uint_eq(c.bytes, FIX_BIG_BYTES);
+	wait_idle();
+	ck_assert_uint_eq(taken, 5 + FIX_BIG_BYTES);
+	c = call("POST", "/s/svc/length", NULL, 500000, false);
+	ck_assert_str_eq(c.text, "500000");
+	wait_idle();
+	ck_assert_uint_eq(taken, 5 + FIX_BIG_BYTES + 500000 + 6);
+	remote = 0;
+}
+END_TEST
+
 START_TEST(connection_stays_open_between_requests)
 {
 	CURL *easy = curl_easy_init();
@@ -439,8 +472,10 @@
 		{
 			.key = STR_LIT("/pst/table/manifest"),
 			.value = STR_LIT(
-				"{\"regions\":[\"r1\"],\"domains\":[{\"name\":"
-				"\"d1\",\"region\":\"r1\"}],\"links\":[],"
+				"{\"regions\":[\"r1\",\"r2\"],\"domains\":[{"
+				"\"name\":\"d1\",\"region\":\"r1\"},{"
+				"\"name\":\"d2\",\"region\":\"r2\"}],\"links\":"
+				"[],"
 				"\"services\":[\"svc\"]}"),
 		},
 		{
@@ -475,6 +510,7 @@
 	set.entry.idle_timeout_ms = 5000;
 	set.entry.silence_timeout_ms = 300;
 	set.entry.connect_timeout_ms = 300;
+	set.entry.link_window_bytes = 262144;
 	set.entry.threads = 1;
 	load_table();
 	if (rte_create(&rte, &set, clk_system()) ||
@@ -521,6 +557,7 @@
 	tcase_add_test(tc, silent_upstream_is_left_within_the_bound);
 	tcase_add_test(tc, connection_that_went_silent_is_not_used_again);
 	tcase_add_test(tc, deadline_of_a_booking_ends_it_as_unknown);
+	tcase_add_test(tc, small_share_of_a_link_slows_but_does_not_stop);
 	tcase_add_test(tc, connection_stays_open_between_requests);
 	tcase_add_test(tc, malformed_requests_get_their_own_answer);
 	return fix_run("entry", tc);
