Broker: permits of two brokers of one process never share an id

The request waited 5 s and was refused as late (a keyed upload, rank bulk, 4 VMs, 10 s of load). Ruled out: a lost message (the broker's log shows the grant and no failed call). Failed first: brokers_of_one_process_never_share_an_epoch with the shift. Conclusion: the highest bit is masked, not shifted out.

--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -230,8 +230,7 @@
 		.permit_ttl = CLK_MS(set->permit_ttl_ms),
 		.learn = CLK_MS(set->learn_ms),
 		.line_max = (uint32_t)set->line_max,
-		/* The highest bit marks permits that entry VMs give. */
-		.epoch = (uint32_t)(host->incarnation + ++host->epochs) >> 1,
+		.epoch = brk_epoch(host->incarnation, ++host->epochs),
 	};
 }
 
--- a/policy/brk_core.c
+++ b/policy/brk_core.c
@@ -327,6 +327,11 @@
 	permit->sync = entry->syncs;
 }
 
+uint32_t brk_epoch(uint64_t incarnation, uint64_t nth)
+{
+	return (uint32_t)(incarnation + nth) & INT32_MAX;
+}
+
 int brk_create(struct brk **out, const struct brk_cfg *cfg,
 	       struct brk_sink sink, apr_time_t now)
 {
--- a/policy/brk_core.h
+++ b/policy/brk_core.h
@@ -13,6 +13,12 @@
 #include "policy/brk_line.h"
 #include "policy/brk_up.h"
 
+/*
+ * The epoch of the nth broker of a process: different for each, and without
+ * the highest bit, which marks permits that entry VMs give.
+ */
+uint32_t brk_epoch(uint64_t incarnation, uint64_t nth);
+
 struct brk_cfg {
 	struct brk_up_cfg up;
 	apr_interval_time_t permit_ttl;
--- a/tests/test_brk_core.c
+++ b/tests/test_brk_core.c
@@ -261,10 +261,21 @@
 }
 END_TEST
 
+START_TEST(brokers_of_one_process_never_share_an_epoch)
+{
+	for (uint64_t nth = 0; nth < 1000; nth++) {
+		ck_assert_uint_ne(brk_epoch(0x8000000ff, nth),
+				  brk_epoch(0x8000000ff, nth + 1));
+		ck_assert_uint_eq(brk_epoch(UINT64_MAX, nth) >> 31, 0);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("brk_core");
 
+	tcase_add_test(tc, brokers_of_one_process_never_share_an_epoch);
 	tcase_add_test(tc, slots_are_given_evenly_and_never_exceeded);
 	tcase_add_test(tc, urgent_goes_first_and_others_keep_their_reserve);
 	tcase_add_test(tc, an_ask_sent_again_gets_the_same_permit);
