Tickets: the service test reads its address once

Cause: a build with the thread sanitizer (a trial) showed one data race, in the test: fix_ip() writes its static text while a thread reads it. Conclusion: test only; nothing of the service changed.

--- a/tests/test_tkt_service.c
+++ b/tests/test_tkt_service.c
@@ -82,9 +82,9 @@
 	ck_assert_int_eq(tkt_service_start(&service, &set, clk_system(), &env,
 					   on_answer, NULL),
 			 0);
-	ck_assert_int_eq(
-		rpcs_start(fix_ip(), PORT, (struct rpcs_gate){.allow = allow}),
-		0);
+	ck_assert_int_eq(rpcs_start(set.vm.address, PORT,
+				    (struct rpcs_gate){.allow = allow}),
+			 0);
 }
 
 static void stop(void)
