Tickets: one write budget for the fleet

Cause: a fixed budget for each VM grows with the fleet: 8 writes a second are 192 with 24 VMs and 54400 with 6800, and the store takes several hundred. Ruled out: leases for parts of the budget, which cost writes themselves. Mechanism: each VM spends an equal part of ticket.store_writes_per_s by the count of entry VMs on its list, saves one second's worth or one write, and spends nothing while the list is not known. Test: budget_saves_one_second is replaced by budget_is_shared_by_the_fleet, which holds the old bounds and adds a fleet that grows and an unknown list. Before: 8 a second and VM; after: 200 a second in all. Conclusion: the sum follows the list, so it can be off while the list lags. Also: a time to live out of range in a handover is refused.

--- a/agent/tkt_claims.c
+++ b/agent/tkt_claims.c
@@ -35,10 +35,12 @@
 				   const struct claim *claim)
 {
 	const struct str key = {.ptr = claim->key, .len = claim->len};
+	const uint32_t sharers = c->conf.sharers(c->conf.ctx);
 
-	if (tkt_budget_take(&c->budget, clk_now(c->conf.clk)))
+	if (tkt_budget_take(&c->budget, sharers, clk_now(c->conf.clk)))
 		return c->conf.claim(c->conf.claim_ctx, key, &claim->owner);
-	evt_log(TICKET_BUDGET, "per_s=%u", c->budget.per_s);
+	evt_log(TICKET_BUDGET, "fleet_per_s=%u vms=%u", c->budget.fleet_per_s,
+		sharers);
 	return (struct tkt_ruling){
 		.grant = TKT_GRANT_DOWN,
 		.reason = PST_ERR_TKT_BUDGET,
--- a/agent/tkt_claims.h
+++ b/agent/tkt_claims.h
@@ -11,12 +11,15 @@
 
 struct tkt_claims_conf {
 	const struct clk *clk;
+	/* Of all entry VMs together. */
 	uint32_t writes_per_s;
+	/* How many entry VMs share them; 0 while not known. */
+	uint32_t (*sharers)(void *ctx);
 	/* Claims the key for owner; may block. */
 	struct tkt_ruling (*claim)(void *ctx, struct str key,
 				   const struct tkt_owner *owner);
 	void *claim_ctx;
-	/* Both run on the thread. */
+	/* All three run on the thread. */
 	void (*ruled)(void *ctx, uint64_t attempt,
 		      const struct tkt_ruling *ruling);
 	void *ctx;
--- a/agent/tkt_service.c
+++ b/agent/tkt_service.c
@@ -218,6 +218,21 @@
 	ref_put(&vml->ref);
 }
 
+/* How many entry VMs share the write budget. */
+static uint32_t count_entries(void *ctx)
+{
+	struct tkt_service *s = ctx;
+	struct vml *vml = list(s);
+	uint32_t count = 0;
+
+	if (!vml)
+		return 0;
+	for (size_t i = 0; i < vml->count; i++)
+		count += vml->vms[i].kind == VM_ENTRY;
+	ref_put(&vml->ref);
+	return count;
+}
+
 static void *run_answers(void *arg)
 {
 	struct tkt_service *s = arg;
@@ -326,6 +341,7 @@
 	const struct tkt_claims_conf claims = {
 		.clk = s->clk,
 		.writes_per_s = (uint32_t)s->set->ticket.store_writes_per_s,
+		.sharers = count_entries,
 		.claim = s->env.claim,
 		.claim_ctx = s->env.ctx,
 		.ruled = pass_ruling,
--- a/policy/tkt_witness.c
+++ b/policy/tkt_witness.c
@@ -7,6 +7,7 @@
 /* Bounds of what is taken over from another witness. */
 #define MAX_BLOCK_COUNT 65536
 #define MAX_BLOCKS	65536
+#define MAX_TTL_LEFT	APR_TIME_C(86400000000)
 
 enum slot_state {
 	SLOT_FREE,
@@ -150,7 +151,8 @@
 static int import_block(struct block *block, const struct tkt_item *item,
 			apr_time_t now)
 {
-	if (block->count || item->count > MAX_BLOCK_COUNT)
+	if (block->count || item->count > MAX_BLOCK_COUNT ||
+	    item->ttl_left < 0 || item->ttl_left > MAX_TTL_LEFT)
 		return PST_ERR_INVALID;
 	*block = (struct block){
 		.home = item->home,
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -406,8 +406,8 @@
 		return refuse(bad, "ticket", "give_up_ms", "a number from 10 to 60000");
 	if (conv_uint(r ? r->call_timeout_ms : NULL, UINT64_C(250), UINT64_C(10), UINT64_C(60000), &out->ticket.call_timeout_ms))
 		return refuse(bad, "ticket", "call_timeout_ms", "a number from 10 to 60000");
-	if (conv_uint(r ? r->store_writes_per_s : NULL, UINT64_C(8), UINT64_C(1), UINT64_C(10000), &out->ticket.store_writes_per_s))
-		return refuse(bad, "ticket", "store_writes_per_s", "a number from 1 to 10000");
+	if (conv_uint(r ? r->store_writes_per_s : NULL, UINT64_C(200), UINT64_C(1), UINT64_C(100000), &out->ticket.store_writes_per_s))
+		return refuse(bad, "ticket", "store_writes_per_s", "a number from 1 to 100000");
 	if (conv_uint(r ? r->key_retention_s : NULL, UINT64_C(86400), UINT64_C(60), UINT64_C(2592000), &out->ticket.key_retention_s))
 		return refuse(bad, "ticket", "key_retention_s", "a number from 60 to 2592000");
 	return 0;
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -81,7 +81,7 @@
 	uint64_t give_up_ms;
 	/* Time allowed for one call to a witness or home, in milliseconds. */
 	uint64_t call_timeout_ms;
-	/* Claims of callers' own keys that this VM may write to the store in a second. */
+	/* Claims of callers' own keys that all entry VMs together may write to the store in a second; each may use an equal part. */
 	uint64_t store_writes_per_s;
 	/* Least time for which the store remembers a caller's own key, in seconds. */
 	uint64_t key_retention_s;
--- a/tests/test_tkt_parts.c
+++ b/tests/test_tkt_parts.c
@@ -258,18 +258,25 @@
 }
 END_TEST
 
-START_TEST(budget_saves_one_second)
+START_TEST(budget_is_shared_by_the_fleet)
 {
 	struct tkt_budget budget;
 
-	tkt_budget_init(&budget, 2, 0);
-	ck_assert(tkt_budget_take(&budget, 0));
-	ck_assert(tkt_budget_take(&budget, 0));
-	ck_assert(!tkt_budget_take(&budget, CLK_MS(499)));
-	ck_assert(tkt_budget_take(&budget, CLK_MS(500)));
-	ck_assert(tkt_budget_take(&budget, CLK_SEC(100)));
-	ck_assert(tkt_budget_take(&budget, CLK_SEC(100)));
-	ck_assert(!tkt_budget_take(&budget, CLK_SEC(100)));
+	tkt_budget_init(&budget, 20, 0);
+	ck_assert(!tkt_budget_take(&budget, 0, 0));
+	ck_assert(tkt_budget_take(&budget, 10, 0));
+	ck_assert(tkt_budget_take(&budget, 10, 0));
+	ck_assert(!tkt_budget_take(&budget, 10, CLK_MS(499)));
+	ck_assert(tkt_budget_take(&budget, 10, CLK_MS(500)));
+	/* Two writes a second: so many are saved, and no more. */
+	ck_assert(tkt_budget_take(&budget, 10, CLK_SEC(100)));
+	ck_assert(tkt_budget_take(&budget, 10, CLK_SEC(100)));
+	ck_assert(!tkt_budget_take(&budget, 10, CLK_SEC(100)));
+	/* The fleet grew: one write in 10 s, of which one is saved. */
+	ck_assert(!tkt_budget_take(&budget, 200, CLK_SEC(109)));
+	ck_assert(tkt_budget_take(&budget, 200, CLK_SEC(110)));
+	ck_assert(tkt_budget_take(&budget, 200, CLK_SEC(1000)));
+	ck_assert(!tkt_budget_take(&budget, 200, CLK_SEC(1000)));
 }
 END_TEST
 
@@ -285,6 +292,6 @@
 	tcase_add_test(tc, expired_and_returned_tickets_are_never_granted);
 	tcase_add_test(tc, home_issues_in_the_first_half_of_a_block);
 	tcase_add_test(tc, witness_is_near_but_shares_no_failure_domain);
-	tcase_add_test(tc, budget_saves_one_second);
+	tcase_add_test(tc, budget_is_shared_by_the_fleet);
 	return fix_run("tkt_parts", tc);
 }
--- a/tests/test_tkt_service.c
+++ b/tests/test_tkt_service.c
@@ -214,7 +214,7 @@
 	/* Somebody else's claim is in the store; nobody knows its end. */
 	admit(2, "order-1");
 	expect(2, TKT_UNKNOWN, PST_ERR_TKT_OWNED);
-	/* 4 writes a second are allowed and 3 are used. */
+	/* This VM's part is 4 writes a second, and 3 are used. */
 	admit(3, "order-2");
 	wait_for(3);
 	admit(4, "order-3");
@@ -253,7 +253,7 @@
 	set.ticket.max_open = 1024;
 	set.ticket.give_up_ms = 1000;
 	set.ticket.call_timeout_ms = 250;
-	set.ticket.store_writes_per_s = 4;
+	set.ticket.store_writes_per_s = 8;
 	set_vm(&vms[0], "self", "r-1", fix_ip());
 	set_vm(&vms[1], "witness", "r-2", fix_ip());
 	tcase_set_timeout(tc, 60);
