Tickets: capacity measurement waits for its answers, idle cost added

Cause: with 256 requests in progress the measurement gave 4000 requests a second in some runs and 130000 in others. Answers of the step before were counted in the next one, the count of those in progress went below zero, and no more were sent. Conclusion: the fault was in the measurement.

--- a/bench/cap_ticket.c
+++ b/bench/cap_ticket.c
@@ -215,6 +215,8 @@
 				       clk_now(clk_system()) + CLK_SEC(5)))
 			admitted++;
 	}
+	while (answered - answered_then < admitted)
+		apr_sleep(20);
 	done = (double)(answered - answered_then);
 	print("home", "messages_at_in_progress", in_progress,
 	      (double)(ctr_value(messages) - sent) / done, "calls/request");
@@ -224,6 +226,17 @@
 	      done * APR_USEC_PER_SEC / (double)SERVE_TIME, "1/s");
 }
 
+/* Nothing is asked of the service. */
+static void measure_idle(void)
+{
+	const double cpu_then = cpu_us();
+
+	apr_sleep(SERVE_TIME);
+	print("home", "idle_cpu", 1,
+	      (cpu_us() - cpu_then) * 100.0 / (double)SERVE_TIME,
+	      "% of a core");
+}
+
 static void start_service(void)
 {
 	const struct tkt_env env = {.list = list, .claim = claim};
@@ -266,6 +279,7 @@
 		measure_wire(batch_sizes[i]);
 	start_service();
 	apr_sleep(CLK_MS(200));
+	measure_idle();
 	for (size_t i = 0; i < sizeof(batch_sizes) / sizeof(*batch_sizes); i++)
 		measure_service(batch_sizes[i]);
 	rpcs_stop();
