Membership: a new relay no longer withdraws the last relay's report

Cause: in a trial with both relays of a domain killed, other domains showed entry-11 as leaving, live and leaving again within 1.6 s: the new relay's first report was empty, as it had not yet listened for the timeout, and newer. It now reports only after that time. Ruled out: merging reports of both relays, which would keep a stale entry.

--- a/policy/mbr.c
+++ b/policy/mbr.c
@@ -247,7 +247,8 @@
 	}
 	if (neighbours > 1 && count == neighbours)
 		count = 0;
-	mbr_merge(mbr, domain, ids, count, now);
+	if (now - listening_since > mbr->timeout)
+		mbr_merge(mbr, domain, ids, count, now);
 	free(ids);
 }
 
--- a/policy/mbr.h
+++ b/policy/mbr.h
@@ -37,8 +37,10 @@
 
 /*
  * Makes the report of the own failure domain, from the heartbeats that a
- * relay gets. listening_since is when this VM became a relay. A relay that
- * hears no other VM of several reports nothing, as it may itself be cut off.
+ * relay gets. listening_since is when this VM became a relay; before it has
+ * listened for the timeout it reports nothing, so that the last report stays.
+ * A relay that hears none of several VMs reports nobody, as it may itself be
+ * cut off.
  */
 void mbr_observe(struct mbr *mbr, const struct vml *list, struct str self,
 		 struct str domain, apr_time_t listening_since, apr_time_t now);
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -99,6 +99,20 @@
 }
 END_TEST
 
+/* Else the report of the relay before it would be forgotten too soon. */
+START_TEST(new_relay_leaves_the_last_report_in_force)
+{
+	const struct str absent[] = {STR_LIT("entry-3")};
+
+	begin();
+	mbr_merge(mbr, STR_LIT(DOMAIN), absent, 1, now);
+	now += CLK_SEC(1);
+	mbr_observe(mbr, list, STR_LIT(SELF), STR_LIT(DOMAIN), now, now);
+	ck_assert_int_eq(state_of("entry-3", NULL, 0), VM_LEAVING);
+	end();
+}
+END_TEST
+
 START_TEST(relay_that_hears_nobody_reports_nobody)
 {
 	size_t count;
@@ -191,6 +205,7 @@
 	tcase_add_test(
 		tc, silent_vm_is_absent_after_the_timeout_and_back_when_heard);
 	tcase_add_test(tc, new_relay_waits_before_it_judges);
+	tcase_add_test(tc, new_relay_leaves_the_last_report_in_force);
 	tcase_add_test(tc, relay_that_hears_nobody_reports_nobody);
 	tcase_add_test(tc, own_evidence_goes_before_a_report);
 	tcase_add_test(tc, newer_report_wins_and_an_old_one_lapses);
