--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -165,6 +165,15 @@
 	int err = 0;
 
 	agent->changed = false;
+	agent->hold.whole = false;
+	for (int i = 0; !err && more && i < MAX_PAGES; i++)
+		err = ask(agent, rpcc, &after, &more);
+	if (err == PST_ERR_AGAIN) {
+		agent->hold.whole = true;
+		after = 0;
+		more = true;
+		err = 0;
+	}
 	for (int i = 0; !err && more && i < MAX_PAGES; i++)
 		err = ask(agent, rpcc, &after, &more);
 	if (!err && agent->changed)
@@ -305,6 +314,7 @@
 	pthread_cond_init(&agent->wake, NULL);
 	err = hold_init(&agent->hold, set, clk);
 	agent->rev = agent->hold.rev;
+	agent->hold.lean = true;
 	if (!err)
 		err = open_client(agent, set->vm.region, set->vm.address,
 				  &agent->own);
--- a/agent/hold.c
+++ b/agent/hold.c
@@ -30,6 +30,9 @@
 
 	if (!err && applied && has_manifest(parts, count)) {
 		free(parts);
+		parts = NULL;
+		if (hold->lean && !hold->whole)
+			return PST_ERR_AGAIN;
 		err = pts_since(hold->pts, 0, &parts, &count);
 	}
 	if (!err)
@@ -83,9 +86,12 @@
 	if (hold->tbl && revision == hold->tbl->revision)
 		return 0;
 	err = build(hold, revision, &tbl);
-	if (err == PST_ERR_NOMEM || (err && !hold->tbl))
+	if (err == PST_ERR_NOMEM || err == PST_ERR_AGAIN || (err && !hold->tbl))
 		return err;
 	rev_hold(&hold->rev, revision);
+	if (hold->lean)
+		pts_clear(hold->pts);
+	hold->whole = false;
 	if (err)
 		return err;
 	tbl_put(hold->tbl);
--- a/agent/hold.h
+++ b/agent/hold.h
@@ -16,6 +16,10 @@
 	struct rev rev;
 	/* NULL before the first. */
 	struct tbl *tbl;
+	/* Drops the parts once they are in force, to save memory. */
+	bool lean;
+	/* Every part has been asked for, after PST_ERR_AGAIN. */
+	bool whole;
 };
 
 /* Returns 0 or PST_ERR_NOMEM. */
--- a/controld/peer_duty.c
+++ b/controld/peer_duty.c
@@ -23,6 +23,7 @@
 	struct xchg *push;
 	/* Revision up to which changes were pushed. */
 	uint64_t pushed;
+	size_t round;
 };
 
 static bool is_self(const struct peer_duty *duty, const struct vm *vm)
@@ -100,34 +101,21 @@
 	return duty_jitter(CLK_MS(duty->set->table.peer_interval_ms));
 }
 
-/* Those that answer go first, so that an absent one delays no other. */
-static void push_to(struct peer_duty *duty, const struct vml *members,
-		    enum vm_state state, table_change *change)
-{
-	for (size_t i = 0; i < members->count; i++) {
-		const struct vm *vm = &members->vms[i];
-
-		if (vm->kind == VM_ENTRY && vm->state == state &&
-		    !is_self(duty, vm) &&
-		    str_eq(strbuf_str(&vm->domain),
-			   duty->set->vm.failure_domain))
-			xchg_push(duty->push, vm, change);
-	}
-}
-
-static void push_change(struct peer_duty *duty, uint64_t revision)
+static void push_change(struct peer_duty *duty)
 {
+	const struct vm *children[RELAY_CHILDREN_MAX];
 	struct vml *members = node_members(duty->node);
 	table_change change;
-	int err = node_change_after(duty->node, duty->pushed, &change);
-
-	if (!err && members) {
-		push_to(duty, members, VM_LIVE, &change);
-		push_to(duty, members, VM_LEAVING, &change);
-	}
+	size_t count = 0;
+	const int err = node_change_after(duty->node, duty->pushed, &change);
+
+	if (!err && members)
+		count = relay_children(members, duty->set->vm.failure_domain,
+				       duty->set->vm.id, children);
+	for (size_t i = 0; i < count; i++)
+		xchg_push(duty->push, children[i], &change);
 	xdr_free((xdrproc_t)xdr_table_change, &change);
 	vml_put(members);
-	duty->pushed = revision;
 }
 
 /* The first table is not pushed: everybody else fetches its own. */
@@ -139,8 +127,8 @@
 
 	if (revision <= duty->pushed)
 		return 0;
-	if (duty->pushed && node_is_relay(duty->node))
-		push_change(duty, revision);
+	if (duty->pushed)
+		push_change(duty);
 	duty->pushed = revision;
 	return 0;
 }
--- a/controld/peer_duty.h
+++ b/controld/peer_duty.h
@@ -1,7 +1,7 @@
 /*
- * Exchanges with other VMs' pst-controlds: with the relays of the own failure
- * domain and one other VM at random each round; and, as a relay, a push of
- * every change to the VMs of the own domain. One thread for each of the two.
+ * Exchanges with other VMs' pst-controlds: with a relay of the own failure
+ * domain and one other VM at random each round; and a push of every change
+ * down the domain's tree of VMs. One thread for each of the two.
  */
 #ifndef CONTROLD_PEER_DUTY_H
 #define CONTROLD_PEER_DUTY_H
--- a/policy/pts.c
+++ b/policy/pts.c
@@ -127,12 +127,20 @@
 {
 	if (!pts)
 		return;
+	pts_clear(pts);
+	free(pts);
+}
+
+void pts_clear(struct pts *pts)
+{
 	for (size_t i = 0; i < pts->count; i++) {
 		free((char *)pts->parts[i].key.ptr);
 		free((char *)pts->parts[i].value.ptr);
 	}
 	free(pts->parts);
-	free(pts);
+	pts->parts = NULL;
+	pts->count = 0;
+	pts->capacity = 0;
 }
 
 int pts_take(struct pts *pts, const struct tbl_part *parts, size_t count,
--- a/policy/pts.h
+++ b/policy/pts.h
@@ -23,6 +23,9 @@
 int pts_take(struct pts *pts, const struct tbl_part *parts, size_t count,
 	     size_t *taken);
 
+/* Drops every part; the highest revision stays known. */
+void pts_clear(struct pts *pts);
+
 /* Highest revision of all parts; 0 when empty. */
 uint64_t pts_revision(const struct pts *pts);
 
--- a/policy/relay.h
+++ b/policy/relay.h
@@ -1,4 +1,4 @@
-/* Which VMs of a failure domain hold the store's watch and pass changes on. */
+/* Which VMs of a failure domain hold the store's watch, and who tells whom. */
 #ifndef POLICY_RELAY_H
 #define POLICY_RELAY_H
 
@@ -11,6 +11,16 @@
 size_t relay_pick(const struct vml *vml, struct str domain,
 		  const struct vm *out[RELAY_PER_DOMAIN]);
 
+/*
+ * Writes the VMs to which a VM passes a change on, so that each live VM of
+ * the domain gets it once and none sends more than RELAY_CHILDREN_MAX times:
+ * the relays pass it to each other and down a tree. Returns how many.
+ */
+#define RELAY_FANOUT	   8
+#define RELAY_CHILDREN_MAX (RELAY_FANOUT + RELAY_PER_DOMAIN - 1)
+size_t relay_children(const struct vml *vml, struct str domain, struct str id,
+		      const struct vm *out[RELAY_CHILDREN_MAX]);
+
 /* Whether the VM id is a relay of the domain. */
 bool relay_is(const struct vml *vml, struct str domain, struct str id);
 
--- a/policy/vml.h
+++ b/policy/vml.h
@@ -44,7 +44,7 @@
 };
 
 /* Most VMs that vml_rendezvous() picks. */
-#define VML_MAX_PICKS 64
+#define VML_MAX_PICKS 256
 
 /*
  * Makes a list of count empty VMs, which the caller fills in, ordered by id,
--- /dev/null
+++ b/tests/test_node.c
@@ -0,0 +1,380 @@
+/* A pst-controld's state behind its RPC server, and the agent that asks it. */
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "agent/ctl.h"
+#include "agent/tmsg.h"
+#include "common/err.h"
+#include "common/rpcs.h"
+#include "controld/sync.h"
+#include "controld/xchg.h"
+#include "tests/fix_run.h"
+#include "tests/fix_table.h"
+
+#define PORT	     18403
+#define BIG_SERVICES 200
+#define WAIT	     CLK_SEC(5)
+#define POLL	     CLK_MS(5)
+
+static struct settings set;
+static struct cview *cview;
+static struct node *node;
+
+static bool allow(void *ctx, struct str ip)
+{
+	(void)ctx;
+	(void)ip;
+	return true;
+}
+
+static void load_settings(void)
+{
+	struct set_range bad;
+
+	ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
+	set.vm.address = fix_ip();
+	set.control.rpc_port = PORT;
+	set.control.sync_interval_ms = 20;
+}
+
+static void begin(void)
+{
+	const struct rpcs_gate gate = {.allow = allow};
+	struct vml *list = NULL;
+	char *text = fix_vm_list(1);
+
+	load_settings();
+	ck_assert_int_eq(cview_create(&cview), 0);
+	ck_assert_int_eq(node_create(&node, &set, clk_system(), cview), 0);
+	ck_assert_int_eq(sync_register(node), 0);
+	ck_assert_int_eq(rpcs_start(fix_ip(), PORT, gate), 0);
+	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
+	node_take_list(node, list);
+	free(text);
+}
+
+static void end(void)
+{
+	rpcs_stop();
+	node_destroy(node);
+	cview_destroy(cview);
+}
+
+/* As a read of the whole table from the store would. */
+static void take(const struct tbl_part *parts, size_t count, uint64_t revision)
+{
+	ck_assert_int_eq(node_keep(node, parts, count), 0);
+	ck_assert_int_eq(node_apply(node, revision, "test"), 0);
+}
+
+static struct tbl_part edit_of(const struct tbl_part *old, uint64_t revision,
+			       const char *from, const char *to, char **text)
+{
+	const char *at = strstr(old->value.ptr, from);
+
+	ck_assert_ptr_nonnull(at);
+	if (asprintf(text, "%.*s%s%s", (int)(at - old->value.ptr),
+		     old->value.ptr, to, at + strlen(from)) < 0)
+		ck_abort();
+	return (struct tbl_part){
+		.key = old->key,
+		.mod_revision = revision,
+		.value = str_from_c(*text),
+	};
+}
+
+static uint64_t view_revision(struct ctl_agent *agent)
+{
+	struct ctl_view *view = ctl_agent_view(agent);
+	const uint64_t revision = view ? view->tbl->revision : 0;
+
+	ctl_view_put(view);
+	return revision;
+}
+
+static void wait_revision(struct ctl_agent *agent, uint64_t revision)
+{
+	const apr_time_t until = clk_now(clk_system()) + WAIT;
+
+	while (view_revision(agent) != revision) {
+		ck_assert_msg(clk_now(clk_system()) < until,
+			      "held %llu, want %llu",
+			      (unsigned long long)view_revision(agent),
+			      (unsigned long long)revision);
+		apr_sleep(POLL);
+	}
+}
+
+static void wait_in_force(uint64_t revision)
+{
+	const apr_time_t until = clk_now(clk_system()) + WAIT;
+
+	for (;;) {
+		table_status status = {0};
+		uint64_t in_force;
+
+		ck_assert_int_eq(node_status(node, &status), 0);
+		in_force = status.in_force;
+		xdr_free((xdrproc_t)xdr_table_status, &status);
+		if (in_force == revision)
+			return;
+		ck_assert(clk_now(clk_system()) < until);
+		apr_sleep(POLL);
+	}
+}
+
+START_TEST(agent_follows_edits_and_a_new_manifest)
+{
+	struct ctl_agent *agent = NULL;
+	struct tbl_part change;
+	struct ctl_view *view;
+	char *text;
+
+	begin();
+	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	ck_assert(!ctl_agent_fresh(agent));
+	take(fix_parts, 3, 5);
+	wait_revision(agent, 5);
+	/* Not confirmed by anybody yet. */
+	ck_assert(!ctl_agent_fresh(agent));
+	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100", "\"almaty-1\":7",
+			 &text);
+	take(&change, 1, 6);
+	wait_revision(agent, 6);
+	wait_in_force(6);
+	free(text);
+	/* The agent has dropped the parts, so it must ask for all of them. */
+	change = edit_of(&fix_parts[0], 7, "4000", "3000", &text);
+	take(&change, 1, 7);
+	wait_revision(agent, 7);
+	free(text);
+	view = ctl_agent_view(agent);
+	ck_assert_uint_eq(view->tbl->links[0].bytes_per_s, 375000000);
+	ck_assert_uint_eq(tbl_row(view->tbl, 0, RANK_URGENT)->weights[0], 7);
+	ck_assert_uint_eq(view->vml->count, 6);
+	ctl_view_put(view);
+	ctl_agent_stop(agent);
+	end();
+}
+END_TEST
+
+START_TEST(agent_is_fresh_as_long_as_the_node_is_confirmed)
+{
+	struct ctl_agent *agent = NULL;
+	const table_status peer = {.vm = (char *)"entry-2", .voter = true};
+	const apr_time_t until = clk_now(clk_system()) + WAIT;
+
+	begin();
+	set.control.freshness_timeout_ms = 400;
+	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	take(fix_parts, 3, 5);
+	wait_revision(agent, 5);
+	/* From the store alone a new process believes nothing yet. */
+	node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
+	ck_assert_int_eq(node_age(node), REV_NEVER);
+	node_meet(node, &peer);
+	while (!ctl_agent_fresh(agent)) {
+		node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
+		ck_assert(clk_now(clk_system()) < until);
+		apr_sleep(POLL);
+	}
+	/* No further confirmation. */
+	apr_sleep(CLK_MS(500));
+	ck_assert(!ctl_agent_fresh(agent));
+	ck_assert_uint_eq(view_revision(agent), 5);
+	ctl_agent_stop(agent);
+	end();
+}
+END_TEST
+
+START_TEST(push_with_a_gap_is_refused)
+{
+	struct tbl_part change;
+	char *text;
+
+	begin();
+	take(fix_parts, 3, 5);
+	change = edit_of(&fix_parts[1], 8, "\"almaty-1\":100", "\"almaty-1\":8",
+			 &text);
+	ck_assert_int_eq(node_take_change(node, &change, 1, 7, 8, "peer"),
+			 PST_ERR_STALE);
+	ck_assert_uint_eq(node_revision(node), 5);
+	ck_assert(node_behind(node));
+	ck_assert_int_eq(node_take_change(node, &change, 1, 5, 8, "peer"), 0);
+	ck_assert_uint_eq(node_revision(node), 8);
+	/* Again, and older: nothing happens. */
+	ck_assert_int_eq(node_take_change(node, &change, 1, 5, 8, "peer"), 0);
+	ck_assert_int_eq(node_apply(node, 6, "peer"), PST_ERR_STALE);
+	ck_assert_uint_eq(node_revision(node), 8);
+	free(text);
+	end();
+}
+END_TEST
+
+START_TEST(malformed_part_leaves_the_last_table_in_force)
+{
+	struct tbl_part change;
+	struct tbl *tbl;
+	char *text;
+
+	begin();
+	take(fix_parts, 3, 5);
+	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100",
+			 "\"almaty-1\":-1", &text);
+	ck_assert_int_eq(node_take_change(node, &change, 1, 5, 6, "peer"),
+			 PST_ERR_INVALID);
+	tbl = node_table(node);
+	ck_assert_uint_eq(tbl->revision, 5);
+	tbl_put(tbl);
+	free(text);
+	/* The correction of the cell counts. */
+	change = edit_of(&fix_parts[1], 7, "\"almaty-1\":100", "\"almaty-1\":9",
+			 &text);
+	ck_assert_int_eq(node_take_change(node, &change, 1, 6, 7, "peer"), 0);
+	tbl = node_table(node);
+	ck_assert_uint_eq(tbl->revision, 7);
+	tbl_put(tbl);
+	free(text);
+	end();
+}
+END_TEST
+
+/* A table of several pages, whose parts are large. */
+static struct tbl_part *big_table(char **manifest)
+{
+	struct tbl_part *parts = calloc(BIG_SERVICES + 1, sizeof(*parts));
+	char *names = strdup("");
+	char *padded = malloc(fix_parts[1].value.len + 16384);
+
+	memset(padded, ' ', fix_parts[1].value.len + 16384);
+	memcpy(padded, fix_parts[1].value.ptr, fix_parts[1].value.len);
+	for (int i = 0; i < BIG_SERVICES; i++) {
+		char *key = NULL;
+		char *more = NULL;
+
+		if (asprintf(&key, TBL_PREFIX_SERVICE "s%d", i) < 0 ||
+		    asprintf(&more, "%s%s\"s%d\"", names, i ? "," : "", i) < 0)
+			ck_abort();
+		free(names);
+		names = more;
+		parts[i + 1] = (struct tbl_part){
+			.key = str_from_c(key),
+			.mod_revision = 10 + (uint64_t)i / 3,
+			.value = {.ptr = padded,
+				  .len = fix_parts[1].value.len + 16384},
+		};
+	}
+	parts[0] = edit_of(&fix_parts[0], 9, "\"status\",\"booking\"", names,
+			   manifest);
+	free(names);
+	return parts;
+}
+
+START_TEST(table_of_many_pages_arrives_whole)
+{
+	struct ctl_agent *agent = NULL;
+	struct ctl_view *view;
+	char *manifest;
+	struct tbl_part *parts;
+
+	begin();
+	parts = big_table(&manifest);
+	take(parts, BIG_SERVICES + 1, 10 + (BIG_SERVICES - 1) / 3);
+	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	wait_revision(agent, 10 + (BIG_SERVICES - 1) / 3);
+	view = ctl_agent_view(agent);
+	ck_assert_uint_eq(view->tbl->service_count, BIG_SERVICES);
+	ctl_view_put(view);
+	ctl_agent_stop(agent);
+	for (int i = 1; i <= BIG_SERVICES; i++)
+		free((char *)parts[i].key.ptr);
+	free((char *)parts[1].value.ptr);
+	free(parts);
+	free(manifest);
+	end();
+}
+END_TEST
+
+/* A second node takes all from the first, as a new VM does in an outage. */
+START_TEST(new_node_takes_table_list_and_confirmation_from_a_peer)
+{
+	const table_status peer = {.vm = (char *)"entry-2", .voter = true};
+	struct cview *other_view;
+	struct node *other;
+	struct xchg *xchg;
+	struct vml *members;
+
+	begin();
+	take(fix_parts, 3, 5);
+	node_meet(node, &peer);
+	node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
+	ck_assert_int_eq(cview_create(&other_view), 0);
+	ck_assert_int_eq(node_create(&other, &set, clk_system(), other_view),
+			 0);
+	ck_assert_int_eq(xchg_create(&xchg, &set, clk_system(), other), 0);
+	members = node_members(node);
+	((struct vm *)vml_find(members, STR_LIT("entry-2")))->address.len =
+		(uint8_t)fix_ip().len;
+	memcpy(members->vms[1].address.ptr, fix_ip().ptr, fix_ip().len + 1);
+	ck_assert_int_eq(xchg_sync(xchg, &members->vms[1]), 0);
+	vml_put(members);
+	ck_assert_uint_eq(node_revision(other), 5);
+	ck_assert_int_lt(node_age(other), CLK_SEC(2));
+	ck_assert(node_voter(other));
+	members = node_members(other);
+	ck_assert_uint_eq(members->count, 6);
+	vml_put(members);
+	xchg_destroy(xchg);
+	node_destroy(other);
+	cview_destroy(other_view);
+	end();
+}
+END_TEST
+
+START_TEST(drain_mark_makes_a_vm_leave)
+{
+	const struct tbl_part mark = {
+		.key = STR_LIT("/pst/drain/entry-3"),
+		.mod_revision = 6,
+		.value = STR_LIT("{\"drain\":true}"),
+	};
+	const struct tbl_part cleared = {
+		.key = STR_LIT("/pst/drain/entry-3"),
+		.mod_revision = 7,
+		.value = STR_LIT("{\"drain\":false}"),
+	};
+	struct ctl_view *view;
+
+	begin();
+	take(fix_parts, 3, 5);
+	ck_assert_int_eq(node_take_change(node, &mark, 1, 5, 6, "peer"), 0);
+	view = cview_get(cview);
+	ck_assert_int_eq(vml_find(view->vml, STR_LIT("entry-3"))->state,
+			 VM_LEAVING);
+	ctl_view_put(view);
+	ck_assert_int_eq(node_take_change(node, &cleared, 1, 6, 7, "peer"), 0);
+	view = cview_get(cview);
+	ck_assert_int_eq(vml_find(view->vml, STR_LIT("entry-3"))->state,
+			 VM_LIVE);
+	ctl_view_put(view);
+	end();
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("node");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, agent_follows_edits_and_a_new_manifest);
+	tcase_add_test(tc, agent_is_fresh_as_long_as_the_node_is_confirmed);
+	tcase_add_test(tc, push_with_a_gap_is_refused);
+	tcase_add_test(tc, malformed_part_leaves_the_last_table_in_force);
+	tcase_add_test(tc, table_of_many_pages_arrives_whole);
+	tcase_add_test(tc,
+		       new_node_takes_table_list_and_confirmation_from_a_peer);
+	tcase_add_test(tc, drain_mark_makes_a_vm_leave);
+	return fix_run("node", tc);
+}
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -66,6 +66,33 @@
 }
 END_TEST
 
+/* Whatever the size, every VM hears of a change, and none sends too often. */
+START_TEST(tree_reaches_each_vm_once)
+{
+	struct vml *vml = fleet(_i);
+	const struct str domain = STR_LIT("aktobe-1");
+	const struct vm *children[RELAY_CHILDREN_MAX];
+	size_t told[1024] = {0};
+
+	for (size_t i = 0; i < vml->count; i++) {
+		const size_t count = relay_children(
+			vml, domain, strbuf_str(&vml->vms[i].id), children);
+
+		ck_assert_uint_le(count, RELAY_CHILDREN_MAX);
+		for (size_t c = 0; c < count; c++)
+			told[children[c] - vml->vms]++;
+	}
+	for (size_t i = 0; i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+		const bool member = str_eq(strbuf_str(&vm->domain), domain);
+
+		/* A lone relay has nobody to tell it but the store. */
+		ck_assert_uint_eq(told[i], member && _i > 1);
+	}
+	vml_put(vml);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("relay");
@@ -73,5 +100,6 @@
 	tcase_add_test(tc, each_domain_has_two_of_its_own);
 	tcase_add_test(tc, next_best_follows_a_relay_that_leaves);
 	tcase_add_test(tc, small_domain_has_what_there_is);
+	tcase_add_loop_test(tc, tree_reaches_each_vm_once, 1, 100);
 	return fix_run("relay", tc);
 }
