--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -124,6 +124,8 @@
 	uint64_t *connect_timeout_ms;
 	uint64_t *leave_grace_ms;
 	char *policy;
+	uint64_t *threads;
+	uint64_t *link_window_bytes;
 };
 
 static const cyaml_schema_field_t fields_entry[] = {
@@ -140,6 +142,42 @@
 	CYAML_FIELD_UINT_PTR("connect_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, connect_timeout_ms),
 	CYAML_FIELD_UINT_PTR("leave_grace_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, leave_grace_ms),
 	CYAML_FIELD_STRING_PTR("policy", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, policy, 0, CYAML_UNLIMITED),
+	CYAML_FIELD_UINT_PTR("threads", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, threads),
+	CYAML_FIELD_UINT_PTR("link_window_bytes", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_entry, link_window_bytes),
+	CYAML_FIELD_END,
+};
+
+struct raw_ticket {
+	uint64_t *block_tickets;
+	uint64_t *max_blocks;
+	uint64_t *ttl_ms;
+	uint64_t *max_open;
+	uint64_t *give_up_ms;
+	uint64_t *call_timeout_ms;
+	uint64_t *store_writes_per_s;
+	uint64_t *key_retention_s;
+};
+
+static const cyaml_schema_field_t fields_ticket[] = {
+	CYAML_FIELD_UINT_PTR("block_tickets", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, block_tickets),
+	CYAML_FIELD_UINT_PTR("max_blocks", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, max_blocks),
+	CYAML_FIELD_UINT_PTR("ttl_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, ttl_ms),
+	CYAML_FIELD_UINT_PTR("max_open", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, max_open),
+	CYAML_FIELD_UINT_PTR("give_up_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, give_up_ms),
+	CYAML_FIELD_UINT_PTR("call_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, call_timeout_ms),
+	CYAML_FIELD_UINT_PTR("store_writes_per_s", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, store_writes_per_s),
+	CYAML_FIELD_UINT_PTR("key_retention_s", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_ticket, key_retention_s),
+	CYAML_FIELD_END,
+};
+
+struct raw_permit {
+	uint64_t *heartbeat_ms;
+	uint64_t *silent_timeout_ms;
+};
+
+static const cyaml_schema_field_t fields_permit[] = {
+	CYAML_FIELD_UINT_PTR("heartbeat_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_permit, heartbeat_ms),
+	CYAML_FIELD_UINT_PTR("silent_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_permit, silent_timeout_ms),
 	CYAML_FIELD_END,
 };
 
@@ -158,6 +196,33 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_broker {
+	uint64_t *permit_ttl_ms;
+	uint64_t *learn_ms;
+	uint64_t *ramp_ms;
+	uint64_t *ramp_start_pct;
+	uint64_t *shed_hold_ms;
+	uint64_t *silent_hold_ms;
+	uint64_t *drain_hold_ms;
+	uint64_t *poll_interval_ms;
+	uint64_t *poll_timeout_ms;
+	uint64_t *line_max;
+};
+
+static const cyaml_schema_field_t fields_broker[] = {
+	CYAML_FIELD_UINT_PTR("permit_ttl_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, permit_ttl_ms),
+	CYAML_FIELD_UINT_PTR("learn_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, learn_ms),
+	CYAML_FIELD_UINT_PTR("ramp_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, ramp_ms),
+	CYAML_FIELD_UINT_PTR("ramp_start_pct", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, ramp_start_pct),
+	CYAML_FIELD_UINT_PTR("shed_hold_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, shed_hold_ms),
+	CYAML_FIELD_UINT_PTR("silent_hold_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, silent_hold_ms),
+	CYAML_FIELD_UINT_PTR("drain_hold_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, drain_hold_ms),
+	CYAML_FIELD_UINT_PTR("poll_interval_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, poll_interval_ms),
+	CYAML_FIELD_UINT_PTR("poll_timeout_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, poll_timeout_ms),
+	CYAML_FIELD_UINT_PTR("line_max", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_broker, line_max),
+	CYAML_FIELD_END,
+};
+
 struct raw_table {
 	uint64_t *head_interval_ms;
 	uint64_t *peer_interval_ms;
@@ -177,6 +242,17 @@
 	CYAML_FIELD_END,
 };
 
+struct raw_share {
+	uint64_t *loan_ms;
+	uint64_t *interval_ms;
+};
+
+static const cyaml_schema_field_t fields_share[] = {
+	CYAML_FIELD_UINT_PTR("loan_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_share, loan_ms),
+	CYAML_FIELD_UINT_PTR("interval_ms", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_share, interval_ms),
+	CYAML_FIELD_END,
+};
+
 struct raw_lookup {
 	uint64_t *port;
 	uint64_t *admin_port;
@@ -220,8 +296,12 @@
 	struct raw_vm *vm;
 	struct raw_platform *platform;
 	struct raw_entry *entry;
+	struct raw_ticket *ticket;
+	struct raw_permit *permit;
 	struct raw_control *control;
+	struct raw_broker *broker;
 	struct raw_table *table;
+	struct raw_share *share;
 	struct raw_lookup *lookup;
 	struct raw_net *net;
 	struct raw_log *log;
@@ -231,8 +311,12 @@
 	CYAML_FIELD_MAPPING_PTR("vm", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, vm, fields_vm),
 	CYAML_FIELD_MAPPING_PTR("platform", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, platform, fields_platform),
 	CYAML_FIELD_MAPPING_PTR("entry", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, entry, fields_entry),
+	CYAML_FIELD_MAPPING_PTR("ticket", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, ticket, fields_ticket),
+	CYAML_FIELD_MAPPING_PTR("permit", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, permit, fields_permit),
 	CYAML_FIELD_MAPPING_PTR("control", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, control, fields_control),
+	CYAML_FIELD_MAPPING_PTR("broker", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, broker, fields_broker),
 	CYAML_FIELD_MAPPING_PTR("table", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, table, fields_table),
+	CYAML_FIELD_MAPPING_PTR("share", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, share, fields_share),
 	CYAML_FIELD_MAPPING_PTR("lookup", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, lookup, fields_lookup),
 	CYAML_FIELD_MAPPING_PTR("net", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, net, fields_net),
 	CYAML_FIELD_MAPPING_PTR("log", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_settings, log, fields_log),
@@ -300,6 +384,42 @@
 		return refuse(bad, "entry", "leave_grace_ms", "a number from 0 to 600000");
 	if (conv_str(r ? r->policy : NULL, "broker", check_entry_policy, &out->entry.policy))
 		return refuse(bad, "entry", "policy", "one of broker, random, least_reported, two_choices, static_split");
+	if (conv_uint(r ? r->threads : NULL, UINT64_C(1), UINT64_C(1), UINT64_C(64), &out->entry.threads))
+		return refuse(bad, "entry", "threads", "a number from 1 to 64");
+	if (conv_uint(r ? r->link_window_bytes : NULL, UINT64_C(262144), UINT64_C(16384), UINT64_C(16777216), &out->entry.link_window_bytes))
+		return refuse(bad, "entry", "link_window_bytes", "a number from 16384 to 16777216");
+	return 0;
+}
+
+static int convert_ticket(const struct raw_ticket *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->block_tickets : NULL, UINT64_C(1024), UINT64_C(1), UINT64_C(65536), &out->ticket.block_tickets))
+		return refuse(bad, "ticket", "block_tickets", "a number from 1 to 65536");
+	if (conv_uint(r ? r->max_blocks : NULL, UINT64_C(4096), UINT64_C(1), UINT64_C(1048576), &out->ticket.max_blocks))
+		return refuse(bad, "ticket", "max_blocks", "a number from 1 to 1048576");
+	if (conv_uint(r ? r->ttl_ms : NULL, UINT64_C(120000), UINT64_C(1000), UINT64_C(86400000), &out->ticket.ttl_ms))
+		return refuse(bad, "ticket", "ttl_ms", "a number from 1000 to 86400000");
+	if (conv_uint(r ? r->max_open : NULL, UINT64_C(16384), UINT64_C(16), UINT64_C(8388608), &out->ticket.max_open))
+		return refuse(bad, "ticket", "max_open", "a number from 16 to 8388608");
+	if (conv_uint(r ? r->give_up_ms : NULL, UINT64_C(1000), UINT64_C(10), UINT64_C(60000), &out->ticket.give_up_ms))
+		return refuse(bad, "ticket", "give_up_ms", "a number from 10 to 60000");
+	if (conv_uint(r ? r->call_timeout_ms : NULL, UINT64_C(250), UINT64_C(10), UINT64_C(60000), &out->ticket.call_timeout_ms))
+		return refuse(bad, "ticket", "call_timeout_ms", "a number from 10 to 60000");
+	if (conv_uint(r ? r->store_writes_per_s : NULL, UINT64_C(8), UINT64_C(1), UINT64_C(10000), &out->ticket.store_writes_per_s))
+		return refuse(bad, "ticket", "store_writes_per_s", "a number from 1 to 10000");
+	if (conv_uint(r ? r->key_retention_s : NULL, UINT64_C(86400), UINT64_C(60), UINT64_C(2592000), &out->ticket.key_retention_s))
+		return refuse(bad, "ticket", "key_retention_s", "a number from 60 to 2592000");
+	return 0;
+}
+
+static int convert_permit(const struct raw_permit *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->heartbeat_ms : NULL, UINT64_C(1000), UINT64_C(50), UINT64_C(10000), &out->permit.heartbeat_ms))
+		return refuse(bad, "permit", "heartbeat_ms", "a number from 50 to 10000");
+	if (conv_uint(r ? r->silent_timeout_ms : NULL, UINT64_C(400), UINT64_C(20), UINT64_C(10000), &out->permit.silent_timeout_ms))
+		return refuse(bad, "permit", "silent_timeout_ms", "a number from 20 to 10000");
 	return 0;
 }
 
@@ -317,6 +437,32 @@
 	return 0;
 }
 
+static int convert_broker(const struct raw_broker *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->permit_ttl_ms : NULL, UINT64_C(3500), UINT64_C(200), UINT64_C(60000), &out->broker.permit_ttl_ms))
+		return refuse(bad, "broker", "permit_ttl_ms", "a number from 200 to 60000");
+	if (conv_uint(r ? r->learn_ms : NULL, UINT64_C(600), UINT64_C(0), UINT64_C(10000), &out->broker.learn_ms))
+		return refuse(bad, "broker", "learn_ms", "a number from 0 to 10000");
+	if (conv_uint(r ? r->ramp_ms : NULL, UINT64_C(10000), UINT64_C(0), UINT64_C(600000), &out->broker.ramp_ms))
+		return refuse(bad, "broker", "ramp_ms", "a number from 0 to 600000");
+	if (conv_uint(r ? r->ramp_start_pct : NULL, UINT64_C(25), UINT64_C(1), UINT64_C(100), &out->broker.ramp_start_pct))
+		return refuse(bad, "broker", "ramp_start_pct", "a number from 1 to 100");
+	if (conv_uint(r ? r->shed_hold_ms : NULL, UINT64_C(100), UINT64_C(1), UINT64_C(60000), &out->broker.shed_hold_ms))
+		return refuse(bad, "broker", "shed_hold_ms", "a number from 1 to 60000");
+	if (conv_uint(r ? r->silent_hold_ms : NULL, UINT64_C(500), UINT64_C(1), UINT64_C(60000), &out->broker.silent_hold_ms))
+		return refuse(bad, "broker", "silent_hold_ms", "a number from 1 to 60000");
+	if (conv_uint(r ? r->drain_hold_ms : NULL, UINT64_C(10000), UINT64_C(100), UINT64_C(600000), &out->broker.drain_hold_ms))
+		return refuse(bad, "broker", "drain_hold_ms", "a number from 100 to 600000");
+	if (conv_uint(r ? r->poll_interval_ms : NULL, UINT64_C(500), UINT64_C(20), UINT64_C(60000), &out->broker.poll_interval_ms))
+		return refuse(bad, "broker", "poll_interval_ms", "a number from 20 to 60000");
+	if (conv_uint(r ? r->poll_timeout_ms : NULL, UINT64_C(500), UINT64_C(10), UINT64_C(60000), &out->broker.poll_timeout_ms))
+		return refuse(bad, "broker", "poll_timeout_ms", "a number from 10 to 60000");
+	if (conv_uint(r ? r->line_max : NULL, UINT64_C(4096), UINT64_C(1), UINT64_C(1000000), &out->broker.line_max))
+		return refuse(bad, "broker", "line_max", "a number from 1 to 1000000");
+	return 0;
+}
+
 static int convert_table(const struct raw_table *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -335,6 +481,16 @@
 	return 0;
 }
 
+static int convert_share(const struct raw_share *r, struct settings *out,
+			struct set_range *bad)
+{
+	if (conv_uint(r ? r->loan_ms : NULL, UINT64_C(2000), UINT64_C(200), UINT64_C(60000), &out->share.loan_ms))
+		return refuse(bad, "share", "loan_ms", "a number from 200 to 60000");
+	if (conv_uint(r ? r->interval_ms : NULL, UINT64_C(250), UINT64_C(20), UINT64_C(10000), &out->share.interval_ms))
+		return refuse(bad, "share", "interval_ms", "a number from 20 to 10000");
+	return 0;
+}
+
 static int convert_lookup(const struct raw_lookup *r, struct settings *out,
 			struct set_range *bad)
 {
@@ -381,10 +537,18 @@
 		err = convert_platform(r ? r->platform : NULL, out, bad);
 	if (!err)
 		err = convert_entry(r ? r->entry : NULL, out, bad);
+	if (!err)
+		err = convert_ticket(r ? r->ticket : NULL, out, bad);
+	if (!err)
+		err = convert_permit(r ? r->permit : NULL, out, bad);
 	if (!err)
 		err = convert_control(r ? r->control : NULL, out, bad);
+	if (!err)
+		err = convert_broker(r ? r->broker : NULL, out, bad);
 	if (!err)
 		err = convert_table(r ? r->table : NULL, out, bad);
+	if (!err)
+		err = convert_share(r ? r->share : NULL, out, bad);
 	if (!err)
 		err = convert_lookup(r ? r->lookup : NULL, out, bad);
 	if (!err)
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -61,6 +61,38 @@
 	uint64_t leave_grace_ms;
 	/* How an upstream is chosen; all but broker are baselines for measurement. */
 	struct str policy;
+	/* Threads that serve callers. */
+	uint64_t threads;
+	/* Bytes of an answer from another region that may be on the way to one request; taken from the link's limit before the request is sent. */
+	uint64_t link_window_bytes;
+};
+
+/* At-most-once tickets and callers' own keys. */
+struct set_ticket {
+	/* Largest number of tickets in one block of a witness. */
+	uint64_t block_tickets;
+	/* Blocks that this process holds as a witness at once. */
+	uint64_t max_blocks;
+	/* Life of a block at its witness, in milliseconds; a ticket is good for at least half of it. */
+	uint64_t ttl_ms;
+	/* Keyed requests that this process remembers, in progress or ended. */
+	uint64_t max_open;
+	/* Time after which a key that no arbiter has decided is answered as unknown, in milliseconds. */
+	uint64_t give_up_ms;
+	/* Time allowed for one call to a witness or home, in milliseconds. */
+	uint64_t call_timeout_ms;
+	/* Claims of callers' own keys that this VM may write to the store in a second. */
+	uint64_t store_writes_per_s;
+	/* Least time for which the store remembers a caller's own key, in seconds. */
+	uint64_t key_retention_s;
+};
+
+/* pst-entryd: permits for the slots of upstreams. */
+struct set_permit {
+	/* Time between two complete lists of held permits to each broker in use, in milliseconds. */
+	uint64_t heartbeat_ms;
+	/* Time without a sign of life from a broker that owes an answer after which local shares of the slots are used, in milliseconds; at least twice the round trip to the farthest region. */
+	uint64_t silent_timeout_ms;
 };
 
 /* pst-controld: table, members, limits and permits. */
@@ -75,6 +107,30 @@
 	uint64_t freshness_timeout_ms;
 };
 
+/* pst-controld: permits for the slots of upstreams. */
+struct set_broker {
+	/* Time after the last message of an entry VM after which its permits are free again, in milliseconds; more than three heartbeats. */
+	uint64_t permit_ttl_ms;
+	/* Longest time that a new broker collects the permits held before it grants any, in milliseconds. */
+	uint64_t learn_ms;
+	/* Time in which a cold or restarted upstream comes to its full number of slots, in milliseconds. */
+	uint64_t ramp_ms;
+	/* Part of its slots that a cold upstream starts with, in percent. */
+	uint64_t ramp_start_pct;
+	/* Time for which a refusal lowers the capacity believed of an upstream, in milliseconds; doubles with each refusal in a row, up to 16 times. */
+	uint64_t shed_hold_ms;
+	/* Time without new work after an upstream was silent, in milliseconds; doubles with each failed trial, up to 16 times. */
+	uint64_t silent_hold_ms;
+	/* Time without new work after an upstream refused as draining, whatever its reports say, in milliseconds. */
+	uint64_t drain_hold_ms;
+	/* Time between two reads of an upstream's load report, in milliseconds. */
+	uint64_t poll_interval_ms;
+	/* Time allowed for one read of a load report, in milliseconds. */
+	uint64_t poll_timeout_ms;
+	/* Asks that wait at one broker in one rank; more are refused as not run. */
+	uint64_t line_max;
+};
+
 /* Following the operators' table and the membership. */
 struct set_table {
 	/* Time between two reads of the table's newest revision by a relay, in milliseconds. */
@@ -91,6 +147,14 @@
 	uint64_t backoff_max_ms;
 };
 
+/* Shares of the table's limits, lent between VMs and processes. */
+struct set_share {
+	/* Longest time that a lent part of a limit is valid, in milliseconds. */
+	uint64_t loan_ms;
+	/* Time between two requests for the same part, in milliseconds; at most a quarter of loan_ms, or parts lapse in between. */
+	uint64_t interval_ms;
+};
+
 /* pst-lookupd: which entry VMs a caller should use. */
 struct set_lookup {
 	/* Port for callers. */
@@ -125,8 +189,12 @@
 	struct set_vm vm;
 	struct set_platform platform;
 	struct set_entry entry;
+	struct set_ticket ticket;
+	struct set_permit permit;
 	struct set_control control;
+	struct set_broker broker;
 	struct set_table table;
+	struct set_share share;
 	struct set_lookup lookup;
 	struct set_net net;
 	struct set_log log;
