Permits: brokers are met before they are needed

Ruled out: a longer time for silence everywhere (a dead broker would be used for longer). Conclusion: up to 256 services and domains are kept warm; an ask is refused early only if it would have to wait for more than half of its time.

--- a/agent/permit_peer.c
+++ b/agent/permit_peer.c
@@ -7,6 +7,9 @@
 /* A silent peer is asked this many times within the time for silence. */
 #define PINGS_PER_TIMEOUT 2
 
+/* Opening the first connection takes more messages than an answer does. */
+#define FIRST_CONTACT_FACTOR 2
+
 struct permit_peer *permit_peer_create(const struct vm *vm)
 {
 	struct permit_peer *peer = calloc(1, sizeof(*peer));
@@ -84,8 +87,11 @@
 					 const struct permit_state_cfg *cfg,
 					 apr_time_t now)
 {
+	const bool met = peer->incarnation != 0;
 	const apr_interval_time_t trial =
 		cfg->silent_timeout / PINGS_PER_TIMEOUT;
+	const apr_interval_time_t timeout =
+		cfg->silent_timeout * (met ? 1 : FIRST_CONTACT_FACTOR);
 
 	if (peer->silent) {
 		if (now - peer->pinged_at >= trial)
@@ -94,14 +100,14 @@
 	}
 	if (!peer->owed_since)
 		return PERMIT_PEER_SAME;
-	if (now - peer->owed_since >= cfg->silent_timeout) {
+	if (now - peer->owed_since >= timeout) {
 		peer->silent = true;
 		peer->silent_since = peer->owed_since;
 		drop_batch(peer);
 		ping(peer, now);
 		return PERMIT_PEER_SILENT;
 	}
-	if (!peer->probed && now - peer->owed_since >= trial) {
+	if (met && !peer->probed && now - peer->owed_since >= trial) {
 		peer->probed = true;
 		ping(peer, now);
 	}
--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -15,6 +15,9 @@
 /* Time without use after which a broker is sent no more complete lists. */
 #define KEY_IDLE CLK_SEC(60)
 
+/* With no more than so many, connections to all brokers are kept open. */
+#define WARM_KEYS_MAX 256
+
 /* An ask is given up this long before its deadline, to be in time. */
 #define DEADLINE_MARGIN	       CLK_MS(5)
 
@@ -374,10 +377,11 @@
 }
 
 static struct key *key_for(struct permit_state *st,
-			   const struct permit_ask *ask)
+			   const struct strbuf *service,
+			   const struct strbuf *domain)
 {
-	const uint64_t hash = str_hash(strbuf_str(&ask->service),
-				       str_hash(strbuf_str(&ask->domain), 0));
+	const uint64_t hash =
+		str_hash(strbuf_str(service), str_hash(strbuf_str(domain), 0));
 	struct key *key =
 		FROM_NODE(brk_map_find(&st->keys, hash, 0), struct key);
 
@@ -387,8 +391,8 @@
 	if (!key)
 		return NULL;
 	key->st = st;
-	key->service = ask->service;
-	key->domain = ask->domain;
+	key->service = *service;
+	key->domain = *domain;
 	key->full_due = true;
 	key->next = st->first_key;
 	st->first_key = key;
@@ -564,7 +568,7 @@
 
 static bool key_in_use(const struct key *key)
 {
-	return key->permits ||
+	return key->permits || key->st->keys.count <= WARM_KEYS_MAX ||
 	       (key->used_at && key->st->now - key->used_at < KEY_IDLE);
 }
 
@@ -582,6 +586,36 @@
 	}
 }
 
+static bool has_weight(const struct tbl *tbl, uint32_t service, uint32_t domain)
+{
+	for (int r = 0; r < RANK_COUNT; r++) {
+		if (tbl_row(tbl, service, (enum rank)r)->weights[domain])
+			return true;
+	}
+	return false;
+}
+
+/* Meets the brokers of all that the table names, before they are needed. */
+static void warm_up(struct permit_state *st)
+{
+	const struct tbl *tbl = st->view->tbl;
+
+	if (tbl->service_count * tbl->domain_count > WARM_KEYS_MAX)
+		return;
+	for (uint32_t s = 0; s < tbl->service_count; s++) {
+		for (uint32_t d = 0; d < tbl->domain_count; d++) {
+			struct key *key;
+
+			if (!has_weight(tbl, s, d))
+				continue;
+			key = key_for(st, &tbl->services[s],
+				      &tbl->domains[d].name);
+			if (key && key->full_due && part_of(key))
+				key->peer->ping = true;
+		}
+	}
+}
+
 int permit_state_create(struct permit_state **out,
 			const struct permit_state_cfg *cfg, struct permit_io io)
 {
@@ -636,6 +670,7 @@
 	st->view = view;
 	for (struct key *key = st->first_key; key; key = key->next)
 		move_key(key);
+	warm_up(st);
 }
 
 void permit_state_ask(struct permit_state *st, const struct permit_ask *ask,
@@ -645,7 +680,7 @@
 	struct ask *a;
 
 	st->now = now;
-	key = key_for(st, ask);
+	key = key_for(st, &ask->service, &ask->domain);
 	a = key ? calloc(1, sizeof(*a)) : NULL;
 	if (!a) {
 		refuse(st, ask->id, PERMIT_FULL, 0);
--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -134,6 +134,8 @@
 {
 	const struct role *role = ctx;
 
+	if (!permits)
+		return;
 	evt_log(PERMIT_EXPIRED, "service=%s domain=%s entry=%s permits=%zu",
 		role->service.ptr, role->domain.ptr, entry->ptr, permits);
 }
--- a/policy/brk_line.c
+++ b/policy/brk_line.c
@@ -18,7 +18,7 @@
 #define NEED_DEVIATIONS 4
 
 /* Largest part of the time left that is kept for the request itself. */
-#define NEED_PART 0.75
+#define NEED_PART 0.5
 
 /* Slots kept free above the demand, in square roots of it. */
 #define GUARD_ROOTS 0.5
