--- a/lab/lab.py
+++ b/lab/lab.py
@@ -3,6 +3,7 @@
 Every VM has an address of its own, 127.NET.DOMAIN.HOST; NET keeps labs that
 run side by side apart.
 """
+import http.client
 import json
 import os
 import shutil
@@ -14,6 +15,8 @@
 import urllib.request
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# Settings, logs and journals of each run.
+RUNS = os.path.join(ROOT, "build", "lab")
 
 # Ports, the same on every VM; the defaults of conf/example.yaml.
 ENTRY_PORT, ENTRY_ADMIN_PORT = 8080, 8082
@@ -115,7 +118,8 @@
         self.net = net or int(os.environ.get("PST_LAB_NET", 0)) or 1 + os.getpid() % 250
         self.settings = settings or {}
         self.bin = bin_dir or os.environ.get("PST_BIN", os.path.join(ROOT, "build/bin"))
-        self.dir = tempfile.mkdtemp(prefix="pst-lab-")
+        os.makedirs(RUNS, exist_ok=True)
+        self.dir = tempfile.mkdtemp(prefix="%s-" % self.conf["name"], dir=RUNS)
         self.procs = {}
         self.entries, self.upstreams = [], []
         self._lay_out()
@@ -286,11 +290,11 @@
         return get(vm.url(LOOKUP_PORT, "/v1/lookup?service=%s&block=x" % service)) and \
             get(vm.url(ENTRY_PORT, "/s/%s/ready" % service))
 
-    def start(self):
+    def start(self, link_mbps=None, upstream_options=()):
         self.start_platform()
-        self.start_links()
+        self.start_links(link_mbps)
         for u in self.upstreams:
-            self.start_upstream(u)
+            self.start_upstream(u, *upstream_options)
         self.publish_vms()
         for vm in self.entries:
             self.write_settings(vm)
@@ -300,6 +304,52 @@
         for vm in self.entries:
             wait_for(lambda: self.serving(vm), what=vm.id + " serving")
 
+    # Orders to the stand-ins and questions to the daemons
+
+    def fault(self, where, kind, **fields):
+        """where: "platform", "link" or an upstream's name."""
+        base = {"platform": self.platform, "link": self.link}.get(where) or self.upstream(where).url(UPSTREAM_PORT)
+        post(base + "/fake/fault", dict(fields, kind=kind))
+
+    def mark(self, id, state):
+        """Changes a VM's state in the platform's list, where it shows after its lag."""
+        post(self.platform + "/fake/vms/state", {"id": id, "state": state})
+
+    def upstream_stats(self, id):
+        return json.loads(get(self.upstream(id).url(UPSTREAM_PORT, "/fake/stats")))
+
+    def admin(self, vm, port, path):
+        """Asks a daemon's endpoint for operators, from the VM's own address."""
+        conn = http.client.HTTPConnection(vm.address, port, timeout=3, source_address=(vm.address, 0))
+        try:
+            conn.request("GET", path)
+            return conn.getresponse().read().decode()
+        finally:
+            conn.close()
+
+    def metric(self, vm, port, name):
+        """Sum of the metric over its labels."""
+        total = 0.0
+        for line in self.admin(vm, port, "/metrics").splitlines():
+            if line.split("{")[0].split(" ")[0] == name:
+                total += float(line.rsplit(" ", 1)[1])
+        return total
+
+    def status(self, vm=None):
+        """pstctl status: VM name to its fields."""
+        out = self.pstctl("--json", "status", vm=vm, check=False).stdout
+        return {row["vm"]: row for row in map(json.loads, out.splitlines())}
+
+    def wait_serving(self, vm, timeout=READY_TIMEOUT_S):
+        return wait_for(lambda: self.serving(vm), timeout, vm.id + " serving")
+
+    def restart_vm(self, vm):
+        """A replacement of the VM: same address, nothing kept."""
+        for name in ("controld", "lookupd", "entryd"):
+            if "%s.%s" % (vm.id, name) not in self.procs:
+                self.start_daemon(vm, name)
+        return self.wait_serving(vm)
+
     # Measurement
 
     def memory_kib(self):
