Table: golden session of one pst-controld

Cause: the log lines are what an operator sees of each decision, so a change to one should be seen in review. PST_GOLDEN_WRITE=1 build/tests/test_tbl_golden writes it anew. Ruled out: one file per case, which shows no order between decisions.

--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -33,9 +33,11 @@
 {
 	struct set_range bad;
 
-	ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
+	if (!set.vm.id.ptr)
+		ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
 	set.vm.address = fix_ip();
 	set.control.rpc_port = PORT;
+	set.control.freshness_timeout_ms = 3000;
 	set.control.sync_interval_ms = 20;
 }
 
--- /dev/null
+++ b/tests/test_tbl_golden.c
@@ -0,0 +1,182 @@
+/*
+ * A whole session of one pst-controld on a hand-moved clock, compared with
+ * tests/golden/table_session.txt. To write that file anew:
+ *
+ *	PST_GOLDEN_WRITE=1 build/tests/test_tbl_golden
+ */
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <check.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "controld/node.h"
+#include "tests/fix_run.h"
+#include "tests/fix_table.h"
+
+#define GOLDEN	    "tests/golden/table_session.txt"
+#define SESSION_MAX 16384
+#define STEP	    CLK_MS(100)
+
+static struct settings set;
+static struct clk_manual clk;
+static struct cview *cview;
+static struct node *node;
+static FILE *out;
+
+static void say(const char *what)
+{
+	fprintf(out, "# %lld ms: %s\n", (long long)clk.at / 1000, what);
+}
+
+/* What the store or a relay confirms each half second. */
+static void run_for(apr_interval_time_t time, enum node_source source)
+{
+	const apr_time_t until = clk.at + time;
+
+	while (clk.at < until) {
+		clk_manual_advance(&clk, STEP);
+		if (source && clk.at % CLK_MS(500) == 0)
+			node_confirm(node, node_revision(node), clk.at, source);
+		node_tick(node);
+	}
+}
+
+/* leaving may be NULL. */
+static void take_list(const char *leaving)
+{
+	char *text = fix_vm_list(2);
+	struct vml *list = NULL;
+
+	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
+	if (leaving)
+		((struct vm *)vml_find(list, str_from_c(leaving)))->state =
+			VM_LEAVING;
+	node_take_list(node, list);
+	free(text);
+}
+
+static void push(struct tbl_part part, const char *value, uint64_t previous,
+		 uint64_t revision)
+{
+	part.value = str_from_c(value);
+	part.mod_revision = revision;
+	fprintf(out, "# result %s\n",
+		err_name(node_take_change(node, &part, 1, previous, revision,
+					  "entry-2")));
+}
+
+static void start(void)
+{
+	const table_status peer = {.vm = (char *)"entry-2", .voter = true};
+
+	say("the list and the table are read; no peer has been met");
+	take_list(NULL);
+	node_keep(node, fix_parts, 3);
+	node_apply(node, 5, "store");
+	run_for(CLK_SEC(1), NODE_SOURCE_STORE);
+	say("a confirmed peer is met");
+	node_meet(node, &peer);
+	run_for(CLK_SEC(1), NODE_SOURCE_STORE);
+}
+
+static void edits(void)
+{
+	say("an edit is pushed; an older table is offered; a push has a gap");
+	push(fix_parts[1], fix_service, 5, 6);
+	fprintf(out, "# result %s\n", err_name(node_apply(node, 4, "store")));
+	push(fix_parts[1], fix_service, 8, 9);
+	run_for(CLK_SEC(1), NODE_SOURCE_NONE);
+	say("the missing change comes");
+	push(fix_parts[1], fix_service, 6, 9);
+	say("a malformed value is written past pstctl, then corrected");
+	push(fix_parts[1], "{\"rows\":[]}", 9, 10);
+	push(fix_parts[1], fix_service, 10, 11);
+}
+
+static void members(void)
+{
+	const struct tbl_part mark = {.key = STR_LIT("/pst/drain/entry-3")};
+
+	say("an operator drains entry-3; the platform lists entry-4 as "
+	    "leaving");
+	push(mark, "{\"drain\":true}", 11, 12);
+	take_list("entry-4");
+	say("two calls to entry-5 fail; it answers again");
+	node_vm_failed(node, STR_LIT("entry-5"));
+	node_vm_failed(node, STR_LIT("entry-5"));
+	run_for(CLK_SEC(1), NODE_SOURCE_PEER);
+	node_vm_heard(node, STR_LIT("entry-5"));
+	run_for(CLK_SEC(1), NODE_SOURCE_PEER);
+}
+
+static void outage(void)
+{
+	say("the store is down; a majority of the domains confirms");
+	run_for(CLK_SEC(2), NODE_SOURCE_MAJORITY);
+	say("cut off");
+	run_for(CLK_SEC(4), NODE_SOURCE_NONE);
+	say("back");
+	run_for(CLK_SEC(1), NODE_SOURCE_STORE);
+	say("paused for 5 s");
+	clk_manual_advance(&clk, CLK_SEC(5));
+	run_for(STEP, NODE_SOURCE_NONE);
+	run_for(CLK_SEC(1), NODE_SOURCE_STORE);
+}
+
+static void compare(const char *session, size_t len)
+{
+	static char golden[SESSION_MAX];
+	FILE *f;
+	size_t had;
+
+	if (getenv("PST_GOLDEN_WRITE")) {
+		f = fopen(GOLDEN, "w");
+		ck_assert_ptr_nonnull(f);
+		fwrite(session, 1, len, f);
+		fclose(f);
+	}
+	f = fopen(GOLDEN, "r");
+	ck_assert_ptr_nonnull(f);
+	had = fread(golden, 1, sizeof(golden) - 1, f);
+	fclose(f);
+	golden[had] = '\0';
+	ck_assert_str_eq(session, golden);
+}
+
+START_TEST(session_is_as_recorded)
+{
+	static char session[SESSION_MAX];
+	struct set_range bad;
+
+	ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
+	out = fmemopen(session, sizeof(session), "w");
+	ck_assert_ptr_nonnull(out);
+	ck_assert_int_eq(evt_init("info"), 0);
+	evt_redirect(out);
+	clk_manual_init(&clk, CLK_SEC(100));
+	ck_assert_int_eq(cview_create(&cview), 0);
+	ck_assert_int_eq(node_create(&node, &set, &clk.base, cview), 0);
+	start();
+	edits();
+	members();
+	outage();
+	evt_redirect(NULL);
+	fflush(out);
+	compare(session, strlen(session));
+	fclose(out);
+	node_destroy(node);
+	cview_destroy(cview);
+	evt_done();
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("tbl_golden");
+
+	tcase_add_test(tc, session_is_as_recorded);
+	return fix_run("tbl_golden", tc);
+}
