Split: local first within the fleet-wide weights; link bytes paced

Ruled out: keeping all requests local (a region with more callers than weight would be overloaded); demand measured by row (88 domains x rows, too many bytes at the target); a larger reserve for urgent bytes (unused when none). Conclusion: demand by region is estimated by its live entry VMs; bulk is paced at the rate over 17 slots, urgent at three times that.

--- a/agent/quota.c
+++ b/agent/quota.c
@@ -51,6 +51,7 @@
 	apr_time_t draw_at;
 	apr_time_t started_at;
 	bool lapsed;
+	bool had_grants;
 	struct shr_ask asks[SHR_ASKS_MAX];
 	struct shr_grant grants[SHR_ASKS_MAX];
 };
@@ -170,23 +171,34 @@
 	return known;
 }
 
-/* Peers in an order of this VM's own, so that not all ask the same ones. */
+static bool may_know_splits(const struct quota_agent *agent,
+			    const struct vm *vm)
+{
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
+	       str_eq(strbuf_str(&vm->region), agent->set->vm.region) &&
+	       !str_eq(strbuf_str(&vm->id), agent->set->vm.id);
+}
+
+/* Peers of the own region: splits differ between regions. */
 static void learn_splits(struct quota_agent *agent)
 {
-	const struct vm *vms[SPLIT_PEERS + 1];
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
-	size_t count;
+	size_t asked = 0;
+	size_t first;
 
 	if (!view)
 		return;
-	count = vml_rendezvous(view->vml, agent->set->vm.id, STR_LIT(""), vms,
-			       SPLIT_PEERS + 1);
-	for (size_t i = 0; i < count; i++) {
+	first = (size_t)agent->incarnation;
+	for (size_t i = 0; i < view->vml->count && asked < SPLIT_PEERS; i++) {
+		const size_t at = (first + i) % view->vml->count;
+		const struct vm *vm = &view->vml->vms[at];
+
 		if (clk_now(agent->clk) - agent->started_at > SPLIT_TIMEOUT)
 			break;
-		if (str_eq(strbuf_str(&vms[i]->id), agent->set->vm.id))
+		if (!may_know_splits(agent, vm))
 			continue;
-		if (fetch_splits(agent, vms[i]))
+		asked++;
+		if (fetch_splits(agent, vm))
 			break;
 	}
 	ctl_view_put(view);
@@ -199,7 +211,10 @@
 {
 	const bool lapsed = count && !valid;
 
-	if (lapsed == agent->lapsed)
+	if (valid)
+		agent->had_grants = true;
+	/* Before the first grant nothing has lapsed. */
+	if (lapsed == agent->lapsed || !agent->had_grants)
 		return;
 	agent->lapsed = lapsed;
 	if (lapsed)
@@ -340,7 +355,7 @@
 	if (!err)
 		err = ql_create(&agent->ql, agent->started_at + BKT_WINDOW);
 	if (!err)
-		err = qs_create(&agent->qs);
+		err = qs_create(&agent->qs, agent->set->vm.region);
 	return err;
 }
 
--- a/agent/quota_limits.c
+++ b/agent/quota_limits.c
@@ -100,6 +100,19 @@
 	return sum;
 }
 
+/*
+ * Bulk work is paced at the rate itself; higher ranks may go beyond the pace
+ * to use what is kept for them. Small rates are rounded up.
+ */
+static uint64_t burst_of(const struct ql_limit *limit, enum rank rank)
+{
+	uint64_t burst = limit->rate * (BKT_PACE + 1) / BKT_SLOTS + 1;
+
+	if (burst < limit->least_burst)
+		burst = limit->least_burst;
+	return burst * (uint64_t)(RANK_COUNT - rank);
+}
+
 static void note_refused(struct ql_limit *limit, apr_time_t now, enum rank rank,
 			 uint64_t amount)
 {
@@ -122,7 +135,7 @@
 	}
 	kept = kept_for_higher(limit, now, rank);
 	rate = limit->rate > kept ? limit->rate - kept : 0;
-	got = bkt_take(&limit->taken, now, rate, limit->least_burst, want);
+	got = bkt_take(&limit->taken, now, rate, burst_of(limit, rank), want);
 	/* A repeated request replaces the one refused before. */
 	note_refused(limit, now, rank, want - got);
 	return got;
--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -5,6 +5,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "policy/shf_goal.h"
 
 #define LOG_MODULE "quota.split"
 
@@ -18,17 +19,28 @@
 	bool moving;
 };
 
+/* What the goals of all rows are worked out from. */
+struct basis {
+	const struct tbl *tbl;
+	/* This VM's region; the count of regions when it is not known. */
+	size_t own;
+	double *demand;
+	bool *serving;
+	struct shf_place *places;
+};
+
 struct qs {
+	struct strbuf region;
 	struct tbl *tbl;
 	struct vml *vml;
 	struct row *rows;
 	size_t row_count;
 };
 
-int qs_create(struct qs **out)
+int qs_create(struct qs **out, struct str region)
 {
 	*out = calloc(1, sizeof(**out));
-	return *out ? 0 : PST_ERR_NOMEM;
+	return *out ? strbuf_set(&(*out)->region, region) : PST_ERR_NOMEM;
 }
 
 static void free_rows(struct row *rows, size_t count)
@@ -74,18 +86,45 @@
 	return serving;
 }
 
-/* Weights of the domains that serve; of all when none does. */
-static void set_goal(double *goal, const struct tbl *tbl,
-		     const struct tbl_row *row, const bool *serving)
+/* Part of the live entry VMs of each region; all 0 when there are none. */
+static double *demand_by_region(const struct tbl *tbl, const struct vml *vml)
 {
+	double *demand = calloc(tbl->region_count + 1, sizeof(*demand));
+	double total = 0;
+
+	for (size_t i = 0; demand && i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+		int region;
+
+		if (vm->kind != VM_ENTRY || vm->state != VM_LIVE)
+			continue;
+		region = tbl_region_find(tbl, strbuf_str(&vm->region));
+		if (region < 0)
+			continue;
+		demand[region] += 1;
+		total += 1;
+	}
+	for (size_t i = 0; demand && total > 0 && i < tbl->region_count; i++)
+		demand[i] /= total;
+	return demand;
+}
+
+/* Only domains that serve count; all of them when none does. */
+static int set_goal(struct basis *basis, const struct tbl_row *row,
+		    const bool *serving, double *goal)
+{
+	const struct tbl *tbl = basis->tbl;
 	double sum = 0;
 
 	for (size_t i = 0; i < tbl->domain_count; i++) {
-		goal[i] = serving[i] ? row->weights[i] : 0;
-		sum += goal[i];
+		basis->places[i].region = tbl->domains[i].region;
+		basis->places[i].weight = serving[i] ? row->weights[i] : 0;
+		sum += basis->places[i].weight;
 	}
 	for (size_t i = 0; sum <= 0 && i < tbl->domain_count; i++)
-		goal[i] = row->weights[i];
+		basis->places[i].weight = row->weights[i];
+	return shf_goal(basis->places, tbl->domain_count, basis->demand,
+			tbl->region_count, basis->own, goal);
 }
 
 static const struct row *find_row(const struct qs *qs, struct str service,
@@ -114,46 +153,55 @@
 	return sum > 0;
 }
 
-static int make_row(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
-		    const struct tbl_row *cells, const bool *serving,
-		    struct row *out)
+static int make_row(const struct qs *qs, apr_time_t now, struct basis *basis,
+		    const struct tbl_row *cells, struct row *out)
 {
+	const struct tbl *tbl = basis->tbl;
 	const struct row *old = find_row(
 		qs, strbuf_str(&tbl->services[cells->service]), cells->rank);
-	double *share = calloc(tbl->domain_count, sizeof(*share));
+	double *share = calloc(tbl->domain_count + 1, sizeof(*share));
 	const double *start = share;
-	int err;
-
-	out->goal = calloc(tbl->domain_count, sizeof(*out->goal));
-	if (!out->goal || !share) {
-		free(share);
-		return PST_ERR_NOMEM;
+	int err = PST_ERR_NOMEM;
+
+	out->goal = calloc(tbl->domain_count + 1, sizeof(*out->goal));
+	if (out->goal && share)
+		err = set_goal(basis, cells,
+			       basis->serving +
+				       cells->service * tbl->domain_count,
+			       out->goal);
+	if (!err) {
+		if (!carry_over(qs, old, tbl, share))
+			start = out->goal;
+		err = shf_init(&out->shf, start, tbl->domain_count, now);
 	}
-	set_goal(out->goal, tbl, cells, serving);
-	if (!carry_over(qs, old, tbl, share))
-		start = out->goal;
-	err = shf_init(&out->shf, start, tbl->domain_count, now);
 	free(share);
-	if (err == PST_ERR_INVALID)
-		return 0;
 	if (!err && old) {
 		shf_carry(&out->shf, &old->shf);
 		out->moving = old->moving;
 	}
-	return err;
+	return err == PST_ERR_INVALID ? 0 : err;
 }
 
 static int make_rows(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
 		     const struct vml *vml, struct row *rows)
 {
-	bool *serving = serving_domains(tbl, vml);
-	int err = serving ? 0 : PST_ERR_NOMEM;
-
+	const int own = tbl_region_find(tbl, strbuf_str(&qs->region));
+	struct basis basis = {
+		.tbl = tbl,
+		.own = own < 0 ? tbl->region_count : (size_t)own,
+		.demand = demand_by_region(tbl, vml),
+		.serving = serving_domains(tbl, vml),
+		.places = calloc(tbl->domain_count + 1, sizeof(*basis.places)),
+	};
+	int err = 0;
+
+	if (!basis.demand || !basis.serving || !basis.places)
+		err = PST_ERR_NOMEM;
 	for (size_t i = 0; !err && i < tbl->service_count * RANK_COUNT; i++)
-		err = make_row(qs, now, tbl, &tbl->rows[i],
-			       serving + i / RANK_COUNT * tbl->domain_count,
-			       &rows[i]);
-	free(serving);
+		err = make_row(qs, now, &basis, &tbl->rows[i], &rows[i]);
+	free(basis.demand);
+	free(basis.serving);
+	free(basis.places);
 	return err;
 }
 
@@ -199,7 +247,7 @@
 	if (moving)
 		evt_log(SPLIT_MOVING,
 			"service=%s rank=%s left_pct=%.1f cap_pct=%u "
-			"why=weights_or_serving_domains_changed",
+			"why=weights_or_vms_changed",
 			service, rank_name(cells->rank), 100 * row->left,
 			cells->shift_cap_pct_per_s);
 	else
--- a/agent/quota_split.h
+++ b/agent/quota_split.h
@@ -12,12 +12,13 @@
 
 struct qs;
 
-/* Returns 0 or PST_ERR_NOMEM. */
-int qs_create(struct qs **out);
+/* region: that of this VM. Returns 0 or PST_ERR_NOMEM. */
+int qs_create(struct qs **out, struct str region);
 void qs_destroy(struct qs *qs);
 
 /*
- * Puts a table and a list of VMs in force. Goals follow at once, splits by
+ * Puts a table and a list of VMs in force. Goals (see policy/shf_goal.h, with
+ * demand in proportion to the regions' entry VMs) follow at once, splits by
  * qs_step(). A row seen for the first time starts at its goal, or at what
  * qs_adopt() gave. Takes references. Returns 0 or PST_ERR_NOMEM, upon which
  * the former view stays.
--- a/policy/bkt.c
+++ b/policy/bkt.c
@@ -5,9 +5,6 @@
 #define SLOT (BKT_WINDOW / BKT_SLOTS)
 #define RING (BKT_SLOTS + 2)
 
-/* Largest part of the rate that one slot may give: a divisor. */
-#define SLOT_BURST 32
-
 static void advance(struct bkt *bkt, apr_time_t now)
 {
 	const int64_t slot = now / SLOT;
@@ -33,22 +30,28 @@
 	return a < b ? a : b;
 }
 
+static uint64_t sum_recent(const struct bkt *bkt)
+{
+	uint64_t sum = 0;
+
+	for (int64_t i = 0; i <= BKT_PACE && i <= bkt->slot; i++)
+		sum += bkt->taken[(bkt->slot - i) % RING];
+	return sum;
+}
+
 uint64_t bkt_take(struct bkt *bkt, apr_time_t now, uint64_t rate,
-		  uint64_t least_burst, uint64_t want)
+		  uint64_t burst, uint64_t want)
 {
-	uint64_t *slot;
-	uint64_t burst = rate / SLOT_BURST;
+	uint64_t recent;
 
 	advance(bkt, now);
 	if (bkt->sum >= rate)
 		return 0;
-	if (burst < least_burst)
-		burst = least_burst;
-	slot = &bkt->taken[bkt->slot % RING];
-	if (*slot >= burst)
+	recent = sum_recent(bkt);
+	if (recent >= burst)
 		return 0;
-	want = min_u64(want, min_u64(rate - bkt->sum, burst - *slot));
-	*slot += want;
+	want = min_u64(want, min_u64(rate - bkt->sum, burst - recent));
+	bkt->taken[bkt->slot % RING] += want;
 	bkt->sum += want;
 	return want;
 }
--- a/policy/bkt.h
+++ b/policy/bkt.h
@@ -19,6 +19,9 @@
 /* Whole slots in one window. */
 #define BKT_SLOTS 128
 
+/* Slots over which a burst is bounded. */
+#define BKT_PACE 16
+
 /* Zeroed memory is an empty bucket. */
 struct bkt {
 	/*
@@ -35,11 +38,11 @@
 
 /*
  * Takes up to want, as far as rate a second allows, and returns how much.
- * At most a 32nd of rate (but at least least_burst) is given in one slot, so
- * that a window's amount does not leave in one burst.
+ * The last BKT_PACE slots and the present one give at most burst together, so
+ * that a window's amount does not leave at once, with nothing after it.
  */
 uint64_t bkt_take(struct bkt *bkt, apr_time_t now, uint64_t rate,
-		  uint64_t least_burst, uint64_t want);
+		  uint64_t burst, uint64_t want);
 
 /* Counts an amount without a bound, for use as a meter. */
 void bkt_add(struct bkt *bkt, apr_time_t now, uint64_t amount);
--- /dev/null
+++ b/policy/shf_goal.c
@@ -0,0 +1,85 @@
+#include "policy/shf_goal.h"
+
+#include <stdlib.h>
+
+#include "common/err.h"
+
+/* Parts smaller than this are rounding. */
+#define ROUNDING 1e-12
+
+static double total_weight(const struct shf_place *places, size_t count)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < count; i++)
+		sum += places[i].weight;
+	return sum;
+}
+
+/* Part of the weights of each region. */
+static double *parts_by_region(const struct shf_place *places, size_t count,
+			       size_t region_count, double total)
+{
+	double *parts = calloc(region_count + 1, sizeof(*parts));
+
+	for (size_t i = 0; parts && i < count; i++)
+		parts[places[i].region] += places[i].weight / total;
+	return parts;
+}
+
+/* Turns the parts of the weights into this entry's parts by region. */
+static void keep_local(double *parts, const double *demand, size_t region_count,
+		       size_t own)
+{
+	double spare = 0;
+	double kept;
+
+	if (own >= region_count || demand[own] <= ROUNDING)
+		return;
+	kept = parts[own] < demand[own] ? parts[own] / demand[own] : 1;
+	for (size_t i = 0; i < region_count; i++) {
+		if (parts[i] > demand[i])
+			spare += parts[i] - demand[i];
+	}
+	for (size_t i = 0; i < region_count; i++) {
+		const double over = parts[i] - demand[i];
+
+		if (i == own)
+			parts[i] = kept;
+		else if (over > 0 && spare > ROUNDING)
+			parts[i] = (1 - kept) * over / spare;
+		else
+			parts[i] = 0;
+	}
+}
+
+int shf_goal(const struct shf_place *places, size_t count, const double *demand,
+	     size_t region_count, size_t own, double *out)
+{
+	const double total = total_weight(places, count);
+	double *by_weight;
+	double *wanted;
+
+	for (size_t i = 0; i < count; i++)
+		out[i] = 0;
+	if (total <= 0)
+		return 0;
+	by_weight = parts_by_region(places, count, region_count, total);
+	wanted = parts_by_region(places, count, region_count, total);
+	if (!by_weight || !wanted) {
+		free(by_weight);
+		free(wanted);
+		return PST_ERR_NOMEM;
+	}
+	keep_local(wanted, demand, region_count, own);
+	for (size_t i = 0; i < count; i++) {
+		const uint32_t region = places[i].region;
+
+		if (by_weight[region] > ROUNDING)
+			out[i] = wanted[region] * places[i].weight / total /
+				 by_weight[region];
+	}
+	free(by_weight);
+	free(wanted);
+	return 0;
+}
--- a/tests/test_bkt.c
+++ b/tests/test_bkt.c
@@ -45,7 +45,7 @@
 		for (size_t i = 0; i < STEPS; i++) {
 			now += random() % (random() % 10 ? 3000 : 400000);
 			log_of[i].at = now;
-			log_of[i].amount = bkt_take(&bkt, now, rate, 1,
+			log_of[i].amount = bkt_take(&bkt, now, rate, rate,
 						    1 + random() % rate);
 		}
 		ck_assert_msg(largest_window(log_of, STEPS) <= rate, "seed %u",
@@ -61,7 +61,7 @@
 	uint64_t sum = 0;
 
 	for (apr_time_t now = 0; now < CLK_SEC(10); now += CLK_MS(1))
-		sum += bkt_take(&bkt, now, rate, 1, rate);
+		sum += bkt_take(&bkt, now, rate, rate / 7, rate);
 	ck_assert_uint_ge(sum, 10 * rate * 97 / 100);
 	ck_assert_uint_le(sum, 11 * rate);
 }
--- /dev/null
+++ b/tests/test_quota.c
@@ -0,0 +1,265 @@
+#include <check.h>
+#include <math.h>
+#include <stdlib.h>
+
+#include "agent/quota_limits.h"
+#include "agent/quota_split.h"
+#include "common/clk.h"
+#include "policy/shf_goal.h"
+#include "tests/fix_limits.h"
+#include "tests/fix_run.h"
+
+#define ID    77
+#define RATE  1000000
+#define CHUNK 16384
+
+static struct ql *ql;
+static struct ql_limit *limit;
+
+static void grant(apr_time_t sent_at, uint64_t amount,
+		  apr_interval_time_t duration)
+{
+	const struct shr_ask ask = {.id = ID};
+	const struct shr_grant given = {.amount = amount, .duration = duration};
+
+	ql_apply(ql, sent_at, &ask, &given, 1);
+}
+
+static void open_limit(apr_time_t open_at)
+{
+	ql_create(&ql, open_at);
+	limit = ql_limit(ql, ID, 2 * CHUNK);
+}
+
+START_TEST(nothing_is_taken_without_a_valid_grant)
+{
+	open_limit(0);
+	ck_assert_uint_eq(ql_take(ql, limit, CLK_SEC(1), RANK_URGENT, 10), 0);
+	grant(CLK_SEC(1), RATE, CLK_SEC(2));
+	ck_assert_uint_eq(ql_take(ql, limit, CLK_SEC(2), RANK_URGENT, 10), 10);
+	ck_assert_uint_eq(ql_take(ql, limit, CLK_SEC(3), RANK_URGENT, 10), 0);
+	grant(CLK_SEC(3), 0, 0);
+	ck_assert_uint_eq(ql_take(ql, limit, CLK_SEC(3), RANK_URGENT, 10), 0);
+	ql_destroy(ql);
+}
+END_TEST
+
+/* What an earlier process of the VM took counts for another window. */
+START_TEST(a_new_process_waits_for_one_window)
+{
+	open_limit(CLK_SEC(1));
+	grant(0, RATE, CLK_SEC(9));
+	ck_assert_uint_eq(ql_take(ql, limit, CLK_MS(999), RANK_URGENT, 10), 0);
+	ck_assert_uint_eq(ql_take(ql, limit, CLK_SEC(1), RANK_URGENT, 10), 10);
+	ql_destroy(ql);
+}
+END_TEST
+
+/* Bulk work wants all; urgent work wants half of the rate. */
+START_TEST(urgent_bytes_come_first)
+{
+	uint64_t urgent = 0;
+	uint64_t bulk = 0;
+
+	open_limit(0);
+	grant(0, RATE, CLK_SEC(60));
+	for (apr_time_t now = 0; now < CLK_SEC(10); now += CLK_MS(1)) {
+		bulk += ql_take(ql, limit, now, RANK_BULK, CHUNK);
+		if (now % CLK_MS(32) == 0)
+			urgent += ql_take(ql, limit, now, RANK_URGENT, CHUNK);
+	}
+	ck_assert_uint_ge(urgent, (uint64_t)CHUNK * 312 * 95 / 100);
+	ck_assert_uint_ge(urgent + bulk, (uint64_t)RATE * 9);
+	ql_destroy(ql);
+}
+END_TEST
+
+START_TEST(bulk_alone_gets_nearly_all)
+{
+	uint64_t bulk = 0;
+
+	open_limit(0);
+	grant(0, RATE, CLK_SEC(60));
+	for (apr_time_t now = 0; now < CLK_SEC(10); now += CLK_MS(1))
+		bulk += ql_take(ql, limit, now, RANK_BULK, CHUNK);
+	ck_assert_uint_ge(bulk, (uint64_t)RATE * 9);
+	ck_assert_uint_le(bulk, (uint64_t)RATE * 10);
+	ql_destroy(ql);
+}
+END_TEST
+
+START_TEST(demand_is_reported_with_room_to_grow)
+{
+	struct shr_ask ask[SHR_ASKS_MAX];
+
+	open_limit(0);
+	grant(0, RATE, CLK_SEC(60));
+	for (apr_time_t now = 0; now < CLK_SEC(2); now += CLK_MS(1))
+		ql_take(ql, limit, now, RANK_NORMAL, 100);
+	ck_assert_uint_eq(ql_plan(ql, CLK_SEC(2), ask), 1);
+	ck_assert_uint_ge(ask[0].want, 100000);
+	ck_assert_uint_le(ask[0].want, 140000);
+	ck_assert_uint_eq(ql_plan(ql, CLK_SEC(200), ask), 0);
+	ql_destroy(ql);
+}
+END_TEST
+
+/* Every region's entries by their demand add up to the weights. */
+START_TEST(goals_add_up_to_the_weights)
+{
+	for (unsigned seed = 1; seed <= 200; seed++) {
+		struct shf_place places[6];
+		double demand[3];
+		double sum[6] = {0};
+		double demands = 0;
+		double weights = 0;
+		double local = 0;
+		double best = 0;
+
+		srandom(seed);
+		for (size_t i = 0; i < 6; i++) {
+			places[i].region = (uint32_t)i / 2;
+			places[i].weight = (double)(random() % 4);
+			weights += places[i].weight;
+		}
+		for (size_t r = 0; r < 3; r++) {
+			demand[r] = (double)(random() % 5);
+			demands += demand[r];
+		}
+		if (weights <= 0 || demands <= 0)
+			continue;
+		for (size_t r = 0; r < 3; r++)
+			demand[r] /= demands;
+		for (size_t r = 0; r < 3; r++) {
+			const double f = (places[2 * r].weight +
+					  places[2 * r + 1].weight) /
+					 weights;
+			double out[6];
+
+			ck_assert_int_eq(shf_goal(places, 6, demand, 3, r, out),
+					 0);
+			for (size_t i = 0; i < 6; i++) {
+				sum[i] += demand[r] * out[i];
+				if (i / 2 == r)
+					local += demand[r] * out[i];
+			}
+			best += f < demand[r] ? f : demand[r];
+		}
+		for (size_t i = 0; i < 6; i++)
+			ck_assert_msg(fabs(sum[i] -
+					   places[i].weight / weights) < 1e-9,
+				      "seed %u domain %zu", seed, i);
+		ck_assert_msg(fabs(local - best) < 1e-9, "seed %u", seed);
+	}
+}
+END_TEST
+
+START_TEST(without_known_demand_the_weights_hold)
+{
+	const struct shf_place places[2] = {{.region = 0, .weight = 3},
+					    {.region = 1, .weight = 1}};
+	const double none[2] = {0, 0};
+	double out[2];
+
+	ck_assert_int_eq(shf_goal(places, 2, none, 2, 0, out), 0);
+	ck_assert(fabs(out[0] - 0.75) < 1e-9);
+	ck_assert_int_eq(shf_goal(places, 2, none, 2, 2, out), 0);
+	ck_assert(fabs(out[1] - 0.25) < 1e-9);
+}
+END_TEST
+
+static size_t count_picks(struct qs *qs, apr_time_t now, const struct tbl *tbl,
+			  size_t domain)
+{
+	const struct tbl_row *row = tbl_row(tbl, 0, RANK_URGENT);
+	size_t count = 0;
+
+	for (uint64_t i = 0; i < 1000; i++)
+		count += qs_pick(qs, now, tbl, row, i << 54, NULL) ==
+			 (int)domain;
+	return count;
+}
+
+/* Lists the upstreams of one service in every domain but one. */
+static struct vml *upstreams_without(size_t domain)
+{
+	struct vml *vml = fix_vml(3, 2, 2);
+
+	for (size_t i = 1; i < vml->count; i += 2) {
+		vml->vms[i].kind = VM_UPSTREAM;
+		strbuf_set(&vml->vms[i].service, STR_LIT("status"));
+		if (i / 2 == domain)
+			vml->vms[i].state = VM_LEAVING;
+	}
+	return vml;
+}
+
+START_TEST(a_lost_domain_is_left_at_the_cap)
+{
+	struct tbl *tbl = fix_tbl(3, 2, 100, 0, 1);
+	struct vml *all = upstreams_without(99);
+	struct vml *fewer = upstreams_without(0);
+	struct qs *qs;
+
+	qs_create(&qs, STR_LIT("r0"));
+	ck_assert_int_eq(qs_set_view(qs, 0, tbl, all), 0);
+	ck_assert_uint_ge(count_picks(qs, 0, tbl, 0), 450);
+	ck_assert_int_eq(qs_set_view(qs, 0, tbl, fewer), 0);
+	ck_assert_uint_ge(count_picks(qs, 0, tbl, 0), 450);
+	for (apr_time_t now = 0; now <= CLK_SEC(1); now += CLK_MS(25))
+		qs_step(qs, now);
+	/* A tenth of the traffic has moved in the first second. */
+	ck_assert_uint_ge(count_picks(qs, CLK_SEC(1), tbl, 0), 390);
+	ck_assert_uint_le(count_picks(qs, CLK_SEC(1), tbl, 0), 420);
+	for (apr_time_t now = CLK_SEC(1); now <= CLK_SEC(8); now += CLK_MS(25))
+		qs_step(qs, now);
+	ck_assert_uint_eq(count_picks(qs, CLK_SEC(8), tbl, 0), 0);
+	/* It returns without an operator. */
+	ck_assert_int_eq(qs_set_view(qs, CLK_SEC(8), tbl, all), 0);
+	for (apr_time_t now = CLK_SEC(8); now <= CLK_SEC(16); now += CLK_MS(25))
+		qs_step(qs, now);
+	ck_assert_uint_ge(count_picks(qs, CLK_SEC(16), tbl, 0), 450);
+	qs_destroy(qs);
+	vml_put(all);
+	vml_put(fewer);
+	tbl_put(tbl);
+}
+END_TEST
+
+START_TEST(a_new_entry_starts_from_a_peers_split)
+{
+	const struct str domains[2] = {STR_LIT("r0-1"), STR_LIT("r0-0")};
+	const double share[2] = {0.9, 0.1};
+	struct tbl *tbl = fix_tbl(3, 2, 100, 0, 1);
+	struct vml *all = upstreams_without(99);
+	struct qs *qs;
+
+	qs_create(&qs, STR_LIT("r0"));
+	ck_assert_int_eq(qs_set_view(qs, 0, tbl, all), 0);
+	qs_adopt(qs, 0, STR_LIT("entry-2"), STR_LIT("status"), RANK_URGENT,
+		 domains, share, 2);
+	ck_assert_uint_le(count_picks(qs, 0, tbl, 0), 110);
+	for (apr_time_t now = 0; now <= CLK_SEC(1); now += CLK_MS(25))
+		qs_step(qs, now);
+	ck_assert_uint_le(count_picks(qs, CLK_SEC(1), tbl, 0), 210);
+	qs_destroy(qs);
+	vml_put(all);
+	tbl_put(tbl);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("quota");
+
+	tcase_add_test(tc, nothing_is_taken_without_a_valid_grant);
+	tcase_add_test(tc, a_new_process_waits_for_one_window);
+	tcase_add_test(tc, urgent_bytes_come_first);
+	tcase_add_test(tc, bulk_alone_gets_nearly_all);
+	tcase_add_test(tc, demand_is_reported_with_room_to_grow);
+	tcase_add_test(tc, goals_add_up_to_the_weights);
+	tcase_add_test(tc, without_known_demand_the_weights_hold);
+	tcase_add_test(tc, a_lost_domain_is_left_at_the_cap);
+	tcase_add_test(tc, a_new_entry_starts_from_a_peers_split);
+	return fix_run("quota", tc);
+}
