Split: starts from a list that has this VM

Cause: the first view of a new process held an empty list, so goals were the bare weights, and moving to the local split took 7 s at the cap. Ruled out: jumping to the goal when the list changes (breaks the cap). Conclusion: splits start once the list names this VM, after 10 s in any case.

--- a/agent/quota.c
+++ b/agent/quota.c
@@ -24,6 +24,9 @@
 #define SPLIT_PEERS   3
 #define SPLIT_TIMEOUT CLK_SEC(2)
 
+/* Wait for a list that has this VM, after which any list will do. */
+#define LIST_TIMEOUT CLK_SEC(10)
+
 /* Requests, and windows of an answer, given at once if the rate allows. */
 #define REQUEST_BURST 1
 #define LINK_BURST    2
@@ -127,20 +130,36 @@
 		create_intakes(agent, tbl, &tbl->rows[i]);
 }
 
-static void follow_view(struct quota_agent *agent)
+/*
+ * A split starts at its goal, so the first list to work it out from must be
+ * a whole one: it has this VM.
+ */
+static bool may_start(const struct quota_agent *agent,
+		      const struct ctl_view *view, apr_time_t now)
+{
+	return agent->splits_known || vml_find(view->vml, agent->set->vm.id) ||
+	       now - agent->started_at > LIST_TIMEOUT;
+}
+
+/* Returns whether there is a view to go by. */
+static bool follow_view(struct quota_agent *agent)
 {
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
 	const apr_time_t now = clk_now(agent->clk);
+	bool started;
 
 	if (!view)
-		return;
+		return false;
+	started = may_start(agent, view, now);
 	pthread_mutex_lock(&agent->lock);
-	qs_set_view(agent->qs, now, view->tbl, view->vml);
+	if (started)
+		qs_set_view(agent->qs, now, view->tbl, view->vml);
 	follow_table(agent, view->tbl);
 	if (agent->splits_known)
 		qs_step(agent->qs, now);
 	pthread_mutex_unlock(&agent->lock);
 	ctl_view_put(view);
+	return started;
 }
 
 /* Asks one peer's pst-controld; true when it knew. */
@@ -183,6 +202,7 @@
 static void learn_splits(struct quota_agent *agent)
 {
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
+	const apr_time_t began = clk_now(agent->clk);
 	size_t asked = 0;
 	size_t first;
 
@@ -193,7 +213,7 @@
 		const size_t at = (first + i) % view->vml->count;
 		const struct vm *vm = &view->vml->vms[at];
 
-		if (clk_now(agent->clk) - agent->started_at > SPLIT_TIMEOUT)
+		if (clk_now(agent->clk) - began > SPLIT_TIMEOUT)
 			break;
 		if (!may_know_splits(agent, vm))
 			continue;
@@ -327,8 +347,7 @@
 	struct quota_agent *agent = arg;
 
 	while (wait_step(agent)) {
-		follow_view(agent);
-		if (!agent->splits_known)
+		if (follow_view(agent) && !agent->splits_known)
 			learn_splits(agent);
 		draw_when_due(agent);
 	}
--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -182,26 +182,42 @@
 	return err == PST_ERR_INVALID ? 0 : err;
 }
 
-static int make_rows(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
-		     const struct vml *vml, struct row *rows)
+static void free_basis(struct basis *basis)
+{
+	free(basis->demand);
+	free(basis->serving);
+	free(basis->places);
+}
+
+static int make_basis(const struct qs *qs, const struct tbl *tbl,
+		      const struct vml *vml, struct basis *out)
 {
 	const int own = tbl_region_find(tbl, strbuf_str(&qs->region));
-	struct basis basis = {
+
+	*out = (struct basis){
 		.tbl = tbl,
 		.own = own < 0 ? tbl->region_count : (size_t)own,
-		.demand = demand_by_region(tbl, vml),
-		.serving = serving_domains(tbl, vml),
-		.places = calloc(tbl->domain_count + 1, sizeof(*basis.places)),
 	};
-	int err = 0;
+	out->demand = demand_by_region(tbl, vml);
+	out->serving = serving_domains(tbl, vml);
+	out->places = calloc(tbl->domain_count + 1, sizeof(*out->places));
+	if (out->demand && out->serving && out->places)
+		return 0;
+	free_basis(out);
+	return PST_ERR_NOMEM;
+}
+
+static int make_rows(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
+		     const struct vml *vml, struct row *rows)
+{
+	struct basis basis;
+	int err = make_basis(qs, tbl, vml, &basis);
 
-	if (!basis.demand || !basis.serving || !basis.places)
-		err = PST_ERR_NOMEM;
+	if (err)
+		return err;
 	for (size_t i = 0; !err && i < tbl->service_count * RANK_COUNT; i++)
 		err = make_row(qs, now, &basis, &tbl->rows[i], &rows[i]);
-	free(basis.demand);
-	free(basis.serving);
-	free(basis.places);
+	free_basis(&basis);
 	return err;
 }
 
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -10,8 +10,8 @@
 #include "tests/fix_run.h"
 
 #define ID    77
-#define RATE  1000000
-#define CHUNK 16384
+#define RATE  1000000UL
+#define CHUNK 16384UL
 
 static struct ql *ql;
 static struct ql_limit *limit;
@@ -68,8 +68,8 @@
 		if (now % CLK_MS(32) == 0)
 			urgent += ql_take(ql, limit, now, RANK_URGENT, CHUNK);
 	}
-	ck_assert_uint_ge(urgent, (uint64_t)CHUNK * 312 * 95 / 100);
-	ck_assert_uint_ge(urgent + bulk, (uint64_t)RATE * 9);
+	ck_assert_uint_ge(urgent, CHUNK * 312 * 95 / 100);
+	ck_assert_uint_ge(urgent + bulk, RATE * 9);
 	ql_destroy(ql);
 }
 END_TEST
@@ -82,8 +82,8 @@
 	grant(0, RATE, CLK_SEC(60));
 	for (apr_time_t now = 0; now < CLK_SEC(10); now += CLK_MS(1))
 		bulk += ql_take(ql, limit, now, RANK_BULK, CHUNK);
-	ck_assert_uint_ge(bulk, (uint64_t)RATE * 9);
-	ck_assert_uint_le(bulk, (uint64_t)RATE * 10);
+	ck_assert_uint_ge(bulk, RATE * 9);
+	ck_assert_uint_le(bulk, RATE * 10);
 	ql_destroy(ql);
 }
 END_TEST
