--- a/agent/quota.c
+++ b/agent/quota.c
@@ -24,6 +24,9 @@
 #define SPLIT_PEERS   3
 #define SPLIT_TIMEOUT CLK_SEC(2)
 
+/* Wait for a list that has this VM, after which any list will do. */
+#define LIST_TIMEOUT CLK_SEC(10)
+
 /* Requests, and windows of an answer, given at once if the rate allows. */
 #define REQUEST_BURST 1
 #define LINK_BURST    2
@@ -51,6 +54,7 @@
 	apr_time_t draw_at;
 	apr_time_t started_at;
 	bool lapsed;
+	bool had_grants;
 	struct shr_ask asks[SHR_ASKS_MAX];
 	struct shr_grant grants[SHR_ASKS_MAX];
 };
@@ -126,20 +130,36 @@
 		create_intakes(agent, tbl, &tbl->rows[i]);
 }
 
-static void follow_view(struct quota_agent *agent)
+/*
+ * A split starts at its goal, so the first list to work it out from must be
+ * a whole one: it has this VM.
+ */
+static bool may_start(const struct quota_agent *agent,
+		      const struct ctl_view *view, apr_time_t now)
+{
+	return agent->splits_known || vml_find(view->vml, agent->set->vm.id) ||
+	       now - agent->started_at > LIST_TIMEOUT;
+}
+
+/* Returns whether there is a view to go by. */
+static bool follow_view(struct quota_agent *agent)
 {
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
 	const apr_time_t now = clk_now(agent->clk);
+	bool started;
 
 	if (!view)
-		return;
+		return false;
+	started = may_start(agent, view, now);
 	pthread_mutex_lock(&agent->lock);
-	qs_set_view(agent->qs, now, view->tbl, view->vml);
+	if (started)
+		qs_set_view(agent->qs, now, view->tbl, view->vml);
 	follow_table(agent, view->tbl);
 	if (agent->splits_known)
 		qs_step(agent->qs, now);
 	pthread_mutex_unlock(&agent->lock);
 	ctl_view_put(view);
+	return started;
 }
 
 /* Asks one peer's pst-controld; true when it knew. */
@@ -170,23 +190,35 @@
 	return known;
 }
 
-/* Peers in an order of this VM's own, so that not all ask the same ones. */
+static bool may_know_splits(const struct quota_agent *agent,
+			    const struct vm *vm)
+{
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
+	       str_eq(strbuf_str(&vm->region), agent->set->vm.region) &&
+	       !str_eq(strbuf_str(&vm->id), agent->set->vm.id);
+}
+
+/* Peers of the own region: splits differ between regions. */
 static void learn_splits(struct quota_agent *agent)
 {
-	const struct vm *vms[SPLIT_PEERS + 1];
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
-	size_t count;
+	const apr_time_t began = clk_now(agent->clk);
+	size_t asked = 0;
+	size_t first;
 
 	if (!view)
 		return;
-	count = vml_rendezvous(view->vml, agent->set->vm.id, STR_LIT(""), vms,
-			       SPLIT_PEERS + 1);
-	for (size_t i = 0; i < count; i++) {
-		if (clk_now(agent->clk) - agent->started_at > SPLIT_TIMEOUT)
+	first = (size_t)agent->incarnation;
+	for (size_t i = 0; i < view->vml->count && asked < SPLIT_PEERS; i++) {
+		const size_t at = (first + i) % view->vml->count;
+		const struct vm *vm = &view->vml->vms[at];
+
+		if (clk_now(agent->clk) - began > SPLIT_TIMEOUT)
 			break;
-		if (str_eq(strbuf_str(&vms[i]->id), agent->set->vm.id))
+		if (!may_know_splits(agent, vm))
 			continue;
-		if (fetch_splits(agent, vms[i]))
+		asked++;
+		if (fetch_splits(agent, vm))
 			break;
 	}
 	ctl_view_put(view);
@@ -199,7 +231,10 @@
 {
 	const bool lapsed = count && !valid;
 
-	if (lapsed == agent->lapsed)
+	if (valid)
+		agent->had_grants = true;
+	/* Before the first grant nothing has lapsed. */
+	if (lapsed == agent->lapsed || !agent->had_grants)
 		return;
 	agent->lapsed = lapsed;
 	if (lapsed)
@@ -312,8 +347,7 @@
 	struct quota_agent *agent = arg;
 
 	while (wait_step(agent)) {
-		follow_view(agent);
-		if (!agent->splits_known)
+		if (follow_view(agent) && !agent->splits_known)
 			learn_splits(agent);
 		draw_when_due(agent);
 	}
@@ -340,7 +374,7 @@
 	if (!err)
 		err = ql_create(&agent->ql, agent->started_at + BKT_WINDOW);
 	if (!err)
-		err = qs_create(&agent->qs);
+		err = qs_create(&agent->qs, agent->set->vm.region);
 	return err;
 }
 
