Broker: connections under steady traffic stay

Cause: a broker took answers that were always under way for a dead connection and opened a new one once a second; the new test saw 2 in 2 s. Ruled out: a longer time (the count of what is confirmed never catches up while there is traffic). Before: 2 new connections in 2048 ms of asks. After: none; the time runs from the oldest answers that are not confirmed. Conclusion: what concerns an entry VM moved to controld/brk_client.

--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -6,13 +6,11 @@
 #include "agent/permit_local.h"
 #include "common/err.h"
 #include "common/evt.h"
+#include "controld/brk_client.h"
 #include "policy/brk_core.h"
 
 #define LOG_MODULE "broker"
 
-/* Time after which unconfirmed answers are sent on a new connection. */
-#define CONFIRM_TIMEOUT CLK_MS(1000)
-
 /* Time without entry VMs after which a broker ends. */
 #define BROKER_IDLE CLK_SEC(30)
 
@@ -27,46 +25,20 @@
 	apr_time_t used_at;
 };
 
-/* An entry VM that has sent something. */
-struct client {
-	struct client *next;
-	struct strbuf entry;
-	struct strbuf region;
-	struct strbuf address;
-	uint64_t incarnation;
-	uint64_t got_seq;
-	uint64_t sent_seq;
-	/* When the first answer without confirmation was sent, or 0. */
-	apr_time_t unconfirmed_since;
-	bool reconnect;
-	bool wanted;
-	bool resync;
-	apr_time_t heard_at;
-	pmt_answers *answers;
-};
-
 struct brk_host {
 	const struct settings *set;
 	uint64_t incarnation;
 	struct brk_host_io io;
 	struct ctl_view *view;
 	struct role *roles;
-	struct client *clients;
+	struct brk_client *clients;
 	bool targets_changed;
 	uint32_t epochs;
 	apr_time_t now;
 };
 
-static struct client *find_client(const struct brk_host *host, struct str entry)
-{
-	struct client *c = host->clients;
-
-	while (c && !str_eq(strbuf_str(&c->entry), entry))
-		c = c->next;
-	return c;
-}
-
-static pmt_answers *answers_for(const struct brk_host *host, struct client *c)
+static pmt_answers *answers_for(const struct brk_host *host,
+				struct brk_client *c)
 {
 	if (!c->answers)
 		c->answers = permit_answers_new(
@@ -99,7 +71,8 @@
 static void on_answer(void *ctx, const struct brk_answer *a)
 {
 	struct role *role = ctx;
-	struct client *c = find_client(role->host, strbuf_str(a->entry));
+	struct brk_client *c =
+		brk_client_find(role->host->clients, strbuf_str(a->entry));
 	pmt_answers *answers = c ? answers_for(role->host, c) : NULL;
 	const pmt_answer answer = {
 		.ask = a->ask,
@@ -157,20 +130,6 @@
 	return count;
 }
 
-static struct client *add_client(struct brk_host *host, struct str entry)
-{
-	struct client *c = calloc(1, sizeof(*c));
-
-	if (!c || strbuf_set(&c->entry, entry)) {
-		free(c);
-		return NULL;
-	}
-	c->heard_at = host->now;
-	c->next = host->clients;
-	host->clients = c;
-	return c;
-}
-
 /* Asks the entry VMs of the region what they hold of a new broker's. */
 static void query_entries(const struct role *role)
 {
@@ -179,12 +138,14 @@
 
 	for (size_t i = 0; vml && i < vml->count; i++) {
 		const struct vm *vm = &vml->vms[i];
-		struct client *c = find_client(host, strbuf_str(&vm->id));
+		struct brk_client *c =
+			brk_client_find(host->clients, strbuf_str(&vm->id));
 
 		if (!is_near(host, vm))
 			continue;
 		if (!c) {
-			c = add_client(host, strbuf_str(&vm->id));
+			c = brk_client_add(&host->clients, strbuf_str(&vm->id),
+					   host->now);
 			if (!c)
 				continue;
 			c->region = vm->region;
@@ -346,7 +307,7 @@
 	}
 }
 
-static void take_part(struct brk_host *host, const struct client *c,
+static void take_part(struct brk_host *host, const struct brk_client *c,
 		      const pmt_part *part)
 {
 	struct role *role = role_for(host, str_from_c(part->service),
@@ -381,53 +342,6 @@
 	note_learned(role);
 }
 
-static void drop_answers(struct client *c)
-{
-	if (c->answers)
-		xdr_free((xdrproc_t)xdr_pmt_answers, c->answers);
-	free(c->answers);
-	c->answers = NULL;
-}
-
-static struct client *client_for(struct brk_host *host, const pmt_batch *batch,
-				 const struct strbuf *address)
-{
-	struct client *c = find_client(host, str_from_c(batch->entry));
-
-	if (!c)
-		c = add_client(host, str_from_c(batch->entry));
-	if (!c)
-		return NULL;
-	if (c->incarnation != batch->incarnation) {
-		drop_answers(c);
-		c->incarnation = batch->incarnation;
-		c->got_seq = batch->seq - 1;
-		c->unconfirmed_since = 0;
-		c->resync = false;
-	}
-	strbuf_set(&c->region, str_from_c(batch->region));
-	c->address = *address;
-	return c;
-}
-
-static void confirm(struct brk_host *host, struct client *c, uint64_t heard)
-{
-	if (heard >= c->sent_seq)
-		c->unconfirmed_since = 0;
-	else if (c->unconfirmed_since &&
-		 host->now - c->unconfirmed_since > CONFIRM_TIMEOUT)
-		c->reconnect = true;
-}
-
-static bool wants_answer(const pmt_batch *batch)
-{
-	for (u_int i = 0; i < batch->parts.parts_len; i++) {
-		if (batch->parts.parts_val[i].asks.asks_len)
-			return true;
-	}
-	return batch->ping;
-}
-
 static void drop_role(struct role **link, const char *reason)
 {
 	struct role *role = *link;
@@ -440,42 +354,29 @@
 	free(role);
 }
 
-static void drop_client(struct client **link)
-{
-	struct client *c = *link;
-
-	*link = c->next;
-	drop_answers(c);
-	free(c);
-}
-
-static void send_answers(struct brk_host *host, struct client *c)
+static void send_answers(struct brk_host *host, struct brk_client *c)
 {
 	struct permit_mail mail = {
-		.address = c->address,
 		.port = (uint16_t)host->set->entry.rpc_port,
-		.region = c->region,
 		.prog = PMT_PROG_ENTRY,
 		.vers = PMT_VERS,
 		.proc = PMT_PROC_ANSWERS,
 		.xargs = (xdrproc_t)xdr_pmt_answers,
-		.reconnect = c->reconnect,
-		/* An entry VM that has gone quiet may be slow to connect to. */
-		.suspect = host->now - c->heard_at > CONFIRM_TIMEOUT * 2,
 	};
 
-	c->answers->seq = ++c->sent_seq;
-	c->answers->resync = c->resync;
-	if (!c->unconfirmed_since || c->reconnect)
-		c->unconfirmed_since = host->now;
-	mail.args = c->answers;
-	c->answers = NULL;
-	c->reconnect = false;
-	c->resync = false;
-	c->wanted = false;
+	brk_client_take(c, &mail, host->now);
 	host->io.send(host->io.ctx, &mail);
 }
 
+static bool wants_answer(const pmt_batch *batch)
+{
+	for (u_int i = 0; i < batch->parts.parts_len; i++) {
+		if (batch->parts.parts_val[i].asks.asks_len)
+			return true;
+	}
+	return batch->ping;
+}
+
 int brk_host_create(struct brk_host **out, const struct settings *set,
 		    uint64_t incarnation, struct brk_host_io io)
 {
@@ -497,7 +398,7 @@
 	while (host->roles)
 		drop_role(&host->roles, "exit");
 	while (host->clients)
-		drop_client(&host->clients);
+		brk_client_drop(&host->clients);
 	if (host->view)
 		ctl_view_put(host->view);
 	free(host);
@@ -517,13 +418,12 @@
 void brk_host_batch(struct brk_host *host, const pmt_batch *batch,
 		    const struct strbuf *address, apr_time_t now)
 {
-	struct client *c;
+	struct brk_client *c;
 
 	host->now = now;
-	c = client_for(host, batch, address);
+	c = brk_client_for(&host->clients, batch, address, now);
 	if (!c)
 		return;
-	c->heard_at = now;
 	if (batch->seq <= c->got_seq) {
 		evt_log(BROKER_BATCH_REFUSED, "peer=%s err=%s", address->ptr,
 			err_name(PST_ERR_STALE));
@@ -532,7 +432,7 @@
 	if (batch->seq > c->got_seq + 1)
 		c->resync = true;
 	c->got_seq = batch->seq;
-	confirm(host, c, batch->heard);
+	brk_client_confirm(c, batch->heard, now);
 	c->wanted = c->wanted || c->resync || wants_answer(batch);
 	for (u_int i = 0; i < batch->parts.parts_len; i++)
 		take_part(host, c, &batch->parts.parts_val[i]);
@@ -549,7 +449,7 @@
 void brk_host_tick(struct brk_host *host, apr_time_t now)
 {
 	struct role **link = &host->roles;
-	struct client **client = &host->clients;
+	struct brk_client **client = &host->clients;
 
 	host->now = now;
 	while (*link) {
@@ -562,7 +462,7 @@
 	}
 	while (*client) {
 		if (now - (*client)->heard_at > BROKER_IDLE)
-			drop_client(client);
+			brk_client_drop(client);
 		else
 			client = &(*client)->next;
 	}
@@ -571,7 +471,7 @@
 void brk_host_flush(struct brk_host *host, apr_time_t now)
 {
 	host->now = now;
-	for (struct client *c = host->clients; c; c = c->next) {
+	for (struct brk_client *c = host->clients; c; c = c->next) {
 		if (c->wanted)
 			answers_for(host, c);
 		if (c->answers)
--- a/tests/fix_permit.c
+++ b/tests/fix_permit.c
@@ -129,6 +129,7 @@
 	struct fix_mail m = {.mail = *mail, .from = vm->number};
 
 	m.at = net->now + HOP;
+	net->reconnects += mail->reconnect;
 	if (net->now < net->lossy_until) {
 		free_mail(&m);
 		return;
--- a/tests/fix_permit.h
+++ b/tests/fix_permit.h
@@ -12,7 +12,7 @@
 #define FIX_VMS	      3
 #define FIX_UPSTREAMS 2u
 #define FIX_SLOTS     2u
-#define FIX_ANSWERS   256
+#define FIX_ANSWERS   2048
 
 struct fix_answer {
 	struct permit_answer answer;
@@ -56,8 +56,9 @@
 	bool vm_leaving[FIX_VMS];
 	struct ctl_view *view;
 	uint64_t revision;
-	/* Messages delivered. */
+	/* Messages delivered, and those sent on a new connection. */
 	uint64_t delivered;
+	uint64_t reconnects;
 };
 
 void fix_net_start(struct fix_net *net);
--- a/tests/test_permit_faults.c
+++ b/tests/test_permit_faults.c
@@ -321,6 +321,25 @@
 }
 END_TEST
 
+/* Answers are always under way: that is no sign of a dead connection. */
+START_TEST(steady_traffic_keeps_its_connections)
+{
+	struct fix_net net;
+	struct fix_vm *asker;
+
+	fix_net_start(&net);
+	asker = asker_of(&net, 0);
+	fix_net_run(&net, CLK_MS(100));
+	for (uint64_t i = 0; i < FIX_ANSWERS; i++) {
+		fix_net_ask(asker, 1000 + i, RANK_URGENT, DEADLINE);
+		fix_net_run(&net, CLK_MS(1));
+		fix_net_release_all(asker, PERMIT_DONE);
+	}
+	ck_assert_uint_eq(net.reconnects, 0);
+	fix_net_stop(&net);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("permit_faults");
@@ -328,6 +347,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, every_fault_at_every_step, 0,
 			    FAULT_COUNT * STEP_COUNT);
+	tcase_add_test(tc, steady_traffic_keeps_its_connections);
 	tcase_add_loop_test(tc, pairs_of_faults, 1, PAIRS + 1);
 	return fix_run("permit_faults", tc);
 }
