Broker: upstreams found by hash

Cause: an upstream was found by comparing names, for each one of a new list and each permit of a complete list: quadratic at 7000 slots. Ruled out: sorting the list (the heap is ordered by load).

--- a/policy/brk_core.c
+++ b/policy/brk_core.c
@@ -145,14 +145,13 @@
 	b->sink = sink;
 	b->now = now;
 	b->learn_until = cfg->learn ? now + cfg->learn : 0;
-	brk_fleet_init(&b->fleet, &cfg->up);
-	b->fleet.changed = tell_changed;
-	b->fleet.ctx = b;
 	brk_line_init(&b->line, now);
-	if (brk_hold_init(&b->hold)) {
+	if (brk_fleet_init(&b->fleet, &cfg->up) || brk_hold_init(&b->hold)) {
 		brk_destroy(b);
 		return PST_ERR_NOMEM;
 	}
+	b->fleet.changed = tell_changed;
+	b->fleet.ctx = b;
 	*out = b;
 	return 0;
 }
--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -182,6 +182,11 @@
 	return hold << doublings;
 }
 
+static uint64_t name_key(const struct brk_listed *vm)
+{
+	return str_hash(strbuf_str(&vm->name), 0);
+}
+
 static struct brk_up *add(struct brk_fleet *fleet, const struct brk_listed *vm)
 {
 	struct brk_up *up;
@@ -201,6 +206,7 @@
 		return NULL;
 	up->vm = *vm;
 	up->pace = 1.0;
+	brk_map_add(&fleet->names, &up->by_name, name_key(vm), vm->name.len);
 	place(fleet, fleet->count++, up);
 	return up;
 }
@@ -210,6 +216,7 @@
 	struct brk_up *last = fleet->heap[--fleet->count];
 
 	count_out(fleet, up);
+	brk_map_remove(&fleet->names, &up->by_name);
 	if (last != up) {
 		place(fleet, up->place, last);
 		sift(fleet, last);
@@ -258,6 +265,7 @@
 			continue;
 		}
 		count_out(fleet, up);
+		brk_map_remove(&fleet->names, &up->by_name);
 		free(up);
 	}
 	fleet->count = kept;
@@ -304,9 +312,10 @@
 	count_in(fleet, up);
 }
 
-void brk_fleet_init(struct brk_fleet *fleet, const struct brk_up_cfg *cfg)
+int brk_fleet_init(struct brk_fleet *fleet, const struct brk_up_cfg *cfg)
 {
 	*fleet = (struct brk_fleet){.cfg = *cfg};
+	return brk_map_init(&fleet->names);
 }
 
 void brk_fleet_done(struct brk_fleet *fleet)
@@ -314,6 +323,7 @@
 	for (size_t i = 0; i < fleet->count; i++)
 		free(fleet->heap[i]);
 	free(fleet->heap);
+	brk_map_done(&fleet->names);
 }
 
 int brk_fleet_list(struct brk_fleet *fleet, const struct brk_listed *vms,
@@ -337,11 +347,10 @@
 
 struct brk_up *brk_fleet_find(const struct brk_fleet *fleet, struct str name)
 {
-	for (size_t i = 0; i < fleet->count; i++) {
-		if (str_eq(strbuf_str(&fleet->heap[i]->vm.name), name))
-			return fleet->heap[i];
-	}
-	return NULL;
+	struct brk_node *node =
+		brk_map_find(&fleet->names, str_hash(name, 0), name.len);
+
+	return (struct brk_up *)(void *)node;
 }
 
 void brk_fleet_tick(struct brk_fleet *fleet, apr_time_t now)
--- a/policy/brk_up.h
+++ b/policy/brk_up.h
@@ -11,6 +11,7 @@
 #include <apr_time.h>
 
 #include "common/str.h"
+#include "policy/brk_map.h"
 #include "policy/brk_types.h"
 #include "policy/tbl.h"
 
@@ -47,6 +48,7 @@
 };
 
 struct brk_up {
+	struct brk_node by_name;
 	struct brk_listed vm;
 	bool listed;
 	uint64_t list_number;
@@ -82,6 +84,7 @@
 	struct brk_up **heap;
 	size_t count;
 	size_t room;
+	struct brk_map names;
 	/* Sums over all upstreams. */
 	uint32_t usable;
 	uint32_t held;
@@ -97,7 +100,8 @@
 	void *ctx;
 };
 
-void brk_fleet_init(struct brk_fleet *fleet, const struct brk_up_cfg *cfg);
+/* Returns 0 or PST_ERR_NOMEM. */
+int brk_fleet_init(struct brk_fleet *fleet, const struct brk_up_cfg *cfg);
 void brk_fleet_done(struct brk_fleet *fleet);
 
 /*
--- a/tests/test_brk_up.c
+++ b/tests/test_brk_up.c
@@ -49,7 +49,7 @@
 
 static void setup(void)
 {
-	brk_fleet_init(&fleet, &cfg);
+	ck_assert_int_eq(brk_fleet_init(&fleet, &cfg), 0);
 	list("ab", 0);
 }
 
