Broker: one silent connection does not condemn an upstream

Two new tests failed first. Ruled out: ignoring silence (a dead upstream has to be left at once). Before: any silence. After: only when no work was done there for 500 ms, or three times in a row; a ramp only after two trials in silence. Conclusion: a dead upstream is still left at the first silence.

--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -22,6 +22,15 @@
 /* Failures in a row after which an upstream is treated as silent. */
 #define FAILURES_MAX 3
 
+/*
+ * Work done this short a time ago shows that silence was a connection's; it
+ * is less than any time after which a connection is called silent.
+ */
+#define ALIVE_TIME APR_TIME_C(500000)
+
+/* Silences in a row after which an upstream may have been restarted. */
+#define RESTART_SILENCES 2
+
 static bool better(const struct brk_up *a, const struct brk_up *b)
 {
 	const bool a_free = a->held < a->usable;
@@ -275,8 +284,9 @@
 static void served(struct brk_fleet *fleet, struct brk_up *up, double pace,
 		   apr_time_t now)
 {
-	if (up->silences_in_row)
+	if (up->silences_in_row >= RESTART_SILENCES)
 		start_ramp(fleet, up, now);
+	up->done_at = now;
 	up->silences_in_row = 0;
 	up->sheds_in_row = 0;
 	up->failures_in_row = 0;
@@ -413,7 +423,9 @@
 			now + grown(fleet->cfg.shed_hold, up->sheds_in_row++);
 		break;
 	case PERMIT_SILENT:
-		distrust(fleet, up, now);
+		if (++up->failures_in_row >= FAILURES_MAX || !up->done_at ||
+		    now - up->done_at > ALIVE_TIME)
+			distrust(fleet, up, now);
 		break;
 	case PERMIT_DRAINING:
 		up->drain_until = now + fleet->cfg.drain_hold;
--- a/policy/brk_up.h
+++ b/policy/brk_up.h
@@ -67,7 +67,10 @@
 	uint32_t sheds_in_row;
 	apr_time_t silent_until;
 	uint32_t silences_in_row;
+	/* Failures and silences without work done since. */
 	uint32_t failures_in_row;
+	/* When work was last done, or 0. */
+	apr_time_t done_at;
 	/* Time that work takes here against the mean of its rank. */
 	double pace;
 	uint32_t pace_samples;
--- a/tests/test_brk_up.c
+++ b/tests/test_brk_up.c
@@ -163,6 +163,30 @@
 }
 END_TEST
 
+/* Work done meanwhile shows that only one connection went silent. */
+START_TEST(one_silent_connection_does_not_condemn_the_upstream)
+{
+	use("a", PERMIT_DONE, 1, CLK_MS(1000));
+	use("a", PERMIT_SILENT, 0, CLK_MS(1100));
+	use("a", PERMIT_SILENT, 0, CLK_MS(1200));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+	use("a", PERMIT_DONE, 1, CLK_MS(1300));
+	use("a", PERMIT_SILENT, 0, CLK_MS(1400));
+	use("a", PERMIT_SILENT, 0, CLK_MS(1401));
+	use("a", PERMIT_SILENT, 0, CLK_MS(1402));
+	ck_assert_uint_eq(up_of("a")->usable, 0);
+}
+END_TEST
+
+START_TEST(short_silence_needs_no_ramp)
+{
+	use("a", PERMIT_SILENT, 0, CLK_MS(1));
+	brk_fleet_tick(&fleet, CLK_MS(502));
+	use("a", PERMIT_DONE, 1, CLK_MS(510));
+	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
+}
+END_TEST
+
 START_TEST(upstream_that_keeps_failing_counts_as_silent)
 {
 	use("a", PERMIT_FAILED, 0, 0);
@@ -228,6 +252,8 @@
 	tcase_add_test(tc, report_does_not_outvote_a_refusal);
 	tcase_add_test(tc, refusals_lower_the_slots_for_a_short_while);
 	tcase_add_test(tc, silent_upstream_is_tried_and_then_ramps_up);
+	tcase_add_test(tc, one_silent_connection_does_not_condemn_the_upstream);
+	tcase_add_test(tc, short_silence_needs_no_ramp);
 	tcase_add_test(tc, upstream_that_keeps_failing_counts_as_silent);
 	tcase_add_test(tc, slow_upstream_keeps_one_slot_and_no_urgent_work);
 	tcase_add_test(tc, cold_report_starts_one_ramp);
