Capacity of the entry's own work

Cause: CAPACITY.md needs a slope for each role. Ruled out: timing through sockets here (the lab measures whole processes). Before: none.

--- /dev/null
+++ b/bench/cap_entry.c
@@ -0,0 +1,106 @@
+/*
+ * Capacity of the entry's own work: the rules of a path, the reading of a
+ * head, a log line and a counter, per request, and the memory of a request.
+ */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "common/clk.h"
+#include "common/ctr.h"
+#include "common/evt.h"
+#include "entryd/hdr.h"
+#include "entryd/req.h"
+
+#define LOG_MODULE "bench"
+
+#define ROUNDS	   200000
+
+static void print_line(const char *quantity, size_t size, double value,
+		       const char *unit)
+{
+	printf("entry,%s,%zu,%.3f,%s\n", quantity, size, value, unit);
+}
+
+static double elapsed_ns(apr_time_t began, size_t rounds)
+{
+	const apr_interval_time_t us = clk_now(clk_system()) - began;
+
+	return (double)us * 1000 / (double)rounds;
+}
+
+/* Every step of a keyed request that is answered whole. */
+static void walk_path(void)
+{
+	static const struct pth_event events[] = {
+		{.kind = PTH_EV_START},
+		{.kind = PTH_EV_TICKET, .ticket = PTH_TICKET_RUN},
+		{.kind = PTH_EV_PERMIT, .permit = PTH_PERMIT_GRANTED},
+		{.kind = PTH_EV_HEAD},
+		{.kind = PTH_EV_RESULT, .result = PTH_RESULT_WHOLE},
+	};
+	struct pth_actions actions;
+	struct pth pth;
+
+	pth_init(&pth, false, true);
+	for (size_t i = 0; i < sizeof(events) / sizeof(*events); i++)
+		pth_step(&pth, &events[i], &actions);
+}
+
+static void read_head(void)
+{
+	struct strbuf service;
+	enum rank rank;
+	struct str out;
+	uint32_t ms;
+
+	hdr_path(STR_LIT("/s/status/wheels/4711?fields=state"), &service, &out);
+	hdr_priority(STR_LIT("u=1, i"), &rank);
+	hdr_deadline(STR_LIT("1500"), &ms);
+	hdr_key(STR_LIT("\"pst1-bd941e9f2dfcb78b-1-0\""), 128, &out);
+}
+
+static void write_line(void)
+{
+	evt_log(REQ_DOMAIN, "req=%s domain=%s from=%s try=%u",
+		"16bb892a456b5cb6-1", "almaty-1", "almaty-2", 1U);
+}
+
+static void count(void)
+{
+	static struct ctr *ctr;
+	static struct hst *hst;
+
+	if (!ctr) {
+		ctr = ctr_get("bench", "", "Bench.");
+		hst = hst_get("bench_us", "", "Bench.");
+	}
+	ctr_add(ctr, 1);
+	hst_record(hst, 1234);
+}
+
+static void measure(const char *quantity, void (*run)(void))
+{
+	for (size_t rounds = ROUNDS / 100; rounds <= ROUNDS; rounds *= 10) {
+		const apr_time_t began = clk_now(clk_system());
+
+		for (size_t i = 0; i < rounds; i++)
+			run();
+		print_line(quantity, rounds, elapsed_ns(began, rounds), "ns");
+	}
+}
+
+int main(void)
+{
+	FILE *sink = fopen("/dev/null", "w");
+
+	if (!sink)
+		return EXIT_FAILURE;
+	evt_redirect(sink);
+	measure("path_rules", walk_path);
+	measure("head", read_head);
+	measure("log_line", write_line);
+	measure("counter_and_histogram", count);
+	print_line("request_state", 1, (double)sizeof(struct req), "bytes");
+	fclose(sink);
+	return EXIT_SUCCESS;
+}
