Tickets: broken connections, restarted witnesses and silent peers cost less

Cause: a test with real processes (kill, pause, planned stop of entries) held its promises but showed waits: a call on a connection whose peer had been restarted failed and left the peer avoided; a witness that came back was not asked for up to 2 s; a ticket whose witness had restarted waited for successors in other regions until the time was up. Ruled out: treating a silent successor as a reason to wait: a witness that answers without the records has handed them over before, or never will. Mechanism: the first failure on a connection is tried at once on a new one; failures that take under 50 ms leave no gap; gaps end at 1 s; the named witness has the last word; 12 threads for calls.

--- a/agent/tkt_hop.c
+++ b/agent/tkt_hop.c
@@ -24,12 +24,12 @@
 	if (ruling->grant != TKT_GRANT_SILENT &&
 	    ruling->grant != TKT_GRANT_LOST)
 		return 0;
-	if (ruling->grant == TKT_GRANT_SILENT)
-		call->silent = true;
+	if (!call->hop)
+		call->first = ruling->grant;
 	if (call->hop < SUCCESSORS)
 		vm = successor(vml, call->witness, call->hop);
 	call->hop++;
-	if (!vm && call->silent)
-		ruling->grant = TKT_GRANT_SILENT;
+	if (!vm)
+		ruling->grant = call->first;
 	return vm;
 }
--- a/agent/tkt_hop.h
+++ b/agent/tkt_hop.h
@@ -9,8 +9,9 @@
 
 /*
  * Looks at the ruling on a call. Returns the VM to send *call to next, with
- * *call changed for it, or 0 with the last word in *ruling: the records are
- * lost only if nobody who was asked was silent. vml may be NULL.
+ * *call changed for it, or 0 with the last word in *ruling. If no successor
+ * has the records that is the named witness's: one that answers without them
+ * has either handed them over before or never will. vml may be NULL.
  */
 uint64_t tkt_hop_next(const struct vml *vml, struct tkt_call *call,
 		      struct tkt_ruling *ruling);
--- a/agent/tkt_peers.c
+++ b/agent/tkt_peers.c
@@ -11,7 +11,7 @@
 #include "common/ctr.h"
 #include "common/err.h"
 
-#define WORKERS 6
+#define WORKERS 12
 /* Peers known at once; the one idle longest makes room. */
 #define PEERS_MAX 1024
 #define BUCKETS	  1024
@@ -22,7 +22,9 @@
 
 /* Gap between trials of a silent peer, doubling up to the maximum. */
 #define GAP_MIN CLK_MS(100)
-#define GAP_MAX CLK_MS(2000)
+#define GAP_MAX CLK_MS(1000)
+/* A failure that took less occupies nobody and leaves no gap. */
+#define FAST_FAILURE CLK_MS(50)
 
 struct peer {
 	uint64_t vm;
@@ -34,6 +36,8 @@
 	size_t waiting;
 	/* On the ready ring or in a worker's hands. */
 	bool scheduled;
+	/* The latest call failed. */
+	bool failing;
 	apr_interval_time_t gap;
 	apr_time_t silent_until;
 	apr_time_t used_at;
@@ -170,21 +174,53 @@
 	return batch;
 }
 
-static void note_result(struct tkt_peers *p, struct peer *peer, int err)
+static void note_result(struct tkt_peers *p, struct peer *peer, int err,
+			apr_time_t began)
 {
-	if (!err) {
+	const apr_time_t now = clk_now(p->conf.clk);
+
+	peer->failing = err != 0;
+	if (!err || now - began < FAST_FAILURE) {
 		peer->gap = GAP_MIN;
 		peer->silent_until = 0;
-		return;
+	} else {
+		peer->silent_until = now + peer->gap;
+		peer->gap = peer->gap * 2 < GAP_MAX ? peer->gap * 2 : GAP_MAX;
 	}
-	peer->silent_until = clk_now(p->conf.clk) + peer->gap;
-	peer->gap = peer->gap * 2 < GAP_MAX ? peer->gap * 2 : GAP_MAX;
-	p->conf.avoid(p->conf.ctx, peer->vm, err);
+	if (err)
+		p->conf.avoid(p->conf.ctx, peer->vm, err);
 }
 
-static apr_interval_time_t call_timeout(const struct tkt_peers *p)
+struct rpc {
+	struct rpcc *client;
+	rpcproc_t proc;
+	xdrproc_t xargs;
+	void *args;
+	xdrproc_t xres;
+	void *res;
+	size_t res_size;
+};
+
+/*
+ * Every call may be repeated. The connection may be one that went silent or
+ * was cut while the peer is well, so the first failure is tried on a new one.
+ */
+static int call_peer(struct tkt_peers *p, struct peer *peer,
+		     const struct rpc *rpc)
 {
-	return CLK_MS(p->conf.set->ticket.call_timeout_ms);
+	const apr_interval_time_t timeout =
+		CLK_MS(p->conf.set->ticket.call_timeout_ms);
+	const apr_time_t began = clk_now(p->conf.clk);
+	int err = rpcc_call(rpc->client, rpc->proc, rpc->xargs, rpc->args,
+			    rpc->xres, rpc->res, timeout);
+
+	if (err && err != PST_ERR_CONNECT && !peer->failing) {
+		memset(rpc->res, 0, rpc->res_size);
+		err = rpcc_call(rpc->client, rpc->proc, rpc->xargs, rpc->args,
+				rpc->xres, rpc->res, timeout);
+	}
+	note_result(p, peer, err, began);
+	return err;
 }
 
 static int call_apply(struct tkt_peers *p, struct peer *peer,
@@ -205,9 +241,16 @@
 		return PST_ERR_NOMEM;
 	for (size_t i = 0; i < count; i++, batch = batch->next)
 		tkt_wire_op(&ops[i], &batch->op);
-	err = rpcc_call(peer->witness, TKT_PROC_APPLY,
-			(xdrproc_t)xdr_tktm_apply_args, &args,
-			(xdrproc_t)xdr_tktm_apply_res, res, call_timeout(p));
+	err = call_peer(p, peer,
+			&(struct rpc){
+				.client = peer->witness,
+				.proc = TKT_PROC_APPLY,
+				.xargs = (xdrproc_t)xdr_tktm_apply_args,
+				.args = &args,
+				.xres = (xdrproc_t)xdr_tktm_apply_res,
+				.res = res,
+				.res_size = sizeof(*res),
+			});
 	free(ops);
 	return err;
 }
@@ -222,7 +265,6 @@
 		err = call_apply(p, peer, batch, count, &res);
 		if (!err && res.rulings.rulings_len != count)
 			err = PST_ERR_PROTOCOL;
-		note_result(p, peer, err);
 	}
 	for (size_t i = 0; i < count; i++, batch = batch->next) {
 		struct tkt_ruling ruling = {.grant = TKT_GRANT_SILENT};
@@ -248,11 +290,16 @@
 	int err = PST_ERR_CONNECT;
 
 	if (reachable) {
-		err = rpcc_call(peer->home, TKT_PROC_QUERY,
-				(xdrproc_t)xdr_tktm_query_args, &args,
-				(xdrproc_t)xdr_tktm_query_res, &res,
-				call_timeout(p));
-		note_result(p, peer, err);
+		err = call_peer(p, peer,
+				&(struct rpc){
+					.client = peer->home,
+					.proc = TKT_PROC_QUERY,
+					.xargs = (xdrproc_t)xdr_tktm_query_args,
+					.args = &args,
+					.xres = (xdrproc_t)xdr_tktm_query_res,
+					.res = &res,
+					.res_size = sizeof(res),
+				});
 	}
 	p->conf.told(p->conf.ctx, call->attempt, tkt_wire_outcome(res.outcome),
 		     err != 0);
--- a/agent/tkt_peers.h
+++ b/agent/tkt_peers.h
@@ -34,8 +34,8 @@
 			uint64_t witness;
 			/* 0: that witness; else its successors by rank. */
 			uint32_t hop;
-			/* Somebody asked before was silent. */
-			bool silent;
+			/* The witness's own word. */
+			enum tkt_grant first;
 		};
 		struct {
 			/* 0: any. */
