Tickets: counters of verdicts in a file of their own

Ruled out: moving the roles' creation out, which belongs to the service. Conclusion: no change of behaviour; all ticket tests pass as before.

--- a/agent/tkt_service.c
+++ b/agent/tkt_service.c
@@ -9,13 +9,13 @@
 #include <apr_queue.h>
 
 #include "agent/tkt_claims.h"
+#include "agent/tkt_count.h"
 #include "agent/tkt_handover.h"
 #include "agent/tkt_hop.h"
 #include "agent/tkt_keeper.h"
 #include "agent/tkt_log.h"
 #include "agent/tkt_peers.h"
 #include "agent/tkt_serve.h"
-#include "common/ctr.h"
 #include "common/err.h"
 #include "common/evt.h"
 
@@ -43,7 +43,6 @@
 	struct tkt_claims *claims;
 	/* To the thread that answers. */
 	apr_queue_t *answers;
-	struct ctr *verdicts[TKT_REFUSED + 1];
 	atomic_bool stopping;
 	pthread_t answerer;
 	pthread_t ticker;
@@ -117,7 +116,7 @@
 	if (!copy)
 		return;
 	*copy = *answer;
-	ctr_add(s->verdicts[answer->verdict], 1);
+	tkt_count_verdict(answer->verdict);
 	if (apr_queue_trypush(s->answers, copy) != APR_SUCCESS)
 		free(copy);
 }
@@ -258,20 +257,6 @@
 	return NULL;
 }
 
-static void register_counters(struct tkt_service *s)
-{
-	static const char *const labels[] = {
-		[TKT_RUN] = "verdict=\"run\"",
-		[TKT_NOT_RUN] = "verdict=\"not_run\"",
-		[TKT_UNKNOWN] = "verdict=\"unknown\"",
-		[TKT_REFUSED] = "verdict=\"refused\"",
-	};
-
-	for (int i = TKT_RUN; i <= TKT_REFUSED; i++)
-		s->verdicts[i] = ctr_get("pst_ticket_verdicts_total", labels[i],
-					 "Keyed requests by verdict.");
-}
-
 static int create_rings(struct tkt_service *s)
 {
 	const unsigned answers =
@@ -405,7 +390,6 @@
 	s->ctx = ctx;
 	s->vm = tkt_vm_hash(set->vm.id);
 	s->incarnation = make_incarnation();
-	register_counters(s);
 	pthread_mutex_init(&s->lock, NULL);
 	pthread_mutex_init(&s->serve.lock, NULL);
 	err = create_rings(s);
--- a/tests/fix_tkt.c
+++ b/tests/fix_tkt.c
@@ -194,6 +194,17 @@
 	};
 }
 
+static struct fix_msg reply_to(const struct fix_msg *msg, enum msg_kind kind)
+{
+	struct fix_msg reply = *msg;
+
+	reply.kind = kind;
+	reply.from = msg->to;
+	reply.to = msg->from;
+	reply.incarnation = msg->owner.incarnation;
+	return reply;
+}
+
 /* Asks the next one that may have the records; false when there is none. */
 static bool forward(struct fix_world *w, const struct fix_msg *msg)
 {
@@ -224,12 +235,8 @@
 		.index = id->index,
 		.who = msg->owner,
 	};
-	struct fix_msg reply = *msg;
+	struct fix_msg reply = reply_to(msg, MSG_RULING);
 
-	reply.kind = MSG_RULING;
-	reply.from = msg->to;
-	reply.to = msg->from;
-	reply.incarnation = msg->owner.incarnation;
 	if (msg->op == TKT_OP_CLAIM)
 		hook(w, FIX_CLAIM, msg->from);
 	if (msg->to == STORE)
@@ -271,12 +278,8 @@
 static void on_query(struct fix_world *w, const struct fix_msg *msg)
 {
 	struct fix_proc *p = &w->procs[msg->to];
-	struct fix_msg reply = *msg;
+	struct fix_msg reply = reply_to(msg, MSG_OUTCOME);
 
-	reply.kind = MSG_OUTCOME;
-	reply.from = msg->to;
-	reply.to = msg->from;
-	reply.incarnation = msg->owner.incarnation;
 	reply.outcome = TKT_OUTCOME_UNSEEN;
 	if (p->incarnation == msg->incarnation)
 		reply.outcome = tkt_asker_query(
