--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -134,6 +134,8 @@
 {
 	const struct role *role = ctx;
 
+	if (!permits)
+		return;
 	evt_log(PERMIT_EXPIRED, "service=%s domain=%s entry=%s permits=%zu",
 		role->service.ptr, role->domain.ptr, entry->ptr, permits);
 }
@@ -230,8 +232,7 @@
 		.permit_ttl = CLK_MS(set->permit_ttl_ms),
 		.learn = CLK_MS(set->learn_ms),
 		.line_max = (uint32_t)set->line_max,
-		/* The highest bit marks permits that entry VMs give. */
-		.epoch = (uint32_t)(host->incarnation + ++host->epochs) >> 1,
+		.epoch = brk_epoch(host->incarnation, ++host->epochs),
 	};
 }
 
--- a/policy/brk_core.c
+++ b/policy/brk_core.c
@@ -101,6 +101,7 @@
 	permit->rank = rank;
 	permit->granted_at = b->now;
 	b->line.use[rank].held++;
+	brk_line_granted(&b->line, rank);
 	brk_up_take(&b->fleet, up, b->now);
 	return permit;
 }
@@ -327,6 +328,11 @@
 	permit->sync = entry->syncs;
 }
 
+uint32_t brk_epoch(uint64_t incarnation, uint64_t nth)
+{
+	return (uint32_t)(incarnation + nth) & INT32_MAX;
+}
+
 int brk_create(struct brk **out, const struct brk_cfg *cfg,
 	       struct brk_sink sink, apr_time_t now)
 {
