--- a/agent/lst.c
+++ b/agent/lst.c
@@ -2,10 +2,10 @@
 
 #include <stdio.h>
 #include <stdlib.h>
-#include <string.h>
 
 #include <curl/curl.h>
 
+#include "agent/hbuf.h"
 #include "common/err.h"
 
 /* Largest list accepted, in bytes. */
@@ -14,29 +14,7 @@
 #define HTTP_OK	 200
 #define TEXT_MAX 512
 
-struct body {
-	char *ptr;
-	size_t len;
-};
-
-static size_t keep(char *data, size_t size, size_t count, void *ctx)
-{
-	struct body *body = ctx;
-	const size_t add = size * count;
-	char *grown;
-
-	if (add > MAX_LIST - body->len)
-		return 0;
-	grown = realloc(body->ptr, body->len + add + 1);
-	if (!grown)
-		return 0;
-	memcpy(grown + body->len, data, add);
-	body->ptr = grown;
-	body->len += add;
-	return add;
-}
-
-static int fetch(CURL *easy, const struct settings *set, struct body *body,
+static int fetch(CURL *easy, const struct settings *set, struct hbuf *body,
 		 long *status)
 {
 	char url[TEXT_MAX];
@@ -50,7 +28,7 @@
 	curl_easy_setopt(easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)set->platform.call_timeout_ms);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, keep);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, hbuf_keep);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
 	if (curl_easy_perform(easy) != CURLE_OK)
 		return PST_ERR_UNAVAILABLE;
@@ -61,7 +39,7 @@
 int lst_read(const struct settings *set, struct vml **out, long *status)
 {
 	CURL *easy = curl_easy_init();
-	struct body body = {0};
+	struct hbuf body = {.max = MAX_LIST};
 	int err;
 
 	*status = 0;
--- a/agent/stc.c
+++ b/agent/stc.c
@@ -6,10 +6,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <apr_base64.h>
 #include <curl/curl.h>
 #include <jansson.h>
 
+#include "agent/hbuf.h"
+#include "agent/stc_json.h"
 #include "common/ctr.h"
 #include "common/err.h"
 #include "common/evt.h"
@@ -27,9 +28,6 @@
 /* Longest "http://..." and "if!..." text, in bytes. */
 #define URL_MAX 512
 
-/* Longest decimal text of a 64-bit number, with its NUL. */
-#define U64_TEXT 24
-
 struct stc {
 	const struct settings *set;
 	const struct clk *clk;
@@ -41,11 +39,6 @@
 	atomic_bool cancelled;
 };
 
-struct body {
-	char *ptr;
-	size_t len;
-};
-
 /* What a call is, for its bounds and for what its failure means. */
 enum call_kind {
 	/* May be repeated freely. */
@@ -71,24 +64,6 @@
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 }
 
-static size_t keep_body(char *data, size_t size, size_t count, void *ctx)
-{
-	struct body *body = ctx;
-	const size_t add = size * count;
-	char *grown;
-
-	if (add > MAX_ANSWER - body->len)
-		return 0;
-	grown = realloc(body->ptr, body->len + add + 1);
-	if (!grown)
-		return 0;
-	memcpy(grown + body->len, data, add);
-	body->ptr = grown;
-	body->len += add;
-	grown[body->len] = '\0';
-	return add;
-}
-
 static int on_progress(void *ctx, curl_off_t down_total, curl_off_t down,
 		       curl_off_t up_total, curl_off_t up)
 {
@@ -101,76 +76,6 @@
 	return stc->cancelled;
 }
 
-static json_t *json_b64(struct str s)
-{
-	const int need = apr_base64_encode_len((int)s.len);
-	char *text = malloc((size_t)need);
-	json_t *out;
-
-	if (!text)
-		return NULL;
-	apr_base64_encode_binary(text, (const unsigned char *)s.ptr,
-				 (int)s.len);
-	out = json_string(text);
-	free(text);
-	return out;
-}
-
-/* Returns 0 with *out owned by the caller, or PST_ERR_PROTOCOL. */
-static int take_b64(const json_t *from, struct str *out)
-{
-	const char *text = json_string_value(from);
-	char *plain;
-	int len;
-
-	if (!from) {
-		*out = (struct str){.ptr = calloc(1, 1)};
-		return out->ptr ? 0 : PST_ERR_NOMEM;
-	}
-	if (!text)
-		return PST_ERR_PROTOCOL;
-	plain = malloc((size_t)apr_base64_decode_len(text) + 1);
-	if (!plain)
-		return PST_ERR_NOMEM;
-	len = apr_base64_decode_binary((unsigned char *)plain, text);
-	plain[len] = '\0';
-	*out = (struct str){.ptr = plain, .len = (size_t)len};
-	return 0;
-}
-
-static json_t *json_u64(uint64_t value)
-{
-	char text[U64_TEXT];
-
-	snprintf(text, sizeof(text), "%llu", (unsigned long long)value);
-	return json_string(text);
-}
-
-/* The gateway leaves out zeros and writes 64-bit numbers as strings. */
-static int take_u64(const json_t *from, uint64_t *out)
-{
-	*out = 0;
-	if (!from)
-		return 0;
-	if (json_is_integer(from) && json_integer_value(from) >= 0) {
-		*out = (uint64_t)json_integer_value(from);
-		return 0;
-	}
-	if (!json_is_string(from))
-		return PST_ERR_PROTOCOL;
-	return str_to_u64(str_from_c(json_string_value(from)), out)
-		       ? PST_ERR_PROTOCOL
-		       : 0;
-}
-
-static int take_revision(const json_t *answer, uint64_t *out)
-{
-	const json_t *header = json_object_get(answer, "header");
-	const int err = take_u64(json_object_get(header, "revision"), out);
-
-	return err || !*out ? PST_ERR_PROTOCOL : 0;
-}
-
 static void count_call(const struct call *call, int err)
 {
 	char labels[64];
@@ -275,13 +180,13 @@
 static int exchange(struct stc *stc, enum call_kind kind, const char *path,
 		    json_t *request, json_t **answer)
 {
-	struct body body = {0};
+	struct hbuf body = {.max = MAX_ANSWER};
 	struct call call = {
 		.kind = kind,
 		.path = path,
 		.request = request,
 		.timeout_ms = (long)stc->set->platform.call_timeout_ms,
-		.on_data = keep_body,
+		.on_data = hbuf_keep,
 		.ctx = &body,
 	};
 	int err = request ? perform(stc, &call) : PST_ERR_NOMEM;
@@ -315,48 +220,6 @@
 		       : err;
 }
 
-/* The first key after all that start with prefix; "\0" means no end. */
-static json_t *json_range_end(struct str prefix)
-{
-	char end[STC_KEY_MAX];
-
-	if (!prefix.len)
-		return json_b64(STR_LIT("\0"));
-	memcpy(end, prefix.ptr, prefix.len);
-	end[prefix.len - 1]++;
-	return json_b64((struct str){.ptr = end, .len = prefix.len});
-}
-
-static int take_item(const json_t *kv, struct stc_item *item)
-{
-	int err = take_u64(json_object_get(kv, "mod_revision"),
-			   &item->mod_revision);
-
-	if (!err)
-		err = take_b64(json_object_get(kv, "key"), &item->key);
-	if (!err)
-		err = take_b64(json_object_get(kv, "value"), &item->value);
-	return err;
-}
-
-static int take_list(const json_t *answer, struct stc_list *out)
-{
-	const json_t *kvs = json_object_get(answer, "kvs");
-	const size_t count = json_array_size(kvs);
-	int err = take_revision(answer, &out->revision);
-
-	if (err)
-		return err;
-	out->items = calloc(count + 1, sizeof(*out->items));
-	if (!out->items)
-		return PST_ERR_NOMEM;
-	for (size_t i = 0; !err && i < count; i++) {
-		out->count = i + 1;
-		err = take_item(json_array_get(kvs, i), &out->items[i]);
-	}
-	return err;
-}
-
 static int read_range(struct stc *stc, json_t *request, struct stc_list *out)
 {
 	json_t *answer = NULL;
@@ -365,7 +228,7 @@
 	memset(out, 0, sizeof(*out));
 	err = exchange(stc, CALL_READ, "/v3/kv/range", request, &answer);
 	if (!err) {
-		err = take_list(answer, out);
+		err = stc_json_take_list(answer, out);
 		json_decref(answer);
 	}
 	if (err)
@@ -373,23 +236,6 @@
 	return err && err != PST_ERR_NOMEM ? PST_ERR_UNAVAILABLE : err;
 }
 
-static json_t *json_compare(const struct stc_change *change)
-{
-	return json_pack("{s:s, s:s, s:o, s:o}", "result", "EQUAL", "target",
-			 "MOD", "key", json_b64(change->key), "mod_revision",
-			 json_u64(change->expected));
-}
-
-static json_t *json_put(const struct stc_change *change, uint64_t lease)
-{
-	json_t *put = json_pack("{s:o, s:o}", "key", json_b64(change->key),
-				"value", json_b64(change->value));
-
-	if (lease)
-		json_object_set_new(put, "lease", json_u64(lease));
-	return json_pack("{s:o}", "request_put", put);
-}
-
 static int swap(struct stc *stc, const struct stc_change *changes, size_t count,
 		uint64_t lease, uint64_t *revision)
 {
@@ -401,8 +247,8 @@
 	for (size_t i = 0; i < count; i++) {
 		if (changes[i].expected != STC_ANY)
 			json_array_append_new(compare,
-					      json_compare(&changes[i]));
-		json_array_append_new(puts, json_put(&changes[i], lease));
+					      stc_json_compare(&changes[i]));
+		json_array_append_new(puts, stc_json_put(&changes[i], lease));
 	}
 	err = exchange(
 		stc, CALL_WRITE, "/v3/kv/txn",
@@ -410,7 +256,7 @@
 		&answer);
 	if (err)
 		return write_error(err);
-	err = take_revision(answer, revision);
+	err = stc_json_take_revision(answer, revision);
 	if (!err && !json_is_true(json_object_get(answer, "succeeded")))
 		err = PST_ERR_CONFLICT;
 	json_decref(answer);
@@ -419,7 +265,7 @@
 
 /* Reads the watch's lines; stops the transfer at the first change. */
 struct watch {
-	struct body line;
+	struct hbuf line;
 	bool changed;
 	bool broken;
 };
@@ -444,7 +290,7 @@
 
 	for (size_t i = 0; i < total; i++) {
 		if (data[i] != '\n') {
-			if (!keep_body(&data[i], 1, 1, &watch->line))
+			if (!hbuf_keep(&data[i], 1, 1, &watch->line))
 				return 0;
 			continue;
 		}
@@ -456,13 +302,6 @@
 	return total;
 }
 
-static json_t *json_watch(struct str prefix, uint64_t after)
-{
-	return json_pack("{s:{s:o, s:o, s:o}}", "create_request", "key",
-			 json_b64(prefix), "range_end", json_range_end(prefix),
-			 "start_revision", json_u64(after + 1));
-}
-
 int stc_create(struct stc **out, const struct settings *set,
 	       const struct clk *clk)
 {
@@ -505,14 +344,15 @@
 	if (prefix.len > STC_KEY_MAX)
 		return PST_ERR_INVALID;
 	return read_range(stc,
-			  json_pack("{s:o, s:o}", "key", json_b64(prefix),
-				    "range_end", json_range_end(prefix)),
+			  json_pack("{s:o, s:o}", "key", stc_json_bytes(prefix),
+				    "range_end", stc_json_range_end(prefix)),
 			  out);
 }
 
 int stc_read_key(struct stc *stc, struct str key, struct stc_list *out)
 {
-	return read_range(stc, json_pack("{s:o}", "key", json_b64(key)), out);
+	return read_range(stc, json_pack("{s:o}", "key", stc_json_bytes(key)),
+			  out);
 }
 
 void stc_list_free(struct stc_list *list)
@@ -547,11 +387,12 @@
 {
 	json_t *answer = NULL;
 	int err = exchange(stc, CALL_WRITE, "/v3/lease/grant",
-			   json_pack("{s:o}", "TTL", json_u64(ttl_s)), &answer);
+			   json_pack("{s:o}", "TTL", stc_json_u64(ttl_s)),
+			   &answer);
 
 	if (err)
 		return read_error(err);
-	err = take_u64(json_object_get(answer, "ID"), lease);
+	err = stc_json_take_u64(json_object_get(answer, "ID"), lease);
 	json_decref(answer);
 	return err || !*lease ? PST_ERR_UNAVAILABLE : 0;
 }
@@ -562,12 +403,13 @@
 	const json_t *result;
 	uint64_t ttl = 0;
 	int err = exchange(stc, CALL_READ, "/v3/lease/keepalive",
-			   json_pack("{s:o}", "ID", json_u64(lease)), &answer);
+			   json_pack("{s:o}", "ID", stc_json_u64(lease)),
+			   &answer);
 
 	if (err)
 		return read_error(err);
 	result = json_object_get(answer, "result");
-	err = result ? take_u64(json_object_get(result, "TTL"), &ttl)
+	err = result ? stc_json_take_u64(json_object_get(result, "TTL"), &ttl)
 		     : PST_ERR_PROTOCOL;
 	json_decref(answer);
 	if (err)
@@ -578,9 +420,9 @@
 int stc_lease_revoke(struct stc *stc, uint64_t lease)
 {
 	json_t *answer = NULL;
-	const int err =
-		exchange(stc, CALL_READ, "/v3/lease/revoke",
-			 json_pack("{s:o}", "ID", json_u64(lease)), &answer);
+	const int err = exchange(stc, CALL_READ, "/v3/lease/revoke",
+				 json_pack("{s:o}", "ID", stc_json_u64(lease)),
+				 &answer);
 
 	if (!err)
 		json_decref(answer);
@@ -591,7 +433,7 @@
 	      apr_interval_time_t timeout)
 {
 	const apr_time_t end = clk_now(stc->clk) + timeout;
-	struct watch watch = {0};
+	struct watch watch = {.line.max = MAX_ANSWER};
 	struct call call = {
 		.kind = CALL_READ,
 		.path = "/v3/watch",
@@ -603,7 +445,7 @@
 
 	if (prefix.len > STC_KEY_MAX)
 		return PST_ERR_INVALID;
-	call.request = json_watch(prefix, after_revision);
+	call.request = stc_json_watch(prefix, after_revision);
 	err = call.request ? perform(stc, &call) : PST_ERR_NOMEM;
 	json_decref(call.request);
 	free(watch.line.ptr);
--- a/pstctl/cmd_status.c
+++ b/pstctl/cmd_status.c
@@ -5,6 +5,7 @@
 
 #include <curl/curl.h>
 
+#include "agent/hbuf.h"
 #include "common/err.h"
 #include "pstctl/members.h"
 #include "pstctl/poll.h"
@@ -85,31 +86,8 @@
 	return CLI_EXIT_OK;
 }
 
-struct text {
-	char *ptr;
-	size_t len;
-};
-
-static size_t keep(char *data, size_t size, size_t count, void *ctx)
-{
-	struct text *text = ctx;
-	const size_t add = size * count;
-	char *grown;
-
-	if (add > MAX_ANSWER - text->len)
-		return 0;
-	grown = realloc(text->ptr, text->len + add + 1);
-	if (!grown)
-		return 0;
-	memcpy(grown + text->len, data, add);
-	text->ptr = grown;
-	text->len += add;
-	grown[text->len] = '\0';
-	return add;
-}
-
 static int fetch(const struct cmd *cmd, const struct vm *vm, uint64_t port,
-		 const char *id, struct text *out)
+		 const char *id, struct hbuf *out)
 {
 	CURL *easy = curl_easy_init();
 	char url[TEXT_MAX];
@@ -133,7 +111,7 @@
 	curl_easy_setopt(easy, CURLOPT_FAILONERROR, 1L);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)cmd->set->platform.call_timeout_ms);
-	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, keep);
+	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, hbuf_keep);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, out);
 	code = curl_easy_perform(easy);
 	curl_easy_cleanup(easy);
@@ -197,7 +175,7 @@
 	size_t silent = 0;
 
 	for (size_t i = 0; i < sizeof(ports) / sizeof(*ports); i++) {
-		struct text text = {0};
+		struct hbuf text = {.max = MAX_ANSWER};
 
 		if (fetch(cmd, vm, ports[i], id, &text))
 			silent++;
