Node's messages and the fleet's model in files of their own

The node's state is in a private header, the messages made from it in node_answer.c; the model of the fleet has a test program of its own. Ruled out: a state structure in the public header, which the duties would then reach into.

--- a/controld/node.c
+++ b/controld/node.c
@@ -1,16 +1,12 @@
 #include "controld/node.h"
 
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
-#include "agent/hold.h"
-#include "agent/tmsg.h"
 #include "common/err.h"
 #include "common/evt.h"
-#include "controld/clients.h"
 #include "controld/drains.h"
-#include "policy/mbr.h"
+#include "controld/node_state.h"
 #include "policy/relay.h"
 
 #define LOG_MODULE "node"
@@ -18,35 +14,6 @@
 /* Longest time without a new look at who is absent. */
 #define CORRECT_INTERVAL CLK_MS(500)
 
-/* Bytes of values in one page of an answer. */
-#define PAGE_BYTES ((size_t)1024 * 1024)
-
-struct node {
-	const struct settings *set;
-	const struct clk *clk;
-	struct cview *cview;
-	uint64_t incarnation;
-	pthread_mutex_t lock;
-	pthread_cond_t newer;
-	struct hold hold;
-	bool fresh;
-	enum node_source source;
-	bool store_reachable;
-	/* The platform's list; NULL before the first. */
-	struct vml *listed;
-	apr_time_t listed_at;
-	/* The corrected list; its revision counts the corrections. */
-	struct vml *members;
-	apr_time_t corrected_at;
-	struct mbr *mbr;
-	bool relay;
-	apr_time_t relay_since;
-	/* Last exchange with a relay of the own domain, or the start. */
-	apr_time_t relay_heard_at;
-	apr_time_t started_at;
-	struct clients clients;
-};
-
 static const char *const source_names[] = {
 	[NODE_SOURCE_NONE] = "none",
 	[NODE_SOURCE_STORE] = "store",
@@ -346,56 +313,6 @@
 	return revision;
 }
 
-/* Whole groups of one revision; a page is never cut inside one. */
-static size_t page_size(const struct tbl_part *parts, size_t count)
-{
-	size_t bytes = 0;
-
-	for (size_t i = 0; i < count; i++) {
-		if (i && bytes > PAGE_BYTES &&
-		    parts[i].mod_revision != parts[i - 1].mod_revision)
-			return i;
-		bytes += parts[i].value.len;
-	}
-	return count;
-}
-
-static int copy_parts(const struct node *node, uint64_t after, table_part **out,
-		      u_int *out_count, bool *more)
-{
-	struct tbl_part *parts;
-	size_t count;
-	size_t page;
-	int err = pts_since(node->hold.pts, after, &parts, &count);
-
-	if (err)
-		return err;
-	page = page_size(parts, count);
-	*more = page < count;
-	*out = tmsg_parts_copy(parts, page);
-	*out_count = *out ? (u_int)page : 0;
-	free(parts);
-	return page && !*out ? PST_ERR_NOMEM : 0;
-}
-
-int node_change_after(struct node *node, uint64_t after, table_change *out)
-{
-	bool more = false;
-	int err;
-
-	memset(out, 0, sizeof(*out));
-	out->from = strdup(node->set->vm.id.ptr);
-	out->previous = after;
-	pthread_mutex_lock(&node->lock);
-	out->revision = node->hold.rev.revision;
-	err = copy_parts(node, after, &out->parts.parts_val,
-			 &out->parts.parts_len, &more);
-	pthread_mutex_unlock(&node->lock);
-	if (!err && (more || !out->from))
-		err = PST_ERR_FULL;
-	return err;
-}
-
 struct tbl *node_table(struct node *node)
 {
 	struct tbl *tbl;
@@ -515,29 +432,6 @@
 	pthread_mutex_unlock(&node->lock);
 }
 
-static void merge_absent(struct node *node, const table_absent *report,
-			 apr_time_t now)
-{
-	const u_int count = report->vms.vms_len;
-	struct str *ids = calloc(count + 1, sizeof(*ids));
-
-	for (u_int i = 0; ids && i < count; i++)
-		ids[i] = str_from_c(report->vms.vms_val[i]);
-	if (ids)
-		mbr_merge(node->mbr, str_from_c(report->domain), ids, count,
-			  now - CLK_MS(report->age_ms));
-	free(ids);
-}
-
-void node_merge_absents(struct node *node, const table_answer *answer)
-{
-	pthread_mutex_lock(&node->lock);
-	for (u_int i = 0; i < answer->absents.absents_len; i++)
-		merge_absent(node, &answer->absents.absents_val[i],
-			     clk_now(node->clk));
-	pthread_mutex_unlock(&node->lock);
-}
-
 void node_tick(struct node *node)
 {
 	const apr_time_t now = clk_now(node->clk);
@@ -563,117 +457,3 @@
 	pthread_mutex_unlock(&node->lock);
 	return known;
 }
-
-static int status_locked(struct node *node, table_status *out)
-{
-	const apr_time_t now = clk_now(node->clk);
-	const struct rev *rev = &node->hold.rev;
-
-	out->vm = strdup(node->set->vm.id.ptr);
-	out->incarnation = node->incarnation;
-	out->revision = rev->revision;
-	out->in_force = clients_lowest(&node->clients, rev->revision,
-				       now - rev->freshness_timeout);
-	out->confirmed_age_ms = tmsg_age_ms(rev_age(rev, now));
-	out->voter = rev->voter;
-	out->relay = node->relay;
-	out->store_reachable = node->store_reachable;
-	out->fresh = rev_fresh(rev, now, apr_time_now());
-	return out->vm ? 0 : PST_ERR_NOMEM;
-}
-
-int node_status(struct node *node, table_status *out)
-{
-	int err;
-
-	pthread_mutex_lock(&node->lock);
-	err = status_locked(node, out);
-	pthread_mutex_unlock(&node->lock);
-	return err;
-}
-
-static int copy_report(const struct mbr_report *report, apr_time_t now,
-		       table_absent *out)
-{
-	out->domain = strdup(report->domain.ptr);
-	out->age_ms = tmsg_age_ms(now - report->observed_at);
-	out->vms.vms_val = calloc(report->count + 1, sizeof(pst_id));
-	if (!out->domain || !out->vms.vms_val)
-		return PST_ERR_NOMEM;
-	out->vms.vms_len = (u_int)report->count;
-	for (size_t i = 0; i < report->count; i++) {
-		out->vms.vms_val[i] = strdup(report->absent[i].ptr);
-		if (!out->vms.vms_val[i])
-			return PST_ERR_NOMEM;
-	}
-	return 0;
-}
-
-static int copy_reports(const struct node *node, table_answer *out)
-{
-	const apr_time_t now = clk_now(node->clk);
-	size_t count;
-	const struct mbr_report *reports = mbr_reports(node->mbr, &count);
-	int err = 0;
-
-	out->absents.absents_val = calloc(count + 1, sizeof(table_absent));
-	if (!out->absents.absents_val)
-		return PST_ERR_NOMEM;
-	out->absents.absents_len = (u_int)count;
-	for (size_t i = 0; !err && i < count; i++)
-		err = copy_report(&reports[i], now,
-				  &out->absents.absents_val[i]);
-	return err;
-}
-
-static int answer(struct node *node, const table_ask *ask,
-		  const struct vml *list, bool list_known, table_answer *out)
-{
-	bool more = false;
-	int err = status_locked(node, &out->status);
-
-	if (err)
-		return err;
-	out->list_incarnation = node->incarnation;
-	if (list && !list_known) {
-		out->list = tmsg_list_copy(list);
-		if (!out->list)
-			return PST_ERR_NOMEM;
-	}
-	err = copy_parts(node, ask->after, &out->parts.parts_val,
-			 &out->parts.parts_len, &more);
-	out->more = more;
-	return err;
-}
-
-int node_answer_sync(struct node *node, const table_ask *ask, table_answer *out)
-{
-	int err;
-
-	pthread_mutex_lock(&node->lock);
-	mbr_heard(node->mbr, str_from_c(ask->from), clk_now(node->clk));
-	rev_heard(&node->hold.rev, ask->held);
-	err = answer(node, ask, node->listed,
-		     node->listed &&
-			     ask->list_revision >= node->listed->revision,
-		     out);
-	if (!err)
-		err = copy_reports(node, out);
-	pthread_mutex_unlock(&node->lock);
-	return err;
-}
-
-int node_answer_view(struct node *node, const table_ask *ask, table_answer *out)
-{
-	bool known;
-	int err;
-
-	pthread_mutex_lock(&node->lock);
-	clients_note(&node->clients, ask->client, ask->held,
-		     clk_now(node->clk));
-	known = node->members && ask->list_incarnation == node->incarnation &&
-		ask->list_revision == node->members->revision;
-	err = answer(node, ask, node->members, known, out);
-	pthread_mutex_unlock(&node->lock);
-	return err;
-}
