--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -111,14 +111,16 @@
 
 /* Only domains that serve count; all of them when none does. */
 static int set_goal(struct basis *basis, const struct tbl_row *row,
-		    const bool *serving, double *goal)
+		    double *goal)
 {
 	const struct tbl *tbl = basis->tbl;
+	const size_t first = row->service * tbl->domain_count;
 	double sum = 0;
 
 	for (size_t i = 0; i < tbl->domain_count; i++) {
 		basis->places[i].region = tbl->domains[i].region;
-		basis->places[i].weight = serving[i] ? row->weights[i] : 0;
+		basis->places[i].weight =
+			basis->serving[first + i] ? row->weights[i] : 0;
 		sum += basis->places[i].weight;
 	}
 	for (size_t i = 0; sum <= 0 && i < tbl->domain_count; i++)
@@ -165,10 +167,7 @@
 
 	out->goal = calloc(tbl->domain_count + 1, sizeof(*out->goal));
 	if (out->goal && share)
-		err = set_goal(basis, cells,
-			       basis->serving +
-				       cells->service * tbl->domain_count,
-			       out->goal);
+		err = set_goal(basis, cells, out->goal);
 	if (!err) {
 		if (!carry_over(qs, old, tbl, share))
 			start = out->goal;
--- a/lookupd/snap.c
+++ b/lookupd/snap.c
@@ -24,8 +24,7 @@
 	atomic_ulong version;
 	pthread_key_t key;
 	/* Of the builder's thread only. */
-	uint64_t table_revision;
-	uint64_t list_revision;
+	struct ctl_view *view;
 	bool stale;
 };
 
@@ -55,47 +54,42 @@
 	lkp_put(old);
 }
 
-static void rebuild(struct snap *snap, const struct ctl_view *view)
+static bool rebuild(struct snap *snap, const struct ctl_view *view)
 {
 	const struct lkp_conf conf = {
 		.region = snap->set->vm.region,
 		.entry_port = (uint16_t)snap->set->entry.port,
 		.ttl_ms = (uint32_t)snap->set->lookup.ttl_ms,
 	};
-	const char *why = snap->list_revision == view->vml->revision
-				  ? "table_changed"
-				  : "list_changed";
+	const bool same_list = snap->view && snap->view->vml == view->vml;
 	struct lkp *lkp = NULL;
 	const int err = lkp_build(&lkp, view->vml, view->tbl, &conf);
 
 	if (err) {
 		evt_log(LOOKUP_BUILD_FAILED, "err=%s", err_name(err));
-		return;
+		return false;
 	}
-	snap->table_revision = view->tbl->revision;
-	snap->list_revision = view->vml->revision;
 	evt_log(LOOKUP_SNAPSHOT, "table=%lu list=%lu vms=%zu bytes=%zu why=%s",
-		(unsigned long)snap->table_revision,
-		(unsigned long)snap->list_revision, lkp_vm_count(lkp),
-		lkp_bytes(lkp), why);
+		(unsigned long)view->tbl->revision,
+		(unsigned long)view->vml->revision, lkp_vm_count(lkp),
+		lkp_bytes(lkp), same_list ? "table_changed" : "list_changed");
 	publish(snap, lkp);
+	return true;
 }
 
 static void note_freshness(struct snap *snap)
 {
 	const bool stale = !ctl_agent_fresh(snap->ctl);
+	const unsigned long table = snap->view->tbl->revision;
+	const unsigned long list = snap->view->vml->revision;
 
 	if (stale == snap->stale)
 		return;
 	snap->stale = stale;
 	if (stale)
-		evt_log(LOOKUP_STALE, "table=%lu list=%lu",
-			(unsigned long)snap->table_revision,
-			(unsigned long)snap->list_revision);
+		evt_log(LOOKUP_STALE, "table=%lu list=%lu", table, list);
 	else
-		evt_log(LOOKUP_FRESH, "table=%lu list=%lu",
-			(unsigned long)snap->table_revision,
-			(unsigned long)snap->list_revision);
+		evt_log(LOOKUP_FRESH, "table=%lu list=%lu", table, list);
 }
 
 static void follow(struct snap *snap)
@@ -104,12 +98,18 @@
 
 	if (!view)
 		return;
-	if (!atomic_load(&snap->version) ||
-	    view->tbl->revision != snap->table_revision ||
-	    view->vml->revision != snap->list_revision)
-		rebuild(snap, view);
-	ctl_view_put(view);
-	note_freshness(snap);
+	/* The view is kept, so that its parts' addresses stay theirs. */
+	if ((snap->view && view->tbl == snap->view->tbl &&
+	     view->vml == snap->view->vml) ||
+	    !rebuild(snap, view)) {
+		ctl_view_put(view);
+	} else {
+		if (snap->view)
+			ctl_view_put(snap->view);
+		snap->view = view;
+	}
+	if (snap->view)
+		note_freshness(snap);
 }
 
 static void *run(void *arg)
@@ -154,6 +154,8 @@
 	pthread_join(snap->thread, NULL);
 	pthread_key_delete(snap->key);
 	lkp_put(snap->current);
+	if (snap->view)
+		ctl_view_put(snap->view);
 	pthread_mutex_destroy(&snap->lock);
 	free(snap);
 }
