Shares: a domain without live VMs is held from its own region

Cause: with one VM in a domain, a killed pst-controld's part went to a VM of another region, which reaches it through a proxy and cannot tell a refused connection, so the part stayed unused while the VM was listed. Ruled out: trusting the proxy's refusal (it also refuses when the link is cut). Conclusion: shr_order() names stand-ins in the domain's region first.

--- a/controld/shr_borrow.c
+++ b/controld/shr_borrow.c
@@ -7,6 +7,7 @@
 #include "common/err.h"
 #include "common/evt.h"
 #include "common/rpcc.h"
+#include "controld/shr_order.h"
 #include "controld/shr_state.h"
 
 #define LOG_MODULE "share"
@@ -144,17 +145,6 @@
 	return false;
 }
 
-static size_t lenders_of(const struct vml *vml, struct str domain,
-			 const struct vm **out)
-{
-	const size_t count =
-		vml_rendezvous(vml, domain, domain, out, TRIED_MAX);
-
-	if (count)
-		return count;
-	return vml_rendezvous(vml, domain, STR_LIT(""), out, TRIED_MAX);
-}
-
 static void borrow_from_peers(struct borrow *b, const struct ctl_view *view)
 {
 	const struct settings *set = b->state->set;
@@ -168,7 +158,7 @@
 
 		if (b->state->stopping || !asks)
 			continue;
-		count = lenders_of(view->vml, domain, vms);
+		count = shr_order(view, domain, vms, TRIED_MAX);
 		if (count && str_eq(strbuf_str(&vms[0]->id), set->vm.id))
 			continue;
 		borrow_from(b, vms, count, domain, SHR_PEER, asks);
--- a/controld/shr_tick.c
+++ b/controld/shr_tick.c
@@ -2,6 +2,7 @@
 #include <unistd.h>
 
 #include "common/evt.h"
+#include "controld/shr_order.h"
 #include "controld/shr_state.h"
 
 #define LOG_MODULE "share"
@@ -36,21 +37,19 @@
 }
 
 /*
- * The domain's first live VM that is not silent, or the first of all when it
- * has none. Being asked for too much is harmless: evidence is needed to take
- * over.
+ * The domain's first live VM that is not silent, or the one that stands in
+ * for it (shr_order()). Being asked for too much is harmless: evidence is
+ * needed to take over.
  */
-static bool is_candidate(const struct shr_state *state, const struct vml *vml,
-			 struct str domain)
+static bool is_candidate(const struct shr_state *state,
+			 const struct ctl_view *view, struct str domain)
 {
 	const struct vm *first;
 
 	if (state->acting && str_eq(domain, state->set->vm.failure_domain))
 		return true;
-	if (!vml_rendezvous(vml, domain, domain, &first, 1) &&
-	    !vml_rendezvous(vml, domain, STR_LIT(""), &first, 1))
-		return false;
-	return str_eq(strbuf_str(&first->id), state->set->vm.id);
+	return shr_order(view, domain, &first, 1) &&
+	       str_eq(strbuf_str(&first->id), state->set->vm.id);
 }
 
 static void follow_list(struct shr_state *state, const struct ctl_view *view,
@@ -59,7 +58,7 @@
 	for (size_t i = 0; i < view->tbl->domain_count; i++) {
 		const struct str domain =
 			strbuf_str(&view->tbl->domains[i].name);
-		const bool candidate = is_candidate(state, view->vml, domain);
+		const bool candidate = is_candidate(state, view, domain);
 		struct shr_owned *owned = find_owned(state, domain);
 
 		if (candidate && !owned)
