Broker: a silent upstream is tried at once, beside stuck permits

Cause: in the demo's deployment with one pst-controld killed, the entry VM beside it held all slots of a healthy upstream for 8 s and reported silence three times; nobody else could show that the upstream works. Ruled out: counting silence only from two entry VMs (a service may be used by one alone). After: it leaves one slot on trial besides the permits already out; from the second silence on there is a hold, doubling, as before. Conclusion: the first answer from anybody gives all slots back.

--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -143,7 +143,7 @@
 	if (now < up->silent_until)
 		limit(&usable, why, 0, BRK_UP_SILENT);
 	else if (up->silences_in_row)
-		limit(&usable, why, TRIAL_SLOTS, BRK_UP_SILENT);
+		limit(&usable, why, up->stuck + TRIAL_SLOTS, BRK_UP_SILENT);
 	if (now < up->shed_until)
 		limit(&usable, why, up->shed_limit, BRK_UP_SHED);
 	if (up->slow)
@@ -299,10 +299,15 @@
 		up->pace_samples++;
 }
 
+/* One trial at a time; from the second silence on, only after a hold. */
 static void distrust(struct brk_fleet *fleet, struct brk_up *up, apr_time_t now)
 {
-	up->silent_until =
-		now + grown(fleet->cfg.silent_hold, up->silences_in_row++);
+	const uint32_t before = up->silences_in_row++;
+
+	up->stuck = up->held;
+	if (before)
+		up->silent_until =
+			now + grown(fleet->cfg.silent_hold, before - 1);
 }
 
 static void judge_pace(struct brk_fleet *fleet, struct brk_up *up)
@@ -412,6 +417,8 @@
 	count_out(fleet, up);
 	up->held--;
 	count_in(fleet, up);
+	if (up->stuck)
+		up->stuck--;
 	switch (outcome) {
 	case PERMIT_DONE:
 		served(fleet, up, pace, now);
--- a/policy/brk_up.h
+++ b/policy/brk_up.h
@@ -67,6 +67,8 @@
 	uint32_t sheds_in_row;
 	apr_time_t silent_until;
 	uint32_t silences_in_row;
+	/* Permits out since before the latest silence. */
+	uint32_t stuck;
 	/* Failures and silences without work done since. */
 	uint32_t failures_in_row;
 	/* When work was last done, or 0. */
