--- a/fakes/fault.h
+++ b/fakes/fault.h
@@ -19,7 +19,7 @@
 	uint64_t ms;
 	/* Path or call that it applies to; empty for all. */
 	struct strbuf match;
-	/* Which connections: "all" or "existing". */
+	/* What is met: "all", "existing" connections, or the "list" too. */
 	struct strbuf scope;
 };
 
--- a/lab/lab.py
+++ b/lab/lab.py
@@ -111,12 +111,19 @@
 
 
 class Lab:
-    def __init__(self, conf, full=False, net=None, settings=None, bin_dir=None):
-        """settings: {section: {key: value}} over every VM's settings file."""
+    def __init__(self, conf, full=False, net=None, settings=None, bin_dir=None, vary=True,
+                 row_cells=None):
+        """
+        settings: {section: {key: value}} over every VM's settings file; vary:
+        exponential running times; row_cells: {cell: value} over every row of
+        the table.
+        """
         self.conf = read_yaml(os.path.join(ROOT, conf))
         self.full = full
         self.net = net or int(os.environ.get("PST_LAB_NET", 0)) or 1 + os.getpid() % 250
         self.settings = settings or {}
+        self.vary = vary
+        self.row_cells = row_cells or {}
         self.bin = bin_dir or os.environ.get("PST_BIN", os.path.join(ROOT, "build/bin"))
         os.makedirs(RUNS, exist_ok=True)
         self.dir = tempfile.mkdtemp(prefix="%s-" % self.conf["name"], dir=RUNS)
@@ -264,7 +271,7 @@
         service = self.conf["services"][u.service]
         self.spawn(u.id, "fake-upstream", "--id=" + u.id, "--service=" + u.service,
                    "--slots=%d" % u.slots, "--queue=%d" % UPSTREAM_QUEUE,
-                   "--port=%d" % UPSTREAM_PORT, "--mean-ms=%d" % service["service_ms"], "--vary",
+                   "--port=%d" % UPSTREAM_PORT, "--mean-ms=%d" % service["service_ms"], *(["--vary"] if self.vary else []),
                    "--seed=%d" % (1 + len(self.procs)), "--journal=" + self.journal(u),
                    "--address=" + u.address, *options)
 
@@ -283,7 +290,15 @@
                               capture_output=True, text=True, timeout=60, check=check)
 
     def load_table(self):
-        return self.pstctl("table", "load", os.path.join(ROOT, self.conf["table"]))
+        with open(os.path.join(ROOT, self.conf["table"])) as f:
+            table = json.load(f)
+        for service in table["services"].values():
+            for row in service["rows"]:
+                row.update(self.row_cells)
+        path = self.path("table.json")
+        with open(path, "w") as f:
+            json.dump(table, f)
+        return self.pstctl("table", "load", path)
 
     def serving(self, vm):
         service = next(iter(self.conf["services"]))
