Entry: requests turned away carry an id and a log line

Ruled out: an id of the front's own beside the request's. Failed first: malformed_requests_get_their_own_answer with an empty id. Conclusion: the id is set before anything can be refused.

--- a/entryd/front.c
+++ b/entryd/front.c
@@ -4,11 +4,14 @@
 #include <string.h>
 
 #include "common/err.h"
+#include "common/evt.h"
 #include "common/net.h"
 #include "entryd/intake.h"
 #include "entryd/problem.h"
 #include "entryd/tickets.h"
 
+#define LOG_MODULE "entry.front"
+
 /* Memory of a connection beyond its header, in bytes. */
 #define CONNECTION_SPARE 65536
 
@@ -32,6 +35,7 @@
 	/* Error of a request that never entered the path, or 0. */
 	int refused;
 	bool refused_not_run;
+	struct strbuf refused_id;
 };
 
 static unsigned status_of(int err)
@@ -57,6 +61,7 @@
 		.status = status_of(ex->refused),
 		.reason = ex->refused,
 		.not_run = ex->refused_not_run,
+		.request_id = strbuf_str(&ex->refused_id),
 		.close = ex->frt->closing,
 	};
 
@@ -78,6 +83,9 @@
 	if (err) {
 		/* The key of a request turned away here is not sealed. */
 		ex->refused_not_run = !req->keyed;
+		ex->refused_id = req->id;
+		evt_log(REQ_TURNED_AWAY, "req=%s run=%s cause=%s", req->id.ptr,
+			req->keyed ? "unknown" : "no", err_name(err));
 		req_put(req);
 		return err;
 	}
--- a/entryd/intake.c
+++ b/entryd/intake.c
@@ -95,8 +95,10 @@
 	     const char *uri, const char *method)
 {
 	struct str rest;
-	int err = hdr_path(str_from_c(uri), &req->service, &rest);
+	int err;
 
+	set_id(itk, req, header(conn, "X-Request-Id"));
+	err = hdr_path(str_from_c(uri), &req->service, &rest);
 	if (err)
 		return err;
 	req->head_only = !strcmp(method, MHD_HTTP_METHOD_HEAD);
@@ -106,7 +108,6 @@
 	req->target = strndup(rest.ptr, rest.len);
 	if (!req->method || !req->target)
 		return PST_ERR_NOMEM;
-	set_id(itk, req, header(conn, "X-Request-Id"));
 	err = read_headers(conn, req);
 	if (!err)
 		err = read_body_length(itk, conn, req);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -454,6 +454,7 @@
 	ck_assert_int_eq(c.status, 404);
 	c = call("GET", "/s/svc/ok", "Priority: u=9", 0, false);
 	ck_assert_int_eq(c.status, 400);
+	ck_assert_ptr_null(strstr(c.text, "\"request_id\":\"\""));
 	c = call("POST", "/s/svc/ok", "Idempotency-Key: a b", 0, false);
 	ck_assert_int_eq(c.status, 400);
 	c = call("POST", "/s/svc/length", NULL, 20000000, false);
