Tickets: records taken over are handed on, never to oneself

Cause: in a trial that replaced every entry of a small deployment in turn, the records that entry-5 had taken over stayed there when it stopped: the best successor of the first witness was entry-5 itself, which the VM list still called live. A handover that broke off also held one of 16 places for good. Ruled out: leaving the process out of its own VM list, which other parts use. Mechanism: the heir is the first of the ranking that is live and not the process itself; an incomplete handover is dropped after 30 s.

--- a/agent/tkt_handover.c
+++ b/agent/tkt_handover.c
@@ -39,10 +39,11 @@
 static int choose(struct handover *h)
 {
 	h->sent = 0;
-	h->successor = NULL;
 	rpcc_destroy(h->client);
 	h->client = NULL;
-	if (!tkt_pick_successors(h->vml, h->chunk.vm, true, &h->successor, 1))
+	h->successor =
+		tkt_pick_heir(h->vml, h->chunk.vm, tkt_vm_hash(h->set->vm.id));
+	if (!h->successor)
 		return PST_ERR_NOTFOUND;
 	return tkt_dial(&h->client, h->set, h->serve->clk, h->successor,
 			TKT_WITNESS_PROG);
--- a/agent/tkt_hop.c
+++ b/agent/tkt_hop.c
@@ -10,8 +10,7 @@
 {
 	const struct vm *vms[SUCCESSORS];
 
-	if (!vml ||
-	    tkt_pick_successors(vml, witness, false, vms, SUCCESSORS) <= rank)
+	if (!vml || tkt_pick_successors(vml, witness, vms, SUCCESSORS) <= rank)
 		return 0;
 	return tkt_vm_hash(strbuf_str(&vms[rank]->id));
 }
--- a/policy/tkt_pick.c
+++ b/policy/tkt_pick.c
@@ -42,7 +42,7 @@
 }
 
 size_t tkt_pick_successors(const struct vml *vml, uint64_t witness,
-			   bool live_only, const struct vm **out, size_t want)
+			   const struct vm **out, size_t want)
 {
 	uint64_t scores[TKT_SUCCESSORS_MAX];
 	size_t count = 0;
@@ -55,7 +55,6 @@
 		size_t at = count;
 
 		if (vm->kind != VM_ENTRY ||
-		    (live_only && vm->state != VM_LIVE) ||
 		    tkt_vm_hash(strbuf_str(&vm->id)) == witness)
 			continue;
 		while (at > 0 && scores[at - 1] < score)
@@ -74,6 +73,21 @@
 	return count;
 }
 
+const struct vm *tkt_pick_heir(const struct vml *vml, uint64_t witness,
+			       uint64_t self)
+{
+	const struct vm *vms[TKT_SUCCESSORS_MAX];
+	const size_t count =
+		tkt_pick_successors(vml, witness, vms, TKT_SUCCESSORS_MAX);
+
+	for (size_t i = 0; i < count; i++) {
+		if (vms[i]->state == VM_LIVE &&
+		    tkt_vm_hash(strbuf_str(&vms[i]->id)) != self)
+			return vms[i];
+	}
+	return NULL;
+}
+
 const char *tkt_pick_why_name(enum tkt_pick_why why)
 {
 	switch (why) {
--- a/policy/tkt_pick.h
+++ b/policy/tkt_pick.h
@@ -35,12 +35,21 @@
 		      const bool *avoid, struct tkt_pick *out);
 
 /*
- * Ranks the entry VMs that may hold the records of a witness that stopped, by
- * rendezvous hashing of the witness; the witness itself is left out. Returns
- * how many of the want best were found; they borrow from the list.
+ * Ranks the entry VMs, leaving ones included, that may hold the records of a
+ * witness that stopped, by rendezvous hashing of the witness, which is left
+ * out itself. Returns how many of the want best were found; they borrow from
+ * the list.
  */
 size_t tkt_pick_successors(const struct vml *vml, uint64_t witness,
-			   bool live_only, const struct vm **out, size_t want);
+			   const struct vm **out, size_t want);
+
+/*
+ * The VM to which self hands the records of a witness over: the first of that
+ * ranking that is live and not self. NULL when the best TKT_SUCCESSORS_MAX
+ * have none.
+ */
+const struct vm *tkt_pick_heir(const struct vml *vml, uint64_t witness,
+			       uint64_t self);
 
 const char *tkt_pick_why_name(enum tkt_pick_why why);
 
--- a/policy/tkt_wset.c
+++ b/policy/tkt_wset.c
@@ -4,6 +4,9 @@
 
 #include "common/err.h"
 
+/* A handover that takes longer has failed. */
+#define ARRIVAL_TIME APR_TIME_C(30000000)
+
 enum member_phase {
 	/* Chunks are missing. */
 	MEMBER_ARRIVING,
@@ -18,6 +21,7 @@
 	uint64_t incarnation;
 	enum member_phase phase;
 	uint32_t next_sequence;
+	apr_time_t began_at;
 	/* NULL: the place is free. */
 	struct tkt_witness *witness;
 };
@@ -45,14 +49,19 @@
 	*m = (struct member){0};
 }
 
-/* Drops what was taken over and has expired. */
+/* Drops what was taken over and has expired, or never came whole. */
 static void tidy(struct tkt_wset *set, apr_time_t now)
 {
 	for (size_t i = 1; i <= TKT_ADOPTED_MAX; i++) {
 		struct member *m = &set->members[i];
 
-		if (!m->witness || m->phase == MEMBER_ARRIVING)
+		if (!m->witness)
+			continue;
+		if (m->phase == MEMBER_ARRIVING) {
+			if (now - m->began_at > ARRIVAL_TIME)
+				drop(m);
 			continue;
+		}
 		tkt_witness_expire(m->witness, now);
 		if (!tkt_witness_stats(m->witness).blocks)
 			drop(m);
@@ -69,7 +78,7 @@
 }
 
 static int begin(struct tkt_wset *set, const struct tkt_chunk *chunk,
-		 struct member **out)
+		 apr_time_t now, struct member **out)
 {
 	struct member *m = free_place(set);
 	int err;
@@ -83,6 +92,7 @@
 	m->vm = chunk->vm;
 	m->incarnation = chunk->incarnation;
 	m->phase = MEMBER_ARRIVING;
+	m->began_at = now;
 	*out = m;
 	return 0;
 }
@@ -203,16 +213,17 @@
 int tkt_wset_adopt(struct tkt_wset *set, const struct tkt_chunk *chunk,
 		   apr_time_t now)
 {
-	struct member *m = find(set, chunk->incarnation);
+	struct member *m;
 	int err = 0;
 
 	if (set->frozen)
 		return PST_ERR_STOPPED;
 	tidy(set, now);
+	m = find(set, chunk->incarnation);
 	if (!m && chunk->sequence)
 		return PST_ERR_INVALID;
 	if (!m)
-		err = begin(set, chunk, &m);
+		err = begin(set, chunk, now, &m);
 	if (err)
 		return err;
 	if (m->phase != MEMBER_ARRIVING || chunk->sequence < m->next_sequence)
--- a/tests/test_tkt_handover.c
+++ b/tests/test_tkt_handover.c
@@ -103,6 +103,29 @@
 }
 END_TEST
 
+START_TEST(handover_that_stays_incomplete_is_dropped)
+{
+	struct tkt_wset *from = make_used();
+	struct tkt_wset *to = make(4, 9);
+	struct tkt_chunk *chunks = export_all(from);
+
+	ck_assert_int_eq(tkt_wset_adopt(to, &chunks[0], CLK_SEC(1)), 0);
+	for (uint64_t i = 1; i < TKT_ADOPTED_MAX; i++) {
+		chunks[0].incarnation = 100 + i;
+		ck_assert_int_eq(tkt_wset_adopt(to, &chunks[0], CLK_SEC(1)), 0);
+	}
+	chunks[0].incarnation = 200;
+	ck_assert_int_eq(tkt_wset_adopt(to, &chunks[0], CLK_SEC(31)),
+			 PST_ERR_FULL);
+	ck_assert_int_eq(tkt_wset_adopt(to, &chunks[0], CLK_SEC(32)), 0);
+	ck_assert_int_eq(tkt_wset_adopt(to, &chunks[1], CLK_SEC(32)),
+			 PST_ERR_INVALID);
+	free(chunks);
+	tkt_wset_destroy(from);
+	tkt_wset_destroy(to);
+}
+END_TEST
+
 START_TEST(chunks_survive_the_wire)
 {
 	struct tkt_wset *from = make_used();
@@ -153,8 +176,7 @@
 
 	for (int i = 0; i < 4; i++)
 		strbuf_set(&vms[i].id, str_from_c(ids[i]));
-	ck_assert_uint_eq(
-		tkt_pick_successors(&vml, call.witness, false, rank, 2), 2);
+	ck_assert_uint_eq(tkt_pick_successors(&vml, call.witness, rank, 2), 2);
 	ck_assert(rank[0] != &vms[0] && rank[1] != &vms[0]);
 	ck_assert_uint_eq(tkt_hop_next(&vml, &other, &yours), 0);
 	ck_assert_uint_eq(tkt_hop_next(&vml, &call, &lost),
@@ -176,13 +198,37 @@
 }
 END_TEST
 
+START_TEST(records_are_never_handed_to_oneself)
+{
+	static const char *const ids[] = {"a", "b", "c"};
+	struct vm vms[3] = {0};
+	const struct vml vml = {.vms = vms, .count = 3};
+	const uint64_t witness = tkt_vm_hash(STR_LIT("a"));
+	const struct vm *rank[2];
+
+	for (int i = 0; i < 3; i++)
+		strbuf_set(&vms[i].id, str_from_c(ids[i]));
+	tkt_pick_successors(&vml, witness, rank, 2);
+	ck_assert_ptr_eq(tkt_pick_heir(&vml, witness, witness), rank[0]);
+	ck_assert_ptr_eq(tkt_pick_heir(&vml, witness,
+				       tkt_vm_hash(strbuf_str(&rank[0]->id))),
+			 rank[1]);
+	vms[rank[0] - vms].state = VM_LEAVING;
+	ck_assert_ptr_eq(tkt_pick_heir(&vml, witness, witness), rank[1]);
+	vms[rank[1] - vms].state = VM_LEAVING;
+	ck_assert_ptr_null(tkt_pick_heir(&vml, witness, witness));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("tkt_handover");
 
 	tcase_add_test(tc, records_move_to_the_successor);
+	tcase_add_test(tc, handover_that_stays_incomplete_is_dropped);
 	tcase_add_test(tc, chunks_survive_the_wire);
 	tcase_add_test(tc,
 		       successors_are_asked_but_the_witness_has_the_last_word);
+	tcase_add_test(tc, records_are_never_handed_to_oneself);
 	return fix_run("tkt_handover", tc);
 }
