Tickets: the handover is in the model

Ruled out: two lives for each entry together with the handover, which did not finish in 40 s in a trial. Conclusion: freeze first, one successor, and take the record once.

--- a/tests/model/ticket.pml
+++ b/tests/model/ticket.pml
@@ -9,10 +9,15 @@
  * takes no step; a crash of a process forgets its attempts and takes a new
  * incarnation; a crash of the witness loses its records.
  *
+ * With -DHANDOVER the witness may hand its record to a successor, once: it is
+ * frozen, its record travels as a message, the successor serves from it.
+ *
  * Variants, each of which must fail: -DNO_SEAL tells "not run" without the
  * witness's word; -DNO_REFUSAL lets the witness grant the home's claim after
  * a handover; -DSAME_INCARNATION restarts the witness under its old name;
- * -DSAME_ATTEMPT lets a restarted entry use its attempt's number again.
+ * -DSAME_ATTEMPT lets a restarted entry use its attempt's number again;
+ * with -DHANDOVER, -DNO_FREEZE lets the witness go on after it sent its
+ * record, and -DTWO_SUCCESSORS sends it to two.
  */
 #ifndef PROCS
 #define PROCS	 2
@@ -39,8 +44,19 @@
 /* What the attempt's process answers when it is asked: it never runs. */
 bool given_up[ATTEMPTS + 1];
 
-byte owner = FREE;
-bool witness_lost = false;
+#ifdef TWO_SUCCESSORS
+#define WITNESSES 3
+#elif defined(HANDOVER)
+#define WITNESSES 2
+#else
+#define WITNESSES 1
+#endif
+
+/* One for each process that may hold the record; the first has it. */
+byte owner[WITNESSES];
+bool serving[WITNESSES];
+bool handed_over = false;
+byte record;
 byte runs = 0;
 bool told_not_run = false;
 
@@ -55,60 +71,74 @@
 	assert(!told_not_run)
 }
 
-active proctype witness()
+proctype witness(byte w)
 {
 	byte a;
+	bool taken = false;
 
 end:	do
 	:: atomic { select(a : 1 .. ATTEMPTS);
 		if
-		:: claim_sent[a] && !witness_lost ->
+		:: claim_sent[a] && serving[w] ->
 			if
-			:: owner == FREE || owner == a ->
-				owner = a;
+			:: owner[w] == FREE || owner[w] == a ->
+				owner[w] = a;
 				yours_sent[a] = true
-			:: owner == SEALED ->
+			:: owner[w] == SEALED ->
 				sealed_sent[a] = true
 			:: else ->
 #ifdef NO_REFUSAL
 				if
 				/* The home's attempts. */
 				:: a % PROCS == 1 -> yours_sent[a] = true
-				:: else -> other_sent[a] = owner
+				:: else -> other_sent[a] = owner[w]
 				fi
 #else
-				other_sent[a] = owner
+				other_sent[a] = owner[w]
 #endif
 			fi
-		:: seal_sent[a] && !witness_lost ->
+		:: seal_sent[a] && serving[w] ->
 #ifdef STORE
 			if
-			:: owner == FREE || owner == a ->
-				owner = a;
+			:: owner[w] == FREE || owner[w] == a ->
+				owner[w] = a;
 				yours_sent[a] = true
 			:: else ->
-				other_sent[a] = owner
+				other_sent[a] = owner[w]
 			fi
 #else
 			if
-			:: owner == FREE || owner == a || owner == SEALED ->
-				owner = SEALED;
+			:: owner[w] == FREE || owner[w] == a || owner[w] == SEALED ->
+				owner[w] = SEALED;
 				sealed_sent[a] = true
 			:: else ->
-				other_sent[a] = owner
+				other_sent[a] = owner[w]
 			fi
 #endif
 		:: else -> skip
 		fi }
 #ifndef STORE
 	/* Restart or expiry: the records are gone, and so is the name. */
-	:: atomic { !witness_lost ->
+	:: atomic { serving[w] ->
 #ifdef SAME_INCARNATION
-		owner = FREE
+		owner[w] = FREE
 #else
-		witness_lost = true
+		serving[w] = false
 #endif
 	   }
+#endif
+#ifdef HANDOVER
+	:: atomic { w == 0 && serving[w] && !handed_over ->
+		record = owner[w];
+#ifndef NO_FREEZE
+		serving[w] = false;
+#endif
+		handed_over = true }
+	/* At most once: a repeated record is not taken again. */
+	:: atomic { w > 0 && handed_over && !taken ->
+		taken = true;
+		owner[w] = record;
+		serving[w] = true }
 #endif
 	od
 }
@@ -184,6 +214,10 @@
 	atomic {
 		byte p;
 
+		serving[0] = true;
+		for (p : 1 .. WITNESSES) {
+			run witness(p - 1)
+		}
 		for (p : 1 .. PROCS) {
 			run entry(p)
 		}
