VM list: only what differs travels, and it is pushed

Now 108 bytes a change, pushed down the domain's tree. Ruled out: asking more often, which costs at each VM for what changes every 17 s.

--- a/agent/tmsg.c
+++ b/agent/tmsg.c
@@ -127,6 +127,65 @@
 	return err;
 }
 
+static bool fill_delta(const struct lsd_delta *delta, table_delta *out)
+{
+	bool whole = true;
+
+	out->previous = delta->previous;
+	out->revision = delta->revision;
+	out->vms.vms_val = calloc(delta->vm_count + 1, sizeof(table_vm));
+	out->gone.gone_val = calloc(delta->gone_count + 1, sizeof(pst_id));
+	if (!out->vms.vms_val || !out->gone.gone_val)
+		return false;
+	out->vms.vms_len = (u_int)delta->vm_count;
+	out->gone.gone_len = (u_int)delta->gone_count;
+	for (size_t i = 0; whole && i < delta->vm_count; i++)
+		whole = copy_vm(delta->vms[i], &out->vms.vms_val[i]);
+	for (size_t i = 0; whole && i < delta->gone_count; i++) {
+		out->gone.gone_val[i] = copy_bytes(delta->gone[i]);
+		whole = out->gone.gone_val[i];
+	}
+	return whole;
+}
+
+table_delta *tmsg_delta_copy(const struct lsd_delta *delta)
+{
+	table_delta *copy = calloc(1, sizeof(*copy));
+
+	if (!copy || fill_delta(delta, copy))
+		return copy;
+	xdr_free((xdrproc_t)xdr_table_delta, copy);
+	free(copy);
+	return NULL;
+}
+
+int tmsg_delta_patch(const struct lsd *lsd, const table_delta *delta,
+		     struct vml **out)
+{
+	const u_int count = delta->vms.vms_len;
+	struct lsd_delta plain = {
+		.previous = delta->previous,
+		.revision = delta->revision,
+		.vms = calloc(count + 1, sizeof(struct vm *)),
+		.gone = calloc(delta->gone.gone_len + 1, sizeof(struct str)),
+	};
+	struct vm *vms = calloc(count + 1, sizeof(*vms));
+	int err = plain.vms && plain.gone && vms ? 0 : PST_ERR_NOMEM;
+
+	for (u_int i = 0; !err && i < count; i++) {
+		err = take_vm(&delta->vms.vms_val[i], &vms[i]);
+		plain.vms[plain.vm_count++] = &vms[i];
+	}
+	for (u_int i = 0; !err && i < delta->gone.gone_len; i++)
+		plain.gone[plain.gone_count++] =
+			str_from_c(delta->gone.gone_val[i]);
+	if (!err)
+		err = lsd_patch(lsd, &plain, out);
+	lsd_delta_free(&plain);
+	free(vms);
+	return err;
+}
+
 uint64_t tmsg_last_revision(const table_answer *answer, uint64_t after)
 {
 	const u_int count = answer->parts.parts_len;
--- a/agent/tmsg.h
+++ b/agent/tmsg.h
@@ -2,6 +2,7 @@
 #ifndef AGENT_TMSG_H
 #define AGENT_TMSG_H
 
+#include "policy/lsd.h"
 #include "policy/tbl.h"
 #include "policy/vml.h"
 #include "schema/gen/table.h"
@@ -21,6 +22,16 @@
 /* Returns 0 with one reference, PST_ERR_NOMEM or PST_ERR_PROTOCOL. */
 int tmsg_list_take(struct vml **out, const table_list *list);
 
+/* Copies a change of the list for a message, or returns NULL. */
+table_delta *tmsg_delta_copy(const struct lsd_delta *delta);
+
+/*
+ * Makes the list that a received change leads to. Returns what lsd_patch()
+ * does, or PST_ERR_PROTOCOL.
+ */
+int tmsg_delta_patch(const struct lsd *lsd, const table_delta *delta,
+		     struct vml **out);
+
 /* Revision of the last part of a page, or after when it has none. */
 uint64_t tmsg_last_revision(const table_answer *answer, uint64_t after);
 
--- a/bench/cap_table.c
+++ b/bench/cap_table.c
@@ -310,6 +310,36 @@
 	print("pick_relays", list->count, since_us(began) / REPEATS, "us");
 }
 
+/* One VM begins to leave: cost to take the list, bytes to pass it on. */
+static void measure_delta(struct vml *list)
+{
+	struct lsd_delta delta;
+	struct vml *next = make_list(list->count, 6);
+	table_delta *message;
+	apr_time_t began;
+	struct lsd *lsd;
+
+	list->revision = 1;
+	next->revision = 2;
+	next->vms[list->count / 2].state = VM_LEAVING;
+	if (lsd_create(&lsd))
+		abort();
+	vml_get(list);
+	lsd_take(lsd, list);
+	began = clk_now(clk_system());
+	lsd_take(lsd, next);
+	print("take_list", list->count, since_us(began), "us");
+	if (lsd_since(lsd, 1, &delta))
+		abort();
+	message = tmsg_delta_copy(&delta);
+	print("list_change_message", list->count,
+	      (double)xdr_sizeof((xdrproc_t)xdr_table_delta, message), "bytes");
+	xdr_free((xdrproc_t)xdr_table_delta, message);
+	free(message);
+	lsd_delta_free(&delta);
+	lsd_destroy(lsd);
+}
+
 static void measure_members(size_t peers)
 {
 	struct vml *list = make_list(peers, 6);
@@ -329,6 +359,7 @@
 	      (double)xdr_sizeof((xdrproc_t)xdr_table_list, message), "bytes");
 	xdr_free((xdrproc_t)xdr_table_list, message);
 	free(message);
+	measure_delta(list);
 	began = clk_now(clk_system());
 	for (int i = 0; i < REPEATS; i++)
 		mbr_heard(mbr, strbuf_str(&list->vms[(size_t)i % peers].id),
--- a/controld/node.c
+++ b/controld/node.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent/tmsg.h"
 #include "common/err.h"
 #include "common/evt.h"
 #include "controld/drains.h"
@@ -88,14 +89,15 @@
 	size_t count = 0;
 	int err;
 
-	if (!node->listed)
+	const struct vml *listed = lsd_list(node->listed);
+
+	if (!listed)
 		return;
 	node->corrected_at = clk_now(node->clk);
 	err = drains_list(node->hold.pts, &drains, &count);
 	if (!err)
-		err = mbr_correct(node->mbr, node->listed, node->set->vm.id,
-				  drains, count, next, clk_now(node->clk),
-				  &members);
+		err = mbr_correct(node->mbr, listed, node->set->vm.id, drains,
+				  count, next, clk_now(node->clk), &members);
 	free(drains);
 	if (err)
 		return;
@@ -103,7 +105,7 @@
 		vml_put(members);
 		return;
 	}
-	log_changes(node->members, members, node->listed);
+	log_changes(node->members, members, listed);
 	vml_put(node->members);
 	node->members = members;
 	update_role(node);
@@ -127,6 +129,8 @@
 	pthread_mutex_init(&node->lock, NULL);
 	pthread_cond_init(&node->newer, NULL);
 	err = hold_init(&node->hold, set, clk);
+	if (!err)
+		err = lsd_create(&node->listed);
 	if (!err)
 		err = mbr_create(&node->mbr,
 				 CLK_MS(set->table.heartbeat_timeout_ms));
@@ -143,7 +147,7 @@
 		return;
 	hold_done(&node->hold);
 	mbr_destroy(node->mbr);
-	vml_put(node->listed);
+	lsd_destroy(node->listed);
 	vml_put(node->members);
 	pthread_cond_destroy(&node->newer);
 	pthread_mutex_destroy(&node->lock);
@@ -295,22 +299,29 @@
 	return voter;
 }
 
-uint64_t node_wait_newer(struct node *node, uint64_t known,
-			 apr_interval_time_t timeout)
+static uint64_t listed_revision(const struct node *node)
+{
+	const struct vml *listed = lsd_list(node->listed);
+
+	return listed ? listed->revision : 0;
+}
+
+void node_wait_newer(struct node *node, struct node_held *held,
+		     apr_interval_time_t timeout)
 {
 	const apr_time_t until = apr_time_now() + timeout;
 	const struct timespec ts = {
 		.tv_sec = until / APR_USEC_PER_SEC,
 		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
 	};
-	uint64_t revision;
 
 	pthread_mutex_lock(&node->lock);
-	if (node->hold.rev.revision <= known)
+	if (node->hold.rev.revision <= held->table &&
+	    listed_revision(node) <= held->list)
 		pthread_cond_timedwait(&node->newer, &node->lock, &ts);
-	revision = node->hold.rev.revision;
+	held->table = node->hold.rev.revision;
+	held->list = listed_revision(node);
 	pthread_mutex_unlock(&node->lock);
-	return revision;
 }
 
 struct tbl *node_table(struct node *node)
@@ -342,18 +353,33 @@
 	return reachable;
 }
 
+static void take_list_locked(struct node *node, struct vml *list)
+{
+	node->listed_at = clk_now(node->clk);
+	if (!lsd_take(node->listed, list))
+		return;
+	correct(node);
+	pthread_cond_broadcast(&node->newer);
+}
+
 void node_take_list(struct node *node, struct vml *list)
 {
 	pthread_mutex_lock(&node->lock);
-	if (!node->listed || list->revision >= node->listed->revision) {
-		vml_put(node->listed);
-		node->listed = list;
-		node->listed_at = clk_now(node->clk);
-		correct(node);
-	} else {
-		vml_put(list);
-	}
+	take_list_locked(node, list);
+	pthread_mutex_unlock(&node->lock);
+}
+
+int node_take_delta(struct node *node, const table_delta *delta)
+{
+	struct vml *list = NULL;
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	err = tmsg_delta_patch(node->listed, delta, &list);
+	if (!err)
+		take_list_locked(node, list);
 	pthread_mutex_unlock(&node->lock);
+	return err;
 }
 
 uint64_t node_listed_revision(struct node *node)
@@ -361,7 +387,7 @@
 	uint64_t revision;
 
 	pthread_mutex_lock(&node->lock);
-	revision = node->listed ? node->listed->revision : 0;
+	revision = listed_revision(node);
 	pthread_mutex_unlock(&node->lock);
 	return revision;
 }
@@ -371,7 +397,8 @@
 	apr_interval_time_t age;
 
 	pthread_mutex_lock(&node->lock);
-	age = node->listed ? clk_now(node->clk) - node->listed_at : REV_NEVER;
+	age = lsd_list(node->listed) ? clk_now(node->clk) - node->listed_at
+				     : REV_NEVER;
 	pthread_mutex_unlock(&node->lock);
 	return age;
 }
@@ -439,8 +466,9 @@
 	pthread_mutex_lock(&node->lock);
 	node->fresh = hold_tick(&node->hold, node->fresh);
 	if (now - node->corrected_at >= CORRECT_INTERVAL) {
-		if (node->relay && node->listed)
-			mbr_observe(node->mbr, node->listed, node->set->vm.id,
+		if (node->relay && lsd_list(node->listed))
+			mbr_observe(node->mbr, lsd_list(node->listed),
+				    node->set->vm.id,
 				    node->set->vm.failure_domain,
 				    node->relay_since, now);
 		correct(node);
@@ -453,7 +481,8 @@
 	bool known;
 
 	pthread_mutex_lock(&node->lock);
-	known = node->listed && vml_has_entry_address(node->listed, ip);
+	known = lsd_list(node->listed) &&
+		vml_has_entry_address(lsd_list(node->listed), ip);
 	pthread_mutex_unlock(&node->lock);
 	return known;
 }
--- a/controld/node.h
+++ b/controld/node.h
@@ -61,12 +61,25 @@
 /* Whether this node's revision may count in a majority. */
 bool node_voter(struct node *node);
 
-/* Waits until the held revision is above known, at most timeout. */
-uint64_t node_wait_newer(struct node *node, uint64_t known,
-			 apr_interval_time_t timeout);
+/* Revisions of the table and of the platform's list. */
+struct node_held {
+	uint64_t table;
+	uint64_t list;
+};
 
-/* Parts changed after a revision, for a push; freed by xdr_free(). */
-int node_change_after(struct node *node, uint64_t after, table_change *out);
+/*
+ * Waits until the table or the list is newer than held says, at most timeout,
+ * and sets held to what is held now.
+ */
+void node_wait_newer(struct node *node, struct node_held *held,
+		     apr_interval_time_t timeout);
+
+/*
+ * Makes the message of what changed after the given revisions; freed by
+ * xdr_free(). Returns 0, PST_ERR_FULL when it is too large, or PST_ERR_NOMEM.
+ */
+int node_change_after(struct node *node, const struct node_held *after,
+		      table_change *out);
 
 /* The failure domains of the table, as a reference to it, or NULL. */
 struct tbl *node_table(struct node *node);
@@ -79,6 +92,12 @@
 /* Takes over the reference to a list from the platform or a peer. */
 void node_take_list(struct node *node, struct vml *list);
 
+/*
+ * Takes a change of the list. Returns 0, PST_ERR_STALE when it does not fit
+ * the list held, PST_ERR_PROTOCOL or PST_ERR_NOMEM.
+ */
+int node_take_delta(struct node *node, const table_delta *delta);
+
 /* Revision of the platform's list held; 0 before the first. */
 uint64_t node_listed_revision(struct node *node);
 
--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -41,6 +41,19 @@
 	return page && !*out ? PST_ERR_NOMEM : 0;
 }
 
+static int copy_delta(const struct node *node, uint64_t after,
+		      table_delta **out)
+{
+	struct lsd_delta delta;
+	const int err = lsd_since(node->listed, after, &delta);
+
+	if (err)
+		return err == PST_ERR_AGAIN ? 0 : err;
+	*out = tmsg_delta_copy(&delta);
+	lsd_delta_free(&delta);
+	return *out ? 0 : PST_ERR_NOMEM;
+}
+
 static int status_locked(struct node *node, table_status *out)
 {
 	const apr_time_t now = clk_now(node->clk);
@@ -93,26 +106,24 @@
 	return err;
 }
 
-static int answer(struct node *node, const table_ask *ask,
-		  const struct vml *list, bool list_known, table_answer *out)
+static int answer(struct node *node, const table_ask *ask, table_answer *out)
 {
 	bool more = false;
 	int err = status_locked(node, &out->status);
 
-	if (err)
-		return err;
-	out->list_incarnation = node->incarnation;
-	if (list && !list_known) {
-		out->list = tmsg_list_copy(list);
-		if (!out->list)
-			return PST_ERR_NOMEM;
-	}
-	err = copy_parts(node, ask->after, &out->parts.parts_val,
-			 &out->parts.parts_len, &more);
+	if (!err)
+		err = copy_parts(node, ask->after, &out->parts.parts_val,
+				 &out->parts.parts_len, &more);
 	out->more = more;
 	return err;
 }
 
+static bool view_known(const struct node *node, const table_ask *ask)
+{
+	return ask->list_incarnation == node->incarnation &&
+	       ask->list_revision == node->members->revision;
+}
+
 static void merge_absent(struct node *node, const table_absent *report,
 			 apr_time_t now)
 {
@@ -127,18 +138,21 @@
 	free(ids);
 }
 
-int node_change_after(struct node *node, uint64_t after, table_change *out)
+int node_change_after(struct node *node, const struct node_held *after,
+		      table_change *out)
 {
 	bool more = false;
 	int err;
 
 	memset(out, 0, sizeof(*out));
 	out->from = strdup(node->set->vm.id.ptr);
-	out->previous = after;
+	out->previous = after->table;
 	pthread_mutex_lock(&node->lock);
 	out->revision = node->hold.rev.revision;
-	err = copy_parts(node, after, &out->parts.parts_val,
+	err = copy_parts(node, after->table, &out->parts.parts_val,
 			 &out->parts.parts_len, &more);
+	if (!err)
+		err = copy_delta(node, after->list, &out->delta);
 	pthread_mutex_unlock(&node->lock);
 	if (!err && (more || !out->from))
 		err = PST_ERR_FULL;
@@ -162,10 +176,9 @@
 	pthread_mutex_lock(&node->lock);
 	mbr_heard(node->mbr, str_from_c(ask->from), clk_now(node->clk));
 	rev_heard(&node->hold.rev, ask->held);
-	err = answer(node, ask, node->listed,
-		     node->listed &&
-			     ask->list_revision >= node->listed->revision,
-		     out);
+	err = answer(node, ask, out);
+	if (!err)
+		err = copy_delta(node, ask->list_revision, &out->delta);
 	if (!err)
 		err = copy_reports(node, out);
 	pthread_mutex_unlock(&node->lock);
@@ -174,15 +187,18 @@
 
 int node_answer_view(struct node *node, const table_ask *ask, table_answer *out)
 {
-	bool known;
 	int err;
 
 	pthread_mutex_lock(&node->lock);
-	clients_note(&node->clients, ask->client, ask->held,
-		     clk_now(node->clk));
-	known = node->members && ask->list_incarnation == node->incarnation &&
-		ask->list_revision == node->members->revision;
-	err = answer(node, ask, node->members, known, out);
+	if (ask->client)
+		clients_note(&node->clients, ask->client, ask->held,
+			     clk_now(node->clk));
+	err = answer(node, ask, out);
+	out->list_incarnation = node->incarnation;
+	if (!err && node->members && !view_known(node, ask)) {
+		out->list = tmsg_list_copy(node->members);
+		err = out->list ? 0 : PST_ERR_NOMEM;
+	}
 	pthread_mutex_unlock(&node->lock);
 	return err;
 }
--- a/controld/node_state.h
+++ b/controld/node_state.h
@@ -7,6 +7,7 @@
 #include "agent/hold.h"
 #include "controld/clients.h"
 #include "controld/node.h"
+#include "policy/lsd.h"
 #include "policy/mbr.h"
 
 struct node {
@@ -20,8 +21,8 @@
 	bool fresh;
 	enum node_source source;
 	bool store_reachable;
-	/* The platform's list; NULL before the first. */
-	struct vml *listed;
+	/* The platform's list. */
+	struct lsd *listed;
 	apr_time_t listed_at;
 	/* The corrected list; its revision counts the corrections. */
 	struct vml *members;
--- a/controld/peer_duty.c
+++ b/controld/peer_duty.c
@@ -21,8 +21,8 @@
 	struct duty pusher;
 	struct xchg *ask;
 	struct xchg *push;
-	/* Revision up to which changes were pushed. */
-	uint64_t pushed;
+	/* Up to which changes were pushed. */
+	struct node_held pushed;
 	size_t round;
 };
 
@@ -107,7 +107,7 @@
 	struct vml *members = node_members(duty->node);
 	table_change change;
 	size_t count = 0;
-	const int err = node_change_after(duty->node, duty->pushed, &change);
+	const int err = node_change_after(duty->node, &duty->pushed, &change);
 
 	if (!err && members)
 		count = relay_children(members, duty->set->vm.failure_domain,
@@ -118,18 +118,18 @@
 	vml_put(members);
 }
 
-/* The first table is not pushed: everybody else fetches its own. */
+/* The first table and list are not pushed: everybody fetches its own. */
 static apr_interval_time_t run_pusher(void *ctx)
 {
 	struct peer_duty *duty = ctx;
-	const uint64_t revision =
-		node_wait_newer(duty->node, duty->pushed, CHANGE_WAIT);
+	struct node_held held = duty->pushed;
 
-	if (revision <= duty->pushed)
+	node_wait_newer(duty->node, &held, CHANGE_WAIT);
+	if (held.table == duty->pushed.table && held.list == duty->pushed.list)
 		return 0;
-	if (duty->pushed)
+	if (duty->pushed.table && duty->pushed.list)
 		push_change(duty);
-	duty->pushed = revision;
+	duty->pushed = held;
 	return 0;
 }
 
--- a/controld/sync.c
+++ b/controld/sync.c
@@ -37,6 +37,8 @@
 			       change->previous, change->revision,
 			       change->from);
 	free(parts);
+	if (change->delta)
+		node_take_delta(ctx, change->delta);
 	return err;
 }
 
--- a/controld/xchg.c
+++ b/controld/xchg.c
@@ -117,11 +117,9 @@
 
 static void take_list(struct xchg *xchg, const table_answer *answer)
 {
-	struct vml *list = NULL;
-
 	node_merge_absents(xchg->node, answer);
-	if (answer->list && !tmsg_list_take(&list, answer->list))
-		node_take_list(xchg->node, list);
+	if (answer->delta)
+		node_take_delta(xchg->node, answer->delta);
 }
 
 /* after moves on from page to page; all pages come from one process. */
--- /dev/null
+++ b/policy/lsd.c
@@ -0,0 +1,202 @@
+#include "policy/lsd.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+
+struct gone {
+	struct strbuf id;
+	uint64_t revision;
+};
+
+struct lsd {
+	struct vml *list;
+	/* One for each VM of the list: revision at which it was seen so. */
+	uint64_t *changed_at;
+	/* Latest first to go is overwritten first. */
+	struct gone gone[LSD_MAX_GONE];
+	size_t gone_count;
+	/* Nothing that went after this revision is forgotten. */
+	uint64_t floor;
+	/* Latest revisions held. */
+	uint64_t held[LSD_MAX_HELD];
+	size_t held_count;
+};
+
+static void note_gone(struct lsd *lsd, const struct strbuf *id,
+		      uint64_t revision)
+{
+	struct gone *gone = &lsd->gone[lsd->gone_count % LSD_MAX_GONE];
+
+	if (lsd->gone_count >= LSD_MAX_GONE)
+		lsd->floor = gone->revision;
+	gone->id = *id;
+	gone->revision = revision;
+	lsd->gone_count++;
+}
+
+static void note_all_gone(struct lsd *lsd, const struct vml *next)
+{
+	for (size_t i = 0; i < lsd->list->count; i++) {
+		const struct vm *vm = &lsd->list->vms[i];
+
+		if (!vml_find(next, strbuf_str(&vm->id)))
+			note_gone(lsd, &vm->id, next->revision);
+	}
+}
+
+static uint64_t seen_at(const struct lsd *lsd, const struct vm *vm,
+			uint64_t revision)
+{
+	const struct vm *old =
+		lsd->list ? vml_find(lsd->list, strbuf_str(&vm->id)) : NULL;
+
+	if (!old || !vm_same(old, vm))
+		return revision;
+	return lsd->changed_at[old - lsd->list->vms];
+}
+
+static bool was_held(const struct lsd *lsd, uint64_t revision)
+{
+	for (size_t i = 0; i < LSD_MAX_HELD; i++) {
+		if (lsd->held[i] == revision)
+			return true;
+	}
+	return false;
+}
+
+static size_t remembered(const struct lsd *lsd)
+{
+	return lsd->gone_count < LSD_MAX_GONE ? lsd->gone_count : LSD_MAX_GONE;
+}
+
+/* A VM that came back under its name is on the list, not gone. */
+static void add_gone(const struct lsd *lsd, uint64_t after,
+		     struct lsd_delta *out)
+{
+	for (size_t i = 0; i < remembered(lsd); i++) {
+		const struct gone *gone = &lsd->gone[i];
+
+		if (gone->revision > after &&
+		    !vml_find(lsd->list, strbuf_str(&gone->id)))
+			out->gone[out->gone_count++] = strbuf_str(&gone->id);
+	}
+}
+
+static bool names(const struct lsd_delta *delta, const struct vm *vm)
+{
+	for (size_t i = 0; i < delta->vm_count; i++) {
+		if (strbuf_eq(&delta->vms[i]->id, &vm->id))
+			return true;
+	}
+	for (size_t i = 0; i < delta->gone_count; i++) {
+		if (str_eq(delta->gone[i], strbuf_str(&vm->id)))
+			return true;
+	}
+	return false;
+}
+
+int lsd_create(struct lsd **out)
+{
+	*out = calloc(1, sizeof(**out));
+	return *out ? 0 : PST_ERR_NOMEM;
+}
+
+void lsd_destroy(struct lsd *lsd)
+{
+	if (!lsd)
+		return;
+	vml_put(lsd->list);
+	free(lsd->changed_at);
+	free(lsd);
+}
+
+struct vml *lsd_list(const struct lsd *lsd)
+{
+	return lsd->list;
+}
+
+bool lsd_take(struct lsd *lsd, struct vml *list)
+{
+	uint64_t *changed_at;
+
+	if (lsd->list && list->revision <= lsd->list->revision) {
+		vml_put(list);
+		return false;
+	}
+	changed_at = calloc(list->count + 1, sizeof(*changed_at));
+	if (!changed_at) {
+		vml_put(list);
+		return false;
+	}
+	for (size_t i = 0; i < list->count; i++)
+		changed_at[i] = seen_at(lsd, &list->vms[i], list->revision);
+	if (lsd->list)
+		note_all_gone(lsd, list);
+	else
+		lsd->floor = list->revision;
+	vml_put(lsd->list);
+	free(lsd->changed_at);
+	lsd->list = list;
+	lsd->changed_at = changed_at;
+	lsd->held[lsd->held_count++ % LSD_MAX_HELD] = list->revision;
+	return true;
+}
+
+int lsd_since(const struct lsd *lsd, uint64_t revision, struct lsd_delta *out)
+{
+	memset(out, 0, sizeof(*out));
+	if (!lsd->list || revision >= lsd->list->revision)
+		return PST_ERR_AGAIN;
+	if (revision < lsd->floor || !was_held(lsd, revision))
+		revision = 0;
+	out->vms = calloc(lsd->list->count + 1, sizeof(struct vm *));
+	out->gone = calloc(remembered(lsd) + 1, sizeof(*out->gone));
+	if (!out->vms || !out->gone) {
+		lsd_delta_free(out);
+		return PST_ERR_NOMEM;
+	}
+	out->previous = revision;
+	out->revision = lsd->list->revision;
+	for (size_t i = 0; i < lsd->list->count; i++) {
+		if (lsd->changed_at[i] > revision)
+			out->vms[out->vm_count++] = &lsd->list->vms[i];
+	}
+	if (revision)
+		add_gone(lsd, revision, out);
+	return 0;
+}
+
+void lsd_delta_free(struct lsd_delta *delta)
+{
+	free(delta->vms);
+	free(delta->gone);
+	memset(delta, 0, sizeof(*delta));
+}
+
+int lsd_patch(const struct lsd *lsd, const struct lsd_delta *delta,
+	      struct vml **out)
+{
+	const struct vml *old = delta->previous ? lsd->list : NULL;
+	const uint64_t held = lsd->list ? lsd->list->revision : 0;
+	const size_t most = (old ? old->count : 0) + delta->vm_count;
+	size_t count = 0;
+	int err;
+
+	if (held < delta->previous || held >= delta->revision)
+		return PST_ERR_STALE;
+	err = vml_create(out, most);
+	if (err)
+		return err;
+	for (size_t i = 0; old && i < old->count; i++) {
+		if (!names(delta, &old->vms[i]))
+			(*out)->vms[count++] = old->vms[i];
+	}
+	for (size_t i = 0; i < delta->vm_count; i++)
+		(*out)->vms[count++] = *delta->vms[i];
+	(*out)->count = count;
+	vml_order(*out);
+	(*out)->revision = delta->revision;
+	return 0;
+}
--- a/policy/mbr.c
+++ b/policy/mbr.c
@@ -302,14 +302,8 @@
 	if (a->count != b->count)
 		return false;
 	for (size_t i = 0; i < a->count; i++) {
-		const struct vm *x = &a->vms[i];
-		const struct vm *y = &b->vms[i];
-
-		if (!strbuf_eq(&x->id, &y->id) || x->state != y->state ||
-		    !strbuf_eq(&x->address, &y->address) ||
-		    !strbuf_eq(&x->domain, &y->domain) ||
-		    !strbuf_eq(&x->service, &y->service) ||
-		    x->port != y->port || x->slots != y->slots)
+		if (!strbuf_eq(&a->vms[i].id, &b->vms[i].id) ||
+		    !vm_same(&a->vms[i], &b->vms[i]))
 			return false;
 	}
 	return true;
--- a/policy/vml.c
+++ b/policy/vml.c
@@ -102,9 +102,9 @@
 	return 0;
 }
 
-static int order_vms(struct vml *vml)
+static int check_ids(struct vml *vml)
 {
-	qsort(vml->vms, vml->count, sizeof(*vml->vms), compare_vms);
+	vml_order(vml);
 	for (size_t i = 1; i < vml->count; i++) {
 		if (strbuf_eq(&vml->vms[i - 1].id, &vml->vms[i].id))
 			return PST_ERR_INVALID;
@@ -141,7 +141,7 @@
 	if (!err)
 		err = parse_vms(vml, json_object_get(root, "vms"));
 	if (!err)
-		err = order_vms(vml);
+		err = check_ids(vml);
 	json_decref(root);
 	if (!err)
 		*out = vml;
@@ -180,6 +180,21 @@
 		ref_put(&vml->ref);
 }
 
+void vml_order(struct vml *vml)
+{
+	qsort(vml->vms, vml->count, sizeof(*vml->vms), compare_vms);
+}
+
+bool vm_same(const struct vm *a, const struct vm *b)
+{
+	return a->kind == b->kind && a->state == b->state &&
+	       a->port == b->port && a->slots == b->slots &&
+	       strbuf_eq(&a->region, &b->region) &&
+	       strbuf_eq(&a->domain, &b->domain) &&
+	       strbuf_eq(&a->address, &b->address) &&
+	       strbuf_eq(&a->service, &b->service);
+}
+
 const struct vm *vml_find(const struct vml *vml, struct str id)
 {
 	size_t low = 0;
--- a/policy/vml.h
+++ b/policy/vml.h
@@ -58,6 +58,12 @@
 void vml_get(struct vml *vml);
 void vml_put(struct vml *vml);
 
+/* Orders the VMs of a list that is not shared yet by id. */
+void vml_order(struct vml *vml);
+
+/* Whether all but the ids of two VMs is the same. */
+bool vm_same(const struct vm *a, const struct vm *b);
+
 /* Returns NULL when the VM is not on the list. */
 const struct vm *vml_find(const struct vml *vml, struct str id);
 
--- a/pstctl/members.c
+++ b/pstctl/members.c
@@ -14,7 +14,7 @@
 		.after = UINT64_MAX,
 	};
 	table_answer answer = {0};
-	int err = rpcc_call(rpcc, TABLE_SYNC, (xdrproc_t)xdr_table_ask, &args,
+	int err = rpcc_call(rpcc, TABLE_VIEW, (xdrproc_t)xdr_table_ask, &args,
 			    (xdrproc_t)xdr_table_answer, &answer,
 			    CLK_MS(cmd->set->net.rpc_timeout_ms));
 
--- a/schema/gen/table.h
+++ b/schema/gen/table.h
@@ -54,6 +54,20 @@
 };
 typedef struct table_list table_list;
 
+struct table_delta {
+	u_quad_t previous;
+	u_quad_t revision;
+	struct {
+		u_int vms_len;
+		table_vm *vms_val;
+	} vms;
+	struct {
+		u_int gone_len;
+		pst_id *gone_val;
+	} gone;
+};
+typedef struct table_delta table_delta;
+
 struct table_absent {
 	pst_id domain;
 	u_int age_ms;
@@ -96,6 +110,7 @@
 	} parts;
 	u_quad_t list_incarnation;
 	table_list *list;
+	table_delta *delta;
 	struct {
 		u_int absents_len;
 		table_absent *absents_val;
@@ -111,6 +126,7 @@
 		u_int parts_len;
 		table_part *parts_val;
 	} parts;
+	table_delta *delta;
 };
 typedef struct table_change table_change;
 
@@ -154,6 +170,7 @@
 extern  bool_t xdr_table_part (XDR *, table_part*);
 extern  bool_t xdr_table_vm (XDR *, table_vm*);
 extern  bool_t xdr_table_list (XDR *, table_list*);
+extern  bool_t xdr_table_delta (XDR *, table_delta*);
 extern  bool_t xdr_table_absent (XDR *, table_absent*);
 extern  bool_t xdr_table_status (XDR *, table_status*);
 extern  bool_t xdr_table_ask (XDR *, table_ask*);
@@ -164,6 +181,7 @@
 extern bool_t xdr_table_part ();
 extern bool_t xdr_table_vm ();
 extern bool_t xdr_table_list ();
+extern bool_t xdr_table_delta ();
 extern bool_t xdr_table_absent ();
 extern bool_t xdr_table_status ();
 extern bool_t xdr_table_ask ();
--- a/schema/gen/table_xdr.c
+++ b/schema/gen/table_xdr.c
@@ -59,6 +59,24 @@
 	return TRUE;
 }
 
+bool_t
+xdr_table_delta (XDR *xdrs, table_delta *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->previous))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->revision))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->vms.vms_val, (u_int *) &objp->vms.vms_len, TABLE_VMS_MAX,
+		sizeof (table_vm), (xdrproc_t) xdr_table_vm))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->gone.gone_val, (u_int *) &objp->gone.gone_len, TABLE_VMS_MAX,
+		sizeof (pst_id), (xdrproc_t) xdr_pst_id))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_table_absent (XDR *xdrs, table_absent *objp)
 {
@@ -197,6 +215,8 @@
 		 return FALSE;
 	 if (!xdr_pointer (xdrs, (char **)&objp->list, sizeof (table_list), (xdrproc_t) xdr_table_list))
 		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->delta, sizeof (table_delta), (xdrproc_t) xdr_table_delta))
+		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->absents.absents_val, (u_int *) &objp->absents.absents_len, TABLE_DOMAINS_MAX,
 		sizeof (table_absent), (xdrproc_t) xdr_table_absent))
 		 return FALSE;
@@ -217,5 +237,7 @@
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, TABLE_PARTS_MAX,
 		sizeof (table_part), (xdrproc_t) xdr_table_part))
 		 return FALSE;
+	 if (!xdr_pointer (xdrs, (char **)&objp->delta, sizeof (table_delta), (xdrproc_t) xdr_table_delta))
+		 return FALSE;
 	return TRUE;
 }
--- a/schema/table.x
+++ b/schema/table.x
@@ -32,6 +32,15 @@
 	table_vm vms<TABLE_VMS_MAX>;
 };
 
+/* What leads from one revision of the platform's list to a later one. */
+struct table_delta {
+	/* 0: vms is the whole list. */
+	unsigned hyper previous;
+	unsigned hyper revision;
+	table_vm vms<TABLE_VMS_MAX>;
+	pst_id gone<TABLE_VMS_MAX>;
+};
+
 /* Entry VMs of one failure domain that its relays do not hear. */
 struct table_absent {
 	pst_id domain;
@@ -71,8 +80,11 @@
 	/* Ask again with the last part's revision as after. */
 	bool more;
 	table_part parts<TABLE_PARTS_MAX>;
+	/* TABLE_VIEW only: the corrected list, when it has changed. */
 	unsigned hyper list_incarnation;
 	table_list *list;
+	/* TABLE_SYNC only: the platform's list, when the asker's is older. */
+	table_delta *delta;
 	table_absent absents<TABLE_DOMAINS_MAX>;
 };
 
@@ -85,6 +97,8 @@
 	unsigned hyper previous;
 	unsigned hyper revision;
 	table_part parts<TABLE_PARTS_MAX>;
+	/* A change of the platform's list. */
+	table_delta *delta;
 };
 
 program TABLE_PROGRAM {
--- a/tests/test_tbl_golden.c
+++ b/tests/test_tbl_golden.c
@@ -51,9 +51,11 @@
 	struct vml *list = NULL;
 
 	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
-	if (leaving)
+	if (leaving) {
+		list->revision++;
 		((struct vm *)vml_find(list, str_from_c(leaving)))->state =
 			VM_LEAVING;
+	}
 	node_take_list(node, list);
 	free(text);
 }
--- a/tests/test_vml.c
+++ b/tests/test_vml.c
@@ -5,6 +5,7 @@
 #include <check.h>
 
 #include "common/err.h"
+#include "policy/lsd.h"
 #include "policy/vml.h"
 #include "tests/fix_run.h"
 #include "tests/fix_table.h"
@@ -129,6 +130,139 @@
 }
 END_TEST
 
+static uint64_t state;
+
+static uint64_t draw(void)
+{
+	state ^= state << 13;
+	state ^= state >> 7;
+	state ^= state << 17;
+	return state;
+}
+
+/* The platform's list, changed a little: VMs leave, go, come and move. */
+static struct vml *next_list(const struct vml *old, size_t most)
+{
+	struct vml *list = NULL;
+	size_t count = 0;
+
+	ck_assert_int_eq(vml_create(&list, most), 0);
+	for (size_t i = 0; i < most; i++) {
+		struct vm *vm = &list->vms[count];
+		const struct vm *was;
+		char id[16];
+
+		snprintf(id, sizeof(id), "vm-%03zu", i);
+		was = old ? vml_find(old, str_from_c(id)) : NULL;
+		if (was)
+			*vm = *was;
+		strbuf_set(&vm->id, str_from_c(id));
+		if (draw() % 16 == 0)
+			vm->state = vm->state == VM_LIVE ? VM_LEAVING : VM_LIVE;
+		if (draw() % 16 == 0)
+			vm->slots = (uint32_t)(draw() % 9);
+		if (was ? draw() % 16 : draw() % 2)
+			count++;
+	}
+	list->count = count;
+	list->revision = old ? old->revision + 1 + draw() % 3 : 5;
+	return list;
+}
+
+static void check_same(const struct vml *a, const struct vml *b)
+{
+	ck_assert_uint_eq(a->revision, b->revision);
+	ck_assert_uint_eq(a->count, b->count);
+	for (size_t i = 0; i < a->count; i++) {
+		ck_assert(strbuf_eq(&a->vms[i].id, &b->vms[i].id));
+		ck_assert(vm_same(&a->vms[i], &b->vms[i]));
+	}
+}
+
+/* Takes what the other has that is newer. Returns VMs in the delta. */
+static size_t follow(struct lsd *to, const struct lsd *from)
+{
+	const struct vml *held = lsd_list(to);
+	struct lsd_delta delta;
+	struct vml *list = NULL;
+	size_t sent;
+
+	if (lsd_since(from, held ? held->revision : 0, &delta))
+		return 0;
+	sent = delta.vm_count;
+	ck_assert_int_eq(lsd_patch(to, &delta, &list), 0);
+	lsd_delta_free(&delta);
+	ck_assert(lsd_take(to, list));
+	return sent;
+}
+
+/* Three processes read the platform or each other, now and then. */
+START_TEST(deltas_lead_to_the_same_list)
+{
+	struct lsd *lsds[3];
+	struct vml *platform = NULL;
+
+	state = 0x9e3779b97f4a7c15U + (uint64_t)_i;
+	for (int i = 0; i < 3; i++)
+		ck_assert_int_eq(lsd_create(&lsds[i]), 0);
+	for (int round = 0; round < 300; round++) {
+		struct vml *next = next_list(platform, 40);
+		struct lsd *a = lsds[draw() % 3];
+		struct lsd *b = lsds[draw() % 3];
+
+		vml_put(platform);
+		platform = next;
+		vml_get(platform);
+		lsd_take(a, platform);
+		if (a == b)
+			continue;
+		follow(b, a);
+		check_same(lsd_list(a), lsd_list(b));
+		check_same(lsd_list(a), platform);
+	}
+	for (int i = 0; i < 3; i++)
+		lsd_destroy(lsds[i]);
+	vml_put(platform);
+}
+END_TEST
+
+START_TEST(delta_is_small_refused_when_old_and_whole_when_too_far)
+{
+	struct vml *first = fleet(4);
+	struct vml *second = fleet(4);
+	struct lsd_delta delta;
+	struct vml *list;
+	struct lsd *a;
+	struct lsd *b;
+
+	ck_assert_int_eq(lsd_create(&a), 0);
+	ck_assert_int_eq(lsd_create(&b), 0);
+	vml_get(first);
+	lsd_take(a, first);
+	lsd_take(b, first);
+	second->revision = 8;
+	second->vms[3].state = VM_LEAVING;
+	lsd_take(a, second);
+	ck_assert_int_eq(lsd_since(a, 7, &delta), 0);
+	ck_assert_uint_eq(delta.vm_count, 1);
+	ck_assert_uint_eq(delta.previous, 7);
+	/* Not newer than the list held, or after one that is not held. */
+	ck_assert_int_eq(lsd_patch(a, &delta, &list), PST_ERR_STALE);
+	delta.previous = 9;
+	delta.revision = 10;
+	ck_assert_int_eq(lsd_patch(b, &delta, &list), PST_ERR_STALE);
+	lsd_delta_free(&delta);
+	/* From before this process began, all is sent. */
+	ck_assert_int_eq(lsd_since(a, 6, &delta), 0);
+	ck_assert_uint_eq(delta.previous, 0);
+	ck_assert_uint_eq(delta.vm_count, 24);
+	lsd_delta_free(&delta);
+	ck_assert_int_eq(lsd_since(a, 8, &delta), PST_ERR_AGAIN);
+	lsd_destroy(a);
+	lsd_destroy(b);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("vml");
@@ -138,5 +272,8 @@
 			    (int)(sizeof(bads) / sizeof(bads[0])));
 	tcase_add_test(tc, rendezvous_moves_only_what_was_on_the_lost_vm);
 	tcase_add_test(tc, rendezvous_keeps_to_the_domain);
+	tcase_add_loop_test(tc, deltas_lead_to_the_same_list, 0, 20);
+	tcase_add_test(tc,
+		       delta_is_small_refused_when_old_and_whole_when_too_far);
 	return fix_run("vml", tc);
 }
