Votes are asked in parallel

Cause: a vote takes a round trip between regions, 110 ms in the Fund, and a majority of 88 domains asked one after the other would take 5 s, longer than the freshness timeout. Eight threads of a round share the list of domains and stop at a majority; 45 votes at 110 ms are 0.6 s, worked out, not run. Votes of other domains than the table's present ones are forgotten. Ruled out: asynchronous RPC, which libtirpc's clients do not do.

--- a/controld/vote_duty.c
+++ b/controld/vote_duty.c
@@ -1,5 +1,7 @@
 #include "controld/vote_duty.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
 
 #include "common/err.h"
@@ -12,33 +14,70 @@
 /* Domains asked a round while the store confirms the table. */
 #define IDLE_DOMAINS_PER_ROUND 6
 
+/* Domains asked at the same time. */
+#define VOTERS 8
+
+/* Domains to ask, in this order. */
+struct round {
+	const struct tbl *tbl;
+	const struct vml *members;
+	apr_time_t began;
+	bool until_majority;
+	size_t *order;
+	size_t count;
+};
+
+struct voter {
+	struct vote_duty *duty;
+	struct xchg *xchg;
+};
+
 struct vote_duty {
 	const struct settings *set;
 	const struct clk *clk;
 	struct node *node;
 	struct duty duty;
-	struct xchg *xchg;
+	struct voter voters[VOTERS];
+	/* The round in progress: what its voters share. */
+	const struct round *round;
+	atomic_size_t taken;
+	atomic_bool enough;
+	/* Guards votes during a round. */
+	pthread_mutex_t lock;
 	/* One for each failure domain of the table. */
 	struct rev_vote *votes;
 	size_t count;
+	uint64_t domains_hash;
 	apr_time_t round_began;
 	/* Domain and VM to begin with. */
 	size_t next_domain;
 	size_t next_vm;
 };
 
-static bool fit_votes(struct vote_duty *duty, size_t count)
+static uint64_t hash_domains(const struct tbl *tbl)
+{
+	uint64_t hash = tbl->domain_count;
+
+	for (size_t d = 0; d < tbl->domain_count; d++)
+		hash = str_hash(strbuf_str(&tbl->domains[d].name), hash);
+	return hash;
+}
+
+/* Votes of other domains than the table's present ones are forgotten. */
+static bool fit_votes(struct vote_duty *duty, const struct tbl *tbl)
 {
+	const uint64_t hash = hash_domains(tbl);
 	struct rev_vote *votes;
 
-	if (duty->count == count)
+	if (duty->votes && duty->domains_hash == hash)
 		return true;
-	votes = calloc(count + 1, sizeof(*votes));
+	votes = calloc(tbl->domain_count + 1, sizeof(*votes));
 	if (!votes)
 		return false;
 	free(duty->votes);
 	duty->votes = votes;
-	duty->count = count;
+	duty->count = tbl->domain_count;
+	duty->domains_hash = hash;
 	return true;
 }
 
@@ -63,98 +102,138 @@
 	return leaving;
 }
 
-static void ask_vm(struct vote_duty *duty, const struct vm *vm,
-		   struct rev_vote *vote)
+static void set_vote(struct vote_duty *duty, size_t d,
+		     const struct rev_vote *vote)
+{
+	pthread_mutex_lock(&duty->lock);
+	duty->votes[d] = *vote;
+	pthread_mutex_unlock(&duty->lock);
+}
+
+static void ask_vm(struct vote_duty *duty, struct xchg *xchg,
+		   const struct vm *vm, size_t d)
 {
 	table_status status;
 	apr_time_t asked_at;
 
-	if (xchg_status(duty->xchg, vm, &status, &asked_at))
+	if (xchg_status(xchg, vm, &status, &asked_at))
 		return;
 	node_meet(duty->node, &status);
-	*vote = (struct rev_vote){
-		.valid = status.voter,
-		.revision = status.revision,
-		.asked_at = asked_at,
-	};
+	set_vote(duty, d,
+		 &(struct rev_vote){
+			 .valid = status.voter,
+			 .revision = status.revision,
+			 .asked_at = asked_at,
+		 });
 	if (status.revision > node_revision(duty->node))
-		xchg_sync(duty->xchg, vm);
+		xchg_sync(xchg, vm);
 	xdr_free((xdrproc_t)xdr_table_status, &status);
 }
 
-static void vote_self(struct vote_duty *duty, struct rev_vote *vote)
+static void vote_self(struct vote_duty *duty, size_t d)
 {
-	*vote = (struct rev_vote){
-		.valid = node_voter(duty->node),
-		.revision = node_revision(duty->node),
-		.asked_at = clk_now(duty->clk),
-	};
+	set_vote(duty, d,
+		 &(struct rev_vote){
+			 .valid = node_voter(duty->node),
+			 .revision = node_revision(duty->node),
+			 .asked_at = clk_now(duty->clk),
+		 });
 }
 
-static void ask_domain(struct vote_duty *duty, const struct tbl *tbl,
-		       const struct vml *members, size_t d)
+/* Whether a majority has answered since the time. */
+static bool count_votes(struct vote_duty *duty, apr_time_t since)
 {
-	const struct str domain = strbuf_str(&tbl->domains[d].name);
-	const struct vm *vm;
+	const uint64_t held = node_revision(duty->node);
+	apr_time_t at;
+	bool found;
 
-	if (str_eq(domain, duty->set->vm.failure_domain)) {
-		vote_self(duty, &duty->votes[d]);
-		return;
-	}
-	vm = pick_vm(duty, members, domain);
-	if (vm &&
-	    (vm->state == VM_LIVE || duty->next_vm % SILENT_DOMAIN_ROUNDS == 0))
-		ask_vm(duty, vm, &duty->votes[d]);
+	pthread_mutex_lock(&duty->lock);
+	found = rev_majority(duty->votes, duty->count, held, &at);
+	pthread_mutex_unlock(&duty->lock);
+	if (!found)
+		return false;
+	node_confirm(duty->node, held, at, NODE_SOURCE_MAJORITY);
+	return at >= since;
 }
 
-/* A few domains in turn, to learn which answer. */
-static void ask_some(struct vote_duty *duty, const struct tbl *tbl,
-		     const struct vml *members)
+/* Asks domains of the round until none is left or a majority has answered. */
+static void *work(void *arg)
 {
-	const size_t most = duty->count < IDLE_DOMAINS_PER_ROUND
-				    ? duty->count
-				    : IDLE_DOMAINS_PER_ROUND;
+	struct voter *voter = arg;
+	struct vote_duty *duty = voter->duty;
+	const struct round *round = duty->round;
 
-	for (size_t i = 0; i < most; i++)
-		ask_domain(duty, tbl, members,
-			   duty->next_domain++ % duty->count);
+	while (!duty->enough) {
+		const size_t i = duty->taken++;
+		struct str domain;
+		const struct vm *vm;
+
+		if (i >= round->count)
+			break;
+		domain = strbuf_str(&round->tbl->domains[round->order[i]].name);
+		if (str_eq(domain, duty->set->vm.failure_domain)) {
+			vote_self(duty, round->order[i]);
+			continue;
+		}
+		vm = pick_vm(duty, round->members, domain);
+		if (!vm || (vm->state == VM_LEAVING &&
+			    duty->next_vm % SILENT_DOMAIN_ROUNDS))
+			continue;
+		ask_vm(duty, voter->xchg, vm, round->order[i]);
+		if (round->until_majority && count_votes(duty, round->began))
+			duty->enough = true;
+	}
+	return NULL;
 }
 
-/* Whether a majority has answered since the time. */
-static bool count_votes(struct vote_duty *duty, apr_time_t since)
+/* The duty's own thread is the first voter. */
+static void ask_domains(struct vote_duty *duty, const struct round *round)
 {
-	const uint64_t held = node_revision(duty->node);
-	apr_time_t at;
+	pthread_t threads[VOTERS];
+	size_t started = 0;
 
-	if (!rev_majority(duty->votes, duty->count, held, &at))
-		return false;
-	node_confirm(duty->node, held, at, NODE_SOURCE_MAJORITY);
-	return at >= since;
+	duty->round = round;
+	duty->taken = 0;
+	duty->enough = false;
+	for (size_t i = 1; i < VOTERS && i < round->count; i++) {
+		if (pthread_create(&threads[started], NULL, work,
+				   &duty->voters[i]))
+			break;
+		started++;
+	}
+	work(&duty->voters[0]);
+	for (size_t i = 0; i < started; i++)
+		pthread_join(threads[i], NULL);
+}
+
+/* A few domains in turn, to learn which answer. */
+static void ask_some(struct vote_duty *duty, struct round *round)
+{
+	for (size_t i = 0; i < duty->count && i < IDLE_DOMAINS_PER_ROUND; i++)
+		round->order[round->count++] =
+			duty->next_domain++ % duty->count;
+	ask_domains(duty, round);
 }
 
 /*
  * Asks until a majority has answered, first the domains that answered in the
  * round before, so that silent ones do not delay it.
  */
-static void ask_majority(struct vote_duty *duty, const struct tbl *tbl,
-			 const struct vml *members)
+static void ask_majority(struct vote_duty *duty, struct round *round)
 {
-	const apr_time_t began = clk_now(duty->clk);
 	const apr_time_t before = duty->round_began;
 
-	duty->round_began = began;
+	duty->round_began = round->began;
+	round->until_majority = true;
 	for (int answered = 1; answered >= 0; answered--) {
 		for (size_t d = 0; d < duty->count; d++) {
-			const apr_time_t asked_at = duty->votes[d].asked_at;
-
-			if (asked_at >= began ||
-			    (asked_at >= before) != (bool)answered)
-				continue;
-			ask_domain(duty, tbl, members, d);
-			if (count_votes(duty, began))
-				return;
+			if ((duty->votes[d].asked_at >= before) ==
+			    (bool)answered)
+				round->order[round->count++] = d;
 		}
 	}
+	ask_domains(duty, round);
+	count_votes(duty, round->began);
 }
 
 static bool confirmed_lately(const struct vote_duty *duty)
@@ -172,13 +251,20 @@
 	const bool idle = node_source(duty->node) != NODE_SOURCE_MAJORITY &&
 			  confirmed_lately(duty) &&
 			  (!relay || node_store_reachable(duty->node));
+	struct round round = {
+		.tbl = tbl,
+		.members = members,
+		.began = clk_now(duty->clk),
+		.order = calloc(tbl->domain_count + 1, sizeof(size_t)),
+	};
 
-	if (!fit_votes(duty, tbl->domain_count))
-		return;
-	if (!idle)
-		ask_majority(duty, tbl, members);
-	else if (relay)
-		ask_some(duty, tbl, members);
+	if (round.order && fit_votes(duty, tbl)) {
+		if (!idle)
+			ask_majority(duty, &round);
+		else if (relay)
+			ask_some(duty, &round);
+	}
+	free(round.order);
 	duty->next_vm++;
 }
 
@@ -199,14 +285,18 @@
 		    const struct clk *clk, struct node *node)
 {
 	struct vote_duty *duty = calloc(1, sizeof(*duty));
-	int err;
+	int err = 0;
 
 	if (!duty)
 		return PST_ERR_NOMEM;
 	duty->set = set;
 	duty->clk = clk;
 	duty->node = node;
-	err = xchg_create(&duty->xchg, set, clk, node);
+	pthread_mutex_init(&duty->lock, NULL);
+	for (size_t i = 0; !err && i < VOTERS; i++) {
+		duty->voters[i].duty = duty;
+		err = xchg_create(&duty->voters[i].xchg, set, clk, node);
+	}
 	if (!err)
 		err = duty_start(&duty->duty, run, duty);
 	if (err)
@@ -221,7 +311,9 @@
 	if (!duty)
 		return;
 	duty_stop(&duty->duty);
-	xchg_destroy(duty->xchg);
+	for (size_t i = 0; i < VOTERS; i++)
+		xchg_destroy(duty->voters[i].xchg);
+	pthread_mutex_destroy(&duty->lock);
 	free(duty->votes);
 	free(duty);
 }
