A silent watch is found and opened anew

Cause: in trials a watch that had gone silent stayed so for up to 30 s (its length), and each edit in that time took the second until the next read of the head. A read that finds what the watch has not reported by the read after it now interrupts the watch. Ruled out: shorter watches, each of which is a call of the store.

--- a/agent/stc.c
+++ b/agent/stc.c
@@ -37,6 +37,8 @@
 	/* Whether the last call failed, to log changes only. */
 	bool down;
 	atomic_bool cancelled;
+	/* Cleared when a call begins. */
+	atomic_bool interrupted;
 };
 
 /* What a call is, for its bounds and for what its failure means. */
@@ -73,7 +75,7 @@
 	(void)down;
 	(void)up_total;
 	(void)up;
-	return stc->cancelled;
+	return stc->cancelled || stc->interrupted;
 }
 
 static void count_call(const struct call *call, int err)
@@ -161,6 +163,7 @@
 	if (!text)
 		return PST_ERR_NOMEM;
 	snprintf(url, sizeof(url), "%s%s", stc->base, call->path);
+	stc->interrupted = false;
 	curl_easy_reset(stc->easy);
 	set_connection(stc, call);
 	curl_easy_setopt(stc->easy, CURLOPT_URL, url);
@@ -339,6 +342,11 @@
 	stc->cancelled = true;
 }
 
+void stc_interrupt(struct stc *stc)
+{
+	stc->interrupted = true;
+}
+
 int stc_read(struct stc *stc, struct str prefix, struct stc_list *out)
 {
 	if (prefix.len > STC_KEY_MAX)
--- a/agent/stc.h
+++ b/agent/stc.h
@@ -38,11 +38,14 @@
 void stc_destroy(struct stc *stc);
 
 /*
- * Makes a call in progress and all later ones fail within about a second;
- * the only function that another thread may call.
+ * Makes a call in progress and all later ones fail within about a second.
+ * This and stc_interrupt() are all that another thread may call.
  */
 void stc_cancel(struct stc *stc);
 
+/* Makes a call in progress fail within about a second, if there is one. */
+void stc_interrupt(struct stc *stc);
+
 /*
  * Reads every key with the prefix; the caller frees with stc_list_free().
  * Returns 0 or PST_ERR_UNAVAILABLE.
--- a/controld/store_duty.c
+++ b/controld/store_duty.c
@@ -6,10 +6,13 @@
 
 #include "agent/stc.h"
 #include "common/err.h"
+#include "common/evt.h"
 #include "controld/drains.h"
 #include "controld/duty.h"
 #include "policy/head.h"
 
+#define LOG_MODULE "store"
+
 /* Wait after a watch that reported a change which is still unread. */
 #define WATCH_PAUSE CLK_MS(20)
 
@@ -29,6 +32,11 @@
 	atomic_bool changed;
 	/* Revision of the head when it was last read. */
 	uint64_t last_head;
+	/* Changes that the watch has reported. */
+	atomic_uint reports;
+	/* A read found a change before the watch; reports at that time. */
+	bool suspected;
+	unsigned reports_then;
 };
 
 static int keep_list(struct store_duty *duty, const struct stc_list *list,
@@ -139,6 +147,23 @@
 	return read_changes(duty, item, newest);
 }
 
+/*
+ * A watch that has not reported by the next read what this read has found is
+ * taken for silent and opened anew.
+ */
+static void judge_watch(struct store_duty *duty, uint64_t head, bool reported)
+{
+	const unsigned reports = duty->reports;
+
+	if (duty->suspected && reports == duty->reports_then) {
+		evt_log(WATCH_SILENT, "head=%llu", (unsigned long long)head);
+		stc_interrupt(duty->watch_stc);
+	}
+	duty->suspected = duty->last_head && head != duty->last_head &&
+			  !reported && node_is_relay(duty->node);
+	duty->reports_then = reports;
+}
+
 static int read_table(struct store_duty *duty)
 {
 	const apr_time_t asked_at = clk_now(duty->clk);
@@ -155,6 +180,8 @@
 	if (!err || err == PST_ERR_INVALID) {
 		node_confirm(duty->node, newest, asked_at, NODE_SOURCE_STORE);
 		duty->seen = head.revision;
+		judge_watch(duty, head.count ? head.items[0].mod_revision : 0,
+			    changed);
 		duty->last_head = head.count ? head.items[0].mod_revision : 0;
 		if (changed)
 			duty->changed = false;
@@ -199,6 +226,7 @@
 			CLK_MS(duty->set->table.watch_ms));
 	if (!err) {
 		duty->watch_failures = 0;
+		duty->reports++;
 		duty->changed = true;
 		duty_poke(&duty->reader);
 		return WATCH_PAUSE;
--- a/tests/test_stc.c
+++ b/tests/test_stc.c
@@ -1,3 +1,4 @@
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdlib.h>
 #include <string.h>
@@ -35,6 +36,7 @@
 static char seen[4096];
 static size_t seen_len;
 static struct settings set;
+static atomic_int slow_ms = SLOW_MS;
 
 static enum MHD_Result send_text(struct MHD_Connection *connection)
 {
@@ -103,7 +105,7 @@
 	case MODE_LOSE_REPLY:
 		return MHD_NO;
 	case MODE_SLOW:
-		apr_sleep(CLK_MS(SLOW_MS));
+		apr_sleep(CLK_MS(slow_ms));
 		return send_text(connection);
 	case MODE_CUT:
 		return send_half(connection);
@@ -346,6 +348,33 @@
 }
 END_TEST
 
+static void *interrupt_soon(void *arg)
+{
+	apr_sleep(CLK_MS(100));
+	stc_interrupt(arg);
+	return NULL;
+}
+
+START_TEST(interrupted_watch_ends_and_the_next_call_works)
+{
+	struct stc *stc = open_store(MODE_SLOW, "{}\n");
+	const apr_time_t began = clk_now(clk_system());
+	pthread_t thread;
+
+	slow_ms = 3000;
+	ck_assert_int_eq(pthread_create(&thread, NULL, interrupt_soon, stc), 0);
+	ck_assert_int_eq(stc_watch(stc, STR_LIT("/pst/"), 41, CLK_SEC(30)),
+			 PST_ERR_UNAVAILABLE);
+	ck_assert_int_lt(clk_now(clk_system()) - began, CLK_MS(2500));
+	pthread_join(thread, NULL);
+	slow_ms = SLOW_MS;
+	mode = MODE_ANSWER;
+	text = "{\"result\":{\"events\":[{}]}}\n";
+	ck_assert_int_eq(stc_watch(stc, STR_LIT("/pst/"), 41, CLK_SEC(30)), 0);
+	close_store(stc);
+}
+END_TEST
+
 START_TEST(overlong_prefix_is_refused)
 {
 	static char key[STC_KEY_MAX + 1];
@@ -375,6 +404,7 @@
 	tcase_add_test(tc, lapsed_lease_is_not_found);
 	tcase_add_loop_test(tc, watch_tells_change_end_and_silence_apart, 0,
 			    COUNT(watch_cases));
+	tcase_add_test(tc, interrupted_watch_ends_and_the_next_call_works);
 	tcase_add_test(tc, overlong_prefix_is_refused);
 	return fix_run("stc", tc);
 }
