Shares: former lenders are renewed while others take their place

Cause: when a domain's first VM changed, all that the domain had borrowed lapsed at once and rested for a loan and a window before it was lent anew: use by two VMs wanting all of a link fell to 0 for a second. Conclusion: each VM and domain it speaks for is a source of its own; a former one gives up a 32nd in each exchange, a peer is cut by a 16th at most.

--- a/controld/shr_borrow.c
+++ b/controld/shr_borrow.c
@@ -32,8 +32,19 @@
 	apr_time_t used_at;
 };
 
+/* A VM, and for whom it spoke when it last lent to this one. */
+struct route {
+	struct strbuf vm;
+	struct strbuf domain;
+	apr_time_t used_at;
+	uint64_t round;
+};
+
 struct borrow {
 	struct shr_state *state;
+	uint64_t round;
+	struct route routes[LENDERS_MAX];
+	size_t route_count;
 	struct lender lenders[LENDERS_MAX];
 	size_t count;
 	struct strbuf parent;
@@ -79,23 +90,24 @@
 }
 
 /* Sends the asks and takes over the answer. Returns 0 or an error. */
-static int exchange(struct borrow *b, struct lender *lender, struct str domain,
-		    enum shr_level level, size_t count)
+static int exchange(struct borrow *b, struct lender *via,
+		    const struct shr_lender *lender, size_t count)
 {
+	const enum shr_level level = lender->domain.len ? SHR_PEER : SHR_CHILD;
 	struct shr_state *state = b->state;
 	struct shr_x_lent lent = {0};
 	struct shr_x_borrow request;
 	apr_time_t sent_at;
 	int err;
 
-	if (!lender->rpc)
+	if (!via->rpc)
 		return PST_ERR_INVALID;
 	err = qm_borrow_make(&request, state->set->vm.id, state->incarnation,
-			     level, domain, b->asks, count);
+			     level, lender->domain, b->asks, count);
 	if (err)
 		return err;
 	sent_at = clk_now(state->clk);
-	err = rpcc_call(lender->rpc, SHR_X_BORROW, (xdrproc_t)xdr_shr_x_borrow,
+	err = rpcc_call(via->rpc, SHR_X_BORROW, (xdrproc_t)xdr_shr_x_borrow,
 			&request, (xdrproc_t)xdr_shr_x_lent, &lent,
 			CLK_MS(state->set->net.rpc_timeout_ms));
 	xdr_free((xdrproc_t)xdr_shr_x_borrow, &request);
@@ -104,44 +116,73 @@
 	count = qm_grants(&lent, b->grants, count);
 	xdr_free((xdrproc_t)xdr_shr_x_lent, &lent);
 	pthread_mutex_lock(&state->lock);
-	shr_node_apply(state->node, clk_now(state->clk), domain, sent_at,
+	shr_node_apply(state->node, clk_now(state->clk), lender, sent_at,
 		       b->asks, b->grants, count);
 	pthread_mutex_unlock(&state->lock);
 	return 0;
 }
 
-static size_t plan(struct borrow *b, struct str domain)
+static size_t plan(struct borrow *b, const struct shr_lender *lender)
 {
 	struct shr_state *state = b->state;
 	size_t count;
 
 	pthread_mutex_lock(&state->lock);
-	count = shr_node_plan(state->node, clk_now(state->clk), domain,
+	count = shr_node_plan(state->node, clk_now(state->clk), lender,
 			      b->asks);
 	pthread_mutex_unlock(&state->lock);
 	return count;
 }
 
-/* Asks the first VM that answers. Returns false when none did. */
-static bool borrow_from(struct borrow *b, const struct vm **vms,
-			size_t vm_count, struct str domain,
-			enum shr_level level, size_t asks)
+static void note_route(struct borrow *b, const struct shr_lender *lender)
 {
-	for (size_t i = 0; i < vm_count; i++) {
-		struct lender *lender = lender_of(b, vms[i]);
-		const apr_time_t now = clk_now(b->state->clk);
-		int err;
+	struct route *route = NULL;
 
-		if (now < lender->silent_until)
-			continue;
-		lender->used_at = now;
-		err = exchange(b, lender, domain, level, asks);
-		if (!err)
-			return true;
-		lender->silent_until = clk_now(b->state->clk) + SILENT_TIME;
-		evt_log(SHARE_LENDER_SILENT, "lender=%s domain=%s err=%s",
-			vms[i]->id.ptr, vms[i]->domain.ptr, err_name(err));
+	for (size_t i = 0; i < b->route_count && !route; i++) {
+		if (str_eq(strbuf_str(&b->routes[i].vm), lender->vm) &&
+		    str_eq(strbuf_str(&b->routes[i].domain), lender->domain))
+			route = &b->routes[i];
+	}
+	if (!route) {
+		if (b->route_count == LENDERS_MAX)
+			return;
+		route = &b->routes[b->route_count++];
+		strbuf_set(&route->vm, lender->vm);
+		strbuf_set(&route->domain, lender->domain);
+	}
+	route->used_at = clk_now(b->state->clk);
+	route->round = b->round;
+}
+
+/* One exchange with a VM. Returns false when it is or was silent. */
+static bool borrow_from(struct borrow *b, const struct vm *vm,
+			enum shr_lender_kind kind, struct str domain)
+{
+	const struct shr_lender lender = {
+		.kind = kind,
+		.vm = strbuf_str(&vm->id),
+		.domain = domain,
+	};
+	struct lender *via = lender_of(b, vm);
+	const apr_time_t now = clk_now(b->state->clk);
+	size_t asks;
+	int err;
+
+	if (now < via->silent_until)
+		return false;
+	asks = plan(b, &lender);
+	/* A parent is asked for nothing, too: it shows that it is there. */
+	if (!asks && kind != SHR_PARENT)
+		return true;
+	via->used_at = now;
+	err = exchange(b, via, &lender, asks);
+	if (!err) {
+		note_route(b, &lender);
+		return true;
 	}
+	via->silent_until = clk_now(b->state->clk) + SILENT_TIME;
+	evt_log(SHARE_LENDER_SILENT, "lender=%s domain=%s err=%s", vm->id.ptr,
+		vm->domain.ptr, err_name(err));
 	return false;
 }
 
@@ -150,18 +191,44 @@
 	const struct settings *set = b->state->set;
 
 	for (size_t i = 0; i < view->tbl->domain_count; i++) {
-		const struct vm *vms[TRIED_MAX];
 		const struct str domain =
 			strbuf_str(&view->tbl->domains[i].name);
-		const size_t asks = plan(b, domain);
-		size_t count;
+		const struct vm *vms[TRIED_MAX];
+		const size_t count = shr_order(view, domain, vms, TRIED_MAX);
 
-		if (b->state->stopping || !asks)
-			continue;
-		count = shr_order(view, domain, vms, TRIED_MAX);
 		if (count && str_eq(strbuf_str(&vms[0]->id), set->vm.id))
 			continue;
-		borrow_from(b, vms, count, domain, SHR_PEER, asks);
+		for (size_t j = 0; j < count && !b->state->stopping; j++) {
+			if (borrow_from(b, vms[j], SHR_OTHER_DOMAIN, domain))
+				break;
+		}
+	}
+}
+
+/* Renews what those lent that are not asked any more, while they answer. */
+static void borrow_from_former(struct borrow *b, const struct ctl_view *view)
+{
+	const apr_time_t since =
+		clk_now(b->state->clk) - CLK_MS(b->state->set->share.loan_ms);
+	size_t kept = 0;
+
+	for (size_t i = 0; i < b->route_count; i++) {
+		struct route route = b->routes[i];
+		const struct vm *vm =
+			vml_find(view->vml, strbuf_str(&route.vm));
+
+		if (!vm || route.used_at < since)
+			continue;
+		b->routes[kept++] = route;
+	}
+	b->route_count = kept;
+	for (size_t i = 0; i < kept && !b->state->stopping; i++) {
+		const struct route route = b->routes[i];
+
+		if (route.round != b->round)
+			borrow_from(b,
+				    vml_find(view->vml, strbuf_str(&route.vm)),
+				    SHR_FORMER, strbuf_str(&route.domain));
 	}
 }
 
@@ -187,21 +254,17 @@
 	size_t count = vml_rendezvous(view->vml, set->vm.failure_domain,
 				      set->vm.failure_domain, vms, TRIED_MAX);
 	size_t before = 0;
-	size_t asks;
 
 	while (before < count &&
 	       !str_eq(strbuf_str(&vms[before]->id), set->vm.id))
 		before++;
-	/* Sent also when nothing is asked for: it shows who is silent. */
-	asks = before ? plan(b, STR_LIT("")) : 0;
 	for (size_t i = 0; i < before; i++) {
-		if (borrow_from(b, &vms[i], 1, STR_LIT(""), SHR_CHILD, asks)) {
-			b->state->acting = false;
-			note_parent(b, strbuf_str(&vms[i]->id),
-				    i ? "earlier_ones_silent"
-				      : "first_of_domain");
-			return;
-		}
+		if (!borrow_from(b, vms[i], SHR_PARENT, STR_LIT("")))
+			continue;
+		b->state->acting = false;
+		note_parent(b, strbuf_str(&vms[i]->id),
+			    i ? "earlier_ones_silent" : "first_of_domain");
+		return;
 	}
 	b->state->acting = before > 0;
 	note_parent(b, set->vm.id,
@@ -229,7 +292,9 @@
 		struct ctl_view *view = cview_get(b->state->cview);
 
 		if (view) {
+			b->round++;
 			do_round(b, view);
+			borrow_from_former(b, view);
 			ctl_view_put(view);
 		}
 		wait_round(b->state);
--- a/policy/shr_book.c
+++ b/policy/shr_book.c
@@ -11,8 +11,11 @@
 /* Rounds of the search for the fair level. */
 #define FAIR_ROUNDS 8
 
-/* Wants older than this many loans are forgotten. */
-#define WANT_LOANS 2
+/*
+ * Part by which the wants of other peers cut a peer's grant in one exchange:
+ * a divisor. What changes hands rests for a loan and a window.
+ */
+#define PEER_CUT_PART 16
 
 static uint64_t min_u64(uint64_t a, uint64_t b)
 {
@@ -31,10 +34,11 @@
 	free(book->levels);
 }
 
+/* A want counts for half a loan: one that is not renewed is over. */
 static bool fresh(const struct shr_claim *claim, apr_time_t now,
 		  apr_interval_time_t loan)
 {
-	return claim->asked_at + WANT_LOANS * loan > now;
+	return claim->asked_at + loan / 2 > now;
 }
 
 /* The next larger array, or false. */
@@ -189,47 +193,63 @@
 
 /* A peer shares what the children leave of this node's own part. */
 static uint64_t peer_amount(struct shr_book *book, apr_time_t now,
-			    const struct shr_request *request, uint64_t pool)
+			    const struct shr_request *request, uint64_t pool,
+			    uint64_t granted)
 {
 	const uint64_t children =
 		shr_book_wants(book, now, request->loan, SHR_CHILD);
 	const uint64_t idle = pool / IDLE_PART;
 	const uint64_t left = min_u64(
 		less(pool, children > idle ? children : idle), request->root);
-	const uint64_t cut =
-		fair_level(book, now, request->loan, SHR_PEER, left);
+	const uint64_t kept = granted - granted / PEER_CUT_PART;
+	uint64_t cut = fair_level(book, now, request->loan, SHR_PEER, left);
 
-	return min_u64(request->want, cut == UINT64_MAX ? cut : cut + 1);
+	cut = cut == UINT64_MAX ? cut : cut + 1;
+	if (cut < kept)
+		cut = min_u64(kept, left);
+	return min_u64(request->want, cut);
 }
 
 static uint64_t held_by_others(struct shr_book *book, apr_time_t now,
-			       uint32_t borrower, uint64_t *peers)
+			       uint32_t borrower, enum shr_level level)
 {
 	uint64_t sum = 0;
 
-	*peers = 0;
 	for (uint32_t i = 0; i < book->claim_count; i++) {
 		struct shr_claim *claim = &book->claims[i];
-		uint64_t held;
 
-		if (claim->borrower == borrower)
-			continue;
-		held = shr_claim_held(claim, now);
-		sum += held;
-		if (book->levels[i] == SHR_PEER)
-			*peers += held;
+		if (claim->borrower != borrower && book->levels[i] == level)
+			sum += shr_claim_held(claim, now);
 	}
 	return sum;
 }
 
+/*
+ * What is not in use by others. Peers are lent of the own part only, so what
+ * they hold beyond it was cut from a part that is given up already, and takes
+ * nothing from what is borrowed.
+ */
+static uint64_t room_for(struct shr_book *book, apr_time_t now,
+			 const struct shr_request *request, uint64_t pool)
+{
+	const uint64_t peers =
+		held_by_others(book, now, request->borrower, SHR_PEER);
+	const uint64_t children =
+		held_by_others(book, now, request->borrower, SHR_CHILD);
+	const uint64_t own = less(request->root, peers);
+	const uint64_t all = less(pool - request->root + own, children);
+
+	if (request->level == SHR_CHILD)
+		return all;
+	return min_u64(all, own);
+}
+
 int shr_book_lend(struct shr_book *book, apr_time_t now,
 		  const struct shr_request *request, struct shr_grant *out)
 {
 	struct shr_claim *claim;
 	apr_time_t end;
 	uint64_t amount;
-	uint64_t peers;
-	uint64_t others;
 	uint64_t pool;
 	const int err = claim_of(book, now, request, &claim);
 
@@ -239,13 +259,12 @@
 	claim->want = request->want;
 	claim->asked_at = now;
 	pool = usable(book, now, request, &end);
-	others = held_by_others(book, now, request->borrower, &peers);
 	if (request->level == SHR_CHILD)
 		amount = child_amount(book, now, request, pool);
 	else
-		amount = min_u64(peer_amount(book, now, request, pool),
-				 less(request->root, peers));
-	amount = min_u64(amount, less(pool, others));
+		amount = peer_amount(book, now, request, pool, claim->granted);
+	amount = min_u64(amount, room_for(book, now, request, pool));
+	claim->granted = amount;
 	if (!amount)
 		return 0;
 	shr_claim_add(claim, amount, shr_claim_back_at(now, end - now));
--- a/policy/shr_claim.h
+++ b/policy/shr_claim.h
@@ -31,6 +31,8 @@
 	/* What the borrower asked for last, and when. */
 	uint64_t want;
 	apr_time_t asked_at;
+	/* What was granted last. */
+	uint64_t granted;
 };
 
 /* When a grant of this duration, answered now, may be given to another. */
--- a/policy/shr_node.c
+++ b/policy/shr_node.c
@@ -11,7 +11,10 @@
 /* Time without a request after which a borrower is forgotten, in loans. */
 #define BORROWER_LOANS 4
 
-#define FIRST_INDEX    64
+/* Part of a former lender's grants given up in each exchange: a divisor. */
+#define FORMER_PART 32
+
+#define FIRST_INDEX 64
 
 struct known_map {
 	struct shr_map *map;
@@ -374,57 +377,89 @@
 	return here > borrowed - lacking ? here - (borrowed - lacking) : 0;
 }
 
-/* Lenders are told apart by name: positions change with the table. */
-static uint32_t lender_number(struct str lender)
+static uint32_t lender_number(const struct shr_lender *lender)
 {
-	return (uint32_t)str_hash(lender, 0);
+	return (uint32_t)str_hash(lender->vm, str_hash(lender->domain, 0));
 }
 
-static bool lends(const struct shr_node *node, uint64_t id, struct str lender)
+/* All that the children want, but for what comes from elsewhere. */
+static uint64_t ask_of_parent(const struct shr_node *node, apr_time_t now,
+			      const struct shr_book *book, uint32_t number)
+{
+	const uint64_t wants = shr_book_wants(book, now, node->loan, SHR_CHILD);
+	const uint64_t here = shr_book_source(book, number, now);
+	const uint64_t others = shr_book_pool(book, now, 0) - here;
+
+	return wants > others ? wants - others : 0;
+}
+
+static uint64_t ask_of_former(const struct shr_node *node, apr_time_t now,
+			      const struct shr_book *book, uint32_t number)
+{
+	const uint64_t wants = shr_book_wants(book, now, node->loan, SHR_CHILD);
+	const uint64_t here = shr_book_source(book, number, now);
+	const uint64_t kept = here - (here + FORMER_PART - 1) / FORMER_PART;
+
+	return kept < wants ? kept : wants;
+}
+
+static bool lends(const struct shr_node *node, uint64_t id, struct str domain)
 {
 	const struct shr_map *map = newest_map(node);
 
-	return map && !shr_node_holds(node, lender) &&
-	       shr_map_part(map, id, lender) > 0;
+	return map && !shr_node_holds(node, domain) &&
+	       shr_map_part(map, id, domain) > 0;
 }
 
 static uint64_t ask_of(struct shr_node *node, apr_time_t now,
-		       struct shr_book *book, struct str lender)
+		       struct shr_book *book, const struct shr_lender *lender)
 {
-	if (!lender.len)
-		return shr_book_wants(book, now, node->loan, SHR_CHILD);
-	if (!lends(node, book->id, lender))
-		return 0;
-	return ask_of_peer(node, now, book, lender_number(lender));
+	const uint32_t number = lender_number(lender);
+
+	switch (lender->kind) {
+	case SHR_PARENT:
+		return ask_of_parent(node, now, book, number);
+	case SHR_OTHER_DOMAIN:
+		if (lends(node, book->id, lender->domain))
+			return ask_of_peer(node, now, book, number);
+		break;
+	case SHR_FORMER:
+		return ask_of_former(node, now, book, number);
+	}
+	return 0;
 }
 
-size_t shr_node_plan(struct shr_node *node, apr_time_t now, struct str lender,
-		     struct shr_ask *out)
+size_t shr_node_plan(struct shr_node *node, apr_time_t now,
+		     const struct shr_lender *lender, struct shr_ask *out)
 {
+	const uint32_t number = lender_number(lender);
 	size_t count = 0;
 
 	for (size_t i = 0; i < node->book_count && count < SHR_ASKS_MAX; i++) {
 		struct shr_book *book = &node->books[i];
 		const uint64_t want = ask_of(node, now, book, lender);
 
-		if (!want && !shr_book_source(book, lender_number(lender), now))
+		if (!want && !shr_book_source(book, number, now))
 			continue;
 		out[count++] = (struct shr_ask){.id = book->id, .want = want};
 	}
 	return count;
 }
 
-void shr_node_apply(struct shr_node *node, apr_time_t now, struct str lender,
-		    apr_time_t sent_at, const struct shr_ask *asks,
-		    const struct shr_grant *grants, size_t count)
+void shr_node_apply(struct shr_node *node, apr_time_t now,
+		    const struct shr_lender *lender, apr_time_t sent_at,
+		    const struct shr_ask *asks, const struct shr_grant *grants,
+		    size_t count)
 {
+	const uint32_t number = lender_number(lender);
+
 	for (size_t i = 0; i < count; i++) {
 		struct shr_book *book = find_book(node, asks[i].id);
 		const apr_time_t expires = sent_at + grants[i].duration;
 
 		if (!book)
 			continue;
-		shr_book_borrowed(book, lender_number(lender),
+		shr_book_borrowed(book, number,
 				  expires > now ? grants[i].amount : 0,
 				  expires);
 	}
--- a/policy/shr_node.h
+++ b/policy/shr_node.h
@@ -67,21 +67,39 @@
 		   const struct shr_borrower *from, const struct shr_ask *asks,
 		   size_t count, struct shr_grant *out);
 
-/*
- * Works out what to ask of a lender: a failure domain for what the own part
- * does not cover, or, with an empty name, a VM of the own domain for all
- * that the children want. Returns how many asks, at most SHR_ASKS_MAX.
- */
-size_t shr_node_plan(struct shr_node *node, apr_time_t now, struct str lender,
-		     struct shr_ask *out);
+enum shr_lender_kind {
+	/* A VM of the own domain: for all that the children want. */
+	SHR_PARENT,
+	/* A VM that speaks for another domain: for what is lacking. */
+	SHR_OTHER_DOMAIN,
+	/*
+	 * Either, when it no longer is: its grants are renewed, a little less
+	 * each time, while others take its place. Given up at once, all of
+	 * them would rest unused at the same time.
+	 */
+	SHR_FORMER,
+};
+
+/* Whom to ask. Each VM and domain it speaks for is a source of its own. */
+struct shr_lender {
+	enum shr_lender_kind kind;
+	struct str vm;
+	/* Empty for a VM of the own domain. */
+	struct str domain;
+};
+
+/* Works out what to ask of a lender; at most SHR_ASKS_MAX asks. */
+size_t shr_node_plan(struct shr_node *node, apr_time_t now,
+		     const struct shr_lender *lender, struct shr_ask *out);
 
 /*
- * Takes over a lender's answer; sent_at: before the request was sent. Any
- * earlier grants of that lender, whichever VM spoke for it, end.
+ * Takes over a lender's answer in place of its earlier one; sent_at: before
+ * the request was sent.
  */
-void shr_node_apply(struct shr_node *node, apr_time_t now, struct str lender,
-		    apr_time_t sent_at, const struct shr_ask *asks,
-		    const struct shr_grant *grants, size_t count);
+void shr_node_apply(struct shr_node *node, apr_time_t now,
+		    const struct shr_lender *lender, apr_time_t sent_at,
+		    const struct shr_ask *asks, const struct shr_grant *grants,
+		    size_t count);
 
 /* Own part of a limit now, and that with all that is borrowed. */
 uint64_t shr_node_root(struct shr_node *node, apr_time_t now, uint64_t id);
--- a/tests/fix_shr.c
+++ b/tests/fix_shr.c
@@ -19,6 +19,7 @@
 
 #define LINK_MBPS  8
 #define INTAKE	   240
+#define TARGETS	   ((size_t)FS_VMS * (FS_DOMAINS + 1))
 #define MESSAGES   4096
 #define PER_DOMAIN (FS_VMS / FS_DOMAINS)
 
@@ -69,6 +70,13 @@
 	size_t count;
 };
 
+/* Whom to ask; domain FS_DOMAINS: a VM of the own domain. */
+struct target {
+	size_t vm;
+	size_t domain;
+	enum shr_lender_kind kind;
+};
+
 struct process {
 	bool alive;
 	uint64_t number;
@@ -84,11 +92,13 @@
 	struct shr_root roots[FS_DOMAINS];
 	struct call root_calls[FS_DOMAINS];
 	struct call borrow;
-	/* Next domain of the round; FS_DOMAINS: between rounds. */
-	size_t round;
-	bool child;
+	/* Lenders of the round, and the next of them. */
+	struct target targets[TARGETS];
+	size_t target_count;
+	size_t target;
 	bool acting;
-	size_t parent;
+	/* Last answer by VM and by the domain it speaks for. */
+	apr_time_t answered[FS_VMS][FS_DOMAINS + 1];
 	apr_time_t round_at;
 	apr_time_t tick_at;
 	apr_time_t silent_until[FS_VMS];
@@ -234,7 +244,9 @@
 	v->control = (struct process){.alive = true, .number = ++fs->numbers};
 	memset(v->root_calls, 0, sizeof(v->root_calls));
 	v->borrow = (struct call){0};
-	v->round = FS_DOMAINS;
+	v->target = 0;
+	v->target_count = 0;
+	memset(v->answered, 0, sizeof(v->answered));
 	memset(v->silent_until, 0, sizeof(v->silent_until));
 	for (size_t d = 0; d < FS_DOMAINS; d++) {
 		const struct strbuf name = domain_name(d);
@@ -277,6 +289,8 @@
 
 static void enqueue(struct fs *fs, const struct message *m)
 {
+	long most;
+
 	for (size_t i = 0; i < MESSAGES; i++) {
 		if (fs->messages[i].used)
 			continue;
@@ -284,10 +298,8 @@
 		fs->messages[i].used = true;
 		if (i >= fs->message_top)
 			fs->message_top = i + 1;
-		fs->messages[i].at =
-			fs->now + FS_STEP / 5 +
-			random() % (random() % 100 < fs->slow_pct ? 400000
-								  : 60000);
+		most = random() % 100 < fs->slow_pct ? 400000 : 60000;
+		fs->messages[i].at = fs->now + FS_STEP / 5 + random() % most;
 		return;
 	}
 	abort();
@@ -463,62 +475,87 @@
 	apply_roots(fs, vm);
 }
 
+static void add_target(struct vm_sim *v, size_t vm, size_t domain,
+		       enum shr_lender_kind kind)
+{
+	for (size_t i = 0; i < v->target_count; i++) {
+		if (v->targets[i].vm == vm && v->targets[i].domain == domain)
+			return;
+	}
+	v->targets[v->target_count++] =
+		(struct target){.vm = vm, .domain = domain, .kind = kind};
+}
+
+/* The parent, or else the other domains; then who lent lately. */
 static void start_round(struct fs *fs, size_t vm)
 {
 	struct vm_sim *v = &fs->vms[vm];
 	const apr_time_t now = local(fs, vm);
 	size_t vms[FS_VMS];
 	const size_t count = order(fs, vm, domain_of(vm), vms);
-
-	v->child = false;
-	v->round = 0;
-	for (size_t i = 0; i < count && vms[i] != vm; i++) {
-		if (domain_of(vms[i]) != domain_of(vm) ||
-		    now < v->silent_until[vms[i]])
-			continue;
-		v->child = true;
-		v->parent = vms[i];
-		return;
+	bool child = false;
+
+	v->target = 0;
+	v->target_count = 0;
+	for (size_t i = 0; i < count && vms[i] != vm && !child; i++) {
+		child = domain_of(vms[i]) == domain_of(vm) &&
+			now >= v->silent_until[vms[i]];
+		if (child)
+			add_target(v, vms[i], FS_DOMAINS, SHR_PARENT);
 	}
-	v->acting = count && vms[0] != vm;
+	if (!child)
+		v->acting = count && vms[0] != vm;
+	for (size_t d = 0; d < FS_DOMAINS && !child; d++) {
+		if (order(fs, vm, d, vms) && vms[0] != vm &&
+		    now >= v->silent_until[vms[0]])
+			add_target(v, vms[0], d, SHR_OTHER_DOMAIN);
+	}
+	for (size_t i = 0; i < TARGETS; i++) {
+		const size_t other = i / (FS_DOMAINS + 1);
+		const size_t d = i % (FS_DOMAINS + 1);
+
+		if (v->answered[other][d] &&
+		    now < v->answered[other][d] + LOAN &&
+		    now >= v->silent_until[other])
+			add_target(v, other, d, SHR_FORMER);
+	}
+}
+
+static struct shr_lender lender_of(const struct target *target,
+				   const struct strbuf *vm,
+				   const struct strbuf *domain)
+{
+	struct shr_lender lender = {.kind = target->kind, .vm = strbuf_str(vm)};
+
+	if (target->domain < FS_DOMAINS)
+		lender.domain = strbuf_str(domain);
+	return lender;
 }
 
 /* Sends the round's next request; ends the round after the last. */
 static void next_borrow(struct fs *fs, size_t vm)
 {
 	struct vm_sim *v = &fs->vms[vm];
-	const apr_time_t now = local(fs, vm);
 
-	while (v->round < FS_DOMAINS && !v->borrow.waiting) {
+	while (v->target < v->target_count && !v->borrow.waiting) {
+		const struct target *target = &v->targets[v->target++];
+		const struct strbuf name = vm_name(target->vm);
+		const struct strbuf domain = domain_name(target->domain);
+		const struct shr_lender lender =
+			lender_of(target, &name, &domain);
 		struct shr_ask asks[SHR_ASKS_MAX];
-		struct message m = {.kind = MSG_BORROW};
-		const size_t d = v->round++;
-		const struct strbuf name = domain_name(d);
-		size_t vms[FS_VMS];
-
-		if (v->child) {
-			v->round = FS_DOMAINS;
-			m.to = v->parent;
-			m.level = SHR_CHILD;
-			v->borrow.domain = FS_DOMAINS;
-			m.count =
-				shr_node_plan(v->node, now, STR_LIT(""), asks);
-		} else {
-			if (!order(fs, vm, d, vms) || vms[0] == vm)
-				continue;
-			m.to = vms[0];
-			if (now < v->silent_until[m.to])
-				continue;
-			m.level = SHR_PEER;
-			v->borrow.domain = d;
-			m.domain = d;
-			m.count = shr_node_plan(v->node, now, strbuf_str(&name),
-						asks);
-		}
-		if (!m.count && !v->child)
+		struct message m = {
+			.kind = MSG_BORROW,
+			.to = target->vm,
+			.domain = target->domain,
+			.level = target->domain < FS_DOMAINS ? SHR_PEER
+							     : SHR_CHILD,
+		};
+
+		m.count = shr_node_plan(v->node, local(fs, vm), &lender, asks);
+		if (!m.count && target->kind != SHR_PARENT)
 			continue;
 		memcpy(m.asks, asks, m.count * sizeof(asks[0]));
-		v->parent = m.to;
 		call(fs, vm, &v->borrow, &m);
 	}
 }
@@ -526,16 +563,17 @@
 static void end_borrow(struct fs *fs, size_t vm, const struct message *m)
 {
 	struct vm_sim *v = &fs->vms[vm];
-	struct strbuf name = {0};
+	const struct target *target = &v->targets[v->target - 1];
+	const struct strbuf name = vm_name(target->vm);
+	const struct strbuf domain = domain_name(target->domain);
+	const struct shr_lender lender = lender_of(target, &name, &domain);
 
 	v->borrow.waiting = false;
-	if (v->child)
+	if (target->kind == SHR_PARENT)
 		v->acting = false;
-	if (v->borrow.domain < FS_DOMAINS)
-		name = domain_name(v->borrow.domain);
-	shr_node_apply(v->node, local(fs, vm), strbuf_str(&name),
-		       v->borrow.sent_at, v->borrow.asks, m->grants,
-		       v->borrow.count);
+	v->answered[target->vm][target->domain] = local(fs, vm);
+	shr_node_apply(v->node, local(fs, vm), &lender, v->borrow.sent_at,
+		       v->borrow.asks, m->grants, v->borrow.count);
 }
 
 static void step_control(struct fs *fs, size_t vm)
@@ -549,9 +587,9 @@
 	}
 	if (v->borrow.waiting && now - v->borrow.sent_at > TIMEOUT) {
 		v->borrow.waiting = false;
-		v->silent_until[v->parent] = now + SILENT;
+		v->silent_until[v->targets[v->target - 1].vm] = now + SILENT;
 	}
-	if (v->round >= FS_DOMAINS && !v->borrow.waiting &&
+	if (v->target >= v->target_count && !v->borrow.waiting &&
 	    now >= v->round_at) {
 		v->round_at = now + INTERVAL;
 		start_round(fs, vm);
@@ -728,7 +766,6 @@
 	const struct vm_sim *v = &fs->vms[vm];
 	const struct shr_root *root = &v->roots[domain_of(vm)];
 	const bool holds = shr_root_valid(root, local(fs, vm));
-	struct shr_ask asks[SHR_ASKS_MAX];
 
 	switch (fs->when) {
 	case FS_AT_START:
@@ -742,8 +779,7 @@
 		       shr_node_rest(v->node, local(fs, vm)) > 0;
 	case FS_WHILE_BORROWING:
 		return v->wants && fs->now > CLK_SEC(4) && v->borrow.waiting &&
-		       shr_node_plan(v->node, local(fs, vm), STR_LIT(""),
-				     asks) > 0;
+		       v->borrow.count > 0;
 	case FS_WHILE_HANDING_OVER:
 		return root->state == SHR_ASKING;
 	case FS_WHENS:
--- a/tests/test_shr_fleet.c
+++ b/tests/test_shr_fleet.c
@@ -54,10 +54,12 @@
 	const apr_time_t end = fs_now(fs) + time;
 
 	while (fs_now(fs) < end) {
+		size_t some;
+
 		fs_demand(fs, FS_VMS, 0);
 		fs_run(fs, CLK_MS(2000 + random() % 4000));
-		fs_demand(fs, 1 + (size_t)random() % FS_VMS,
-			  (size_t)random() % FS_VMS);
+		some = 1 + (size_t)random() % FS_VMS;
+		fs_demand(fs, some, (size_t)random() % FS_VMS);
 		fs_run(fs, CLK_MS(random() % 2000));
 	}
 }
