--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -22,6 +22,15 @@
 /* Failures in a row after which an upstream is treated as silent. */
 #define FAILURES_MAX 3
 
+/*
+ * Work done this short a time ago shows that silence was a connection's; it
+ * is less than any time after which a connection is called silent.
+ */
+#define ALIVE_TIME APR_TIME_C(500000)
+
+/* Silences in a row after which an upstream may have been restarted. */
+#define RESTART_SILENCES 2
+
 static bool better(const struct brk_up *a, const struct brk_up *b)
 {
 	const bool a_free = a->held < a->usable;
@@ -182,6 +191,11 @@
 	return hold << doublings;
 }
 
+static uint64_t name_key(const struct brk_listed *vm)
+{
+	return str_hash(strbuf_str(&vm->name), 0);
+}
+
 static struct brk_up *add(struct brk_fleet *fleet, const struct brk_listed *vm)
 {
 	struct brk_up *up;
@@ -201,6 +215,7 @@
 		return NULL;
 	up->vm = *vm;
 	up->pace = 1.0;
+	brk_map_add(&fleet->names, &up->by_name, name_key(vm), vm->name.len);
 	place(fleet, fleet->count++, up);
 	return up;
 }
@@ -210,6 +225,7 @@
 	struct brk_up *last = fleet->heap[--fleet->count];
 
 	count_out(fleet, up);
+	brk_map_remove(&fleet->names, &up->by_name);
 	if (last != up) {
 		place(fleet, up->place, last);
 		sift(fleet, last);
@@ -258,6 +274,7 @@
 			continue;
 		}
 		count_out(fleet, up);
+		brk_map_remove(&fleet->names, &up->by_name);
 		free(up);
 	}
 	fleet->count = kept;
@@ -267,8 +284,9 @@
 static void served(struct brk_fleet *fleet, struct brk_up *up, double pace,
 		   apr_time_t now)
 {
-	if (up->silences_in_row)
+	if (up->silences_in_row >= RESTART_SILENCES)
 		start_ramp(fleet, up, now);
+	up->done_at = now;
 	up->silences_in_row = 0;
 	up->sheds_in_row = 0;
 	up->failures_in_row = 0;
@@ -304,9 +322,10 @@
 	count_in(fleet, up);
 }
 
-void brk_fleet_init(struct brk_fleet *fleet, const struct brk_up_cfg *cfg)
+int brk_fleet_init(struct brk_fleet *fleet, const struct brk_up_cfg *cfg)
 {
 	*fleet = (struct brk_fleet){.cfg = *cfg};
+	return brk_map_init(&fleet->names);
 }
 
 void brk_fleet_done(struct brk_fleet *fleet)
@@ -314,6 +333,7 @@
 	for (size_t i = 0; i < fleet->count; i++)
 		free(fleet->heap[i]);
 	free(fleet->heap);
+	brk_map_done(&fleet->names);
 }
 
 int brk_fleet_list(struct brk_fleet *fleet, const struct brk_listed *vms,
@@ -337,11 +357,10 @@
 
 struct brk_up *brk_fleet_find(const struct brk_fleet *fleet, struct str name)
 {
-	for (size_t i = 0; i < fleet->count; i++) {
-		if (str_eq(strbuf_str(&fleet->heap[i]->vm.name), name))
-			return fleet->heap[i];
-	}
-	return NULL;
+	struct brk_node *node =
+		brk_map_find(&fleet->names, str_hash(name, 0), name.len);
+
+	return (struct brk_up *)(void *)node;
 }
 
 void brk_fleet_tick(struct brk_fleet *fleet, apr_time_t now)
@@ -404,7 +423,9 @@
 			now + grown(fleet->cfg.shed_hold, up->sheds_in_row++);
 		break;
 	case PERMIT_SILENT:
-		distrust(fleet, up, now);
+		if (++up->failures_in_row >= FAILURES_MAX || !up->done_at ||
+		    now - up->done_at > ALIVE_TIME)
+			distrust(fleet, up, now);
 		break;
 	case PERMIT_DRAINING:
 		up->drain_until = now + fleet->cfg.drain_hold;
