Quota: bytes are only given back with the time at which they were taken

Cause: entries now keep what a short take gave, and give prepaid bytes back when a transfer ends; matching that to the thread's last short take could give back bytes that another transfer had sent. Ruled out: giving back to the present slot, or to the oldest one (both reopen a window when the take is more than a second old). Conclusion: quota_return_bytes() wastes; quota_return_taken() with the time of the first of the takes gives back, exactly or too little.

--- a/agent/quota.c
+++ b/agent/quota.c
@@ -59,17 +59,6 @@
 	struct shr_grant grants[SHR_ASKS_MAX];
 };
 
-/* This thread's latest take that gave less than wanted. */
-struct short_take {
-	const struct quota_agent *agent;
-	uint32_t from;
-	uint32_t to;
-	size_t got;
-	apr_time_t at;
-};
-
-static _Thread_local struct short_take short_take;
-
 static struct ql_limit *link_limit(struct quota_agent *agent,
 				   const struct tbl *tbl, uint32_t from,
 				   uint32_t to)
@@ -478,13 +467,6 @@
 		return want;
 	pthread_mutex_lock(&agent->lock);
 	got = take_link(agent, from, to, rank, want);
-	short_take = (struct short_take){
-		.agent = got < want ? agent : NULL,
-		.from = from,
-		.to = to,
-		.got = got,
-		.at = clk_now(agent->clk),
-	};
 	pthread_mutex_unlock(&agent->lock);
 	return got;
 }
@@ -509,13 +491,10 @@
 void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
 			size_t bytes)
 {
-	const struct short_take take = short_take;
-
-	if (take.agent != agent || take.from != from || take.to != to)
-		return;
-	short_take.agent = NULL;
-	quota_return_taken(agent, from, to, bytes < take.got ? bytes : take.got,
-			   take.at);
+	(void)agent;
+	(void)from;
+	(void)to;
+	(void)bytes;
 }
 
 static bool take_intake(struct quota_agent *agent, const struct tbl *tbl,
--- a/agent/quota.h
+++ b/agent/quota.h
@@ -26,16 +26,16 @@
 			enum rank rank, size_t want);
 
 /*
- * Returns bytes of a link that the calling thread has just taken, when the
- * take gave less than wanted and it sends none of them. Any other return is
- * ignored: the window that counted the bytes may be over.
+ * Gives up bytes taken at an unknown time: they count as sent, since the
+ * window that counted them may be over. See quota_return_taken().
  */
 void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
 			size_t bytes);
 
 /*
  * Returns bytes that were taken at taken_at, by the agent's clock, and will
- * not be sent. After one second they count as sent.
+ * not be sent. For bytes of several takes it is the time of the first. After
+ * one second they count as sent.
  */
 void quota_return_taken(struct quota_agent *agent, uint32_t from, uint32_t to,
 			size_t bytes, apr_time_t taken_at);
