Permits: one frame for the threads of agent and broker

Cause: agent/permit.c and controld/brk_svc.c had the same loop, ring and stop. Ruled out: sharing the message types as well (they have nothing in common). Conclusion: what is pushed during the stop is freed at the end; a leak of the settings in test_brk_poll is gone.

--- a/agent/permit.c
+++ b/agent/permit.c
@@ -1,29 +1,17 @@
 #include "agent/permit.h"
 
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 
-#include "agent/permit_ring.h"
+#include "agent/permit_duty.h"
 #include "agent/permit_state.h"
 #include "common/err.h"
-#include "common/evt.h"
 #include "common/rpcs.h"
 
-#define LOG_MODULE "permit"
-
 /* Commands and messages that wait for the thread. */
 #define RING_CAPACITY 16384
 
-/* Time between ticks with and without something in progress. */
-#define TICK_BUSY CLK_MS(5)
-#define TICK_IDLE CLK_MS(100)
-
-/* Time between looks for a new view. */
-#define VIEW_INTERVAL CLK_MS(50)
-
-/* Commands taken before what they cause is sent. */
-#define BURST 64
+/* Time between ticks while something is in progress. */
+#define TICK CLK_MS(5)
 
 enum command_kind {
 	COMMAND_ASK,
@@ -31,7 +19,6 @@
 	COMMAND_RELEASE,
 	COMMAND_REPORT,
 	COMMAND_ANSWERS,
-	COMMAND_STOP,
 };
 
 struct command {
@@ -54,17 +41,11 @@
 struct permit_agent {
 	const struct clk *clk;
 	struct ctl_agent *ctl;
-	struct permit_ring *ring;
+	struct permit_duty *duty;
 	struct permit_out *out;
 	struct permit_state *state;
 	void (*on_answer)(void *ctx, const struct permit_answer *answer);
 	void *ctx;
-	struct ctl_view *view;
-	apr_time_t view_at;
-	apr_time_t tick_at;
-	atomic_bool stopping;
-	pthread_t thread;
-	bool started;
 	struct rpcs_proc proc;
 	struct rpcs_program program;
 };
@@ -84,20 +65,6 @@
 	agent->on_answer(agent->ctx, answer);
 }
 
-static int push(struct permit_agent *agent, const struct command *command)
-{
-	struct command *copy = malloc(sizeof(*copy));
-
-	if (!copy)
-		return PST_ERR_FULL;
-	*copy = *command;
-	if (permit_ring_push(agent->ring, copy))
-		return 0;
-	free(copy);
-	evt_log(BROKER_RING_FULL, "ring=permit");
-	return PST_ERR_FULL;
-}
-
 static int handle_answers(void *ctx, const struct net_addr *peer, void *args,
 			  void *res)
 {
@@ -111,15 +78,16 @@
 	(void)peer;
 	(void)res;
 	/* The thread frees what has been taken over. */
-	if (!push(agent, &command))
+	if (!permit_duty_push(agent->duty, &command))
 		*answers = (pmt_answers){0};
 	return 0;
 }
 
-static void run_command(struct permit_agent *agent, struct command *command)
+static void take_command(void *ctx, void *item, apr_time_t now)
 {
+	const struct permit_agent *agent = ctx;
+	const struct command *command = item;
 	struct permit_state *state = agent->state;
-	const apr_time_t now = clk_now(agent->clk);
 
 	switch (command->kind) {
 	case COMMAND_ASK:
@@ -139,60 +107,73 @@
 	case COMMAND_ANSWERS:
 		permit_state_answers(state, &command->answers, now);
 		break;
-	case COMMAND_STOP:
-		break;
 	}
 }
 
-static void free_command(struct command *command)
+static void drop_command(void *item)
 {
+	struct command *command = item;
+
 	if (command->kind == COMMAND_ANSWERS)
 		xdr_free((xdrproc_t)xdr_pmt_answers, &command->answers);
-	free(command);
 }
 
-static void look_for_view(struct permit_agent *agent, apr_time_t now)
+static struct ctl_view *present_view(void *ctx)
 {
-	struct ctl_view *view;
+	const struct permit_agent *agent = ctx;
 
-	if (agent->view && now - agent->view_at < VIEW_INTERVAL)
-		return;
-	agent->view_at = now;
-	view = ctl_agent_view(agent->ctl);
-	if (view && view != agent->view)
-		permit_state_view(agent->state, view, now);
-	/* The reference kept here keeps the address from being used again. */
-	if (view && agent->view)
-		ctl_view_put(agent->view);
-	if (view)
-		agent->view = view;
+	return ctl_agent_view(agent->ctl);
 }
 
-static void *run(void *arg)
+static void take_view(void *ctx, struct ctl_view *view, apr_time_t now)
 {
-	struct permit_agent *agent = arg;
-
-	while (!agent->stopping) {
-		const apr_interval_time_t wait =
-			permit_state_busy(agent->state) ? TICK_BUSY : TICK_IDLE;
-		struct command *command = permit_ring_pop(agent->ring, wait);
-		const apr_time_t now = clk_now(agent->clk);
-
-		look_for_view(agent, now);
-		for (int i = 0; command && i < BURST; i++) {
-			run_command(agent, command);
-			free_command(command);
-			command = i + 1 < BURST
-					  ? permit_ring_pop(agent->ring, 0)
-					  : NULL;
-		}
-		if (now - agent->tick_at >= TICK_BUSY) {
-			agent->tick_at = now;
-			permit_state_tick(agent->state, now);
-		}
-		permit_state_flush(agent->state, clk_now(agent->clk));
-	}
-	return NULL;
+	const struct permit_agent *agent = ctx;
+
+	permit_state_view(agent->state, view, now);
+}
+
+static void tick(void *ctx, apr_time_t now)
+{
+	const struct permit_agent *agent = ctx;
+
+	permit_state_tick(agent->state, now);
+}
+
+static void flush(void *ctx, apr_time_t now)
+{
+	const struct permit_agent *agent = ctx;
+
+	permit_state_flush(agent->state, now);
+}
+
+static bool busy(void *ctx)
+{
+	const struct permit_agent *agent = ctx;
+
+	return permit_state_busy(agent->state);
+}
+
+static int create_duty(struct permit_agent *agent)
+{
+	const struct permit_duty_cfg cfg = {
+		.clk = agent->clk,
+		.name = "permit",
+		.capacity = RING_CAPACITY,
+		.tick = TICK,
+		.item_size = sizeof(struct command),
+	};
+	const struct permit_duty_hooks hooks = {
+		.take = take_command,
+		.drop = drop_command,
+		.view = present_view,
+		.moved = take_view,
+		.tick = tick,
+		.flush = flush,
+		.busy = busy,
+		.ctx = agent,
+	};
+
+	return permit_duty_create(&agent->duty, &cfg, &hooks);
 }
 
 static int create_state(struct permit_agent *agent, const struct settings *set)
@@ -238,7 +219,7 @@
 
 static int start(struct permit_agent *agent, const struct settings *set)
 {
-	int err = permit_ring_create(&agent->ring, RING_CAPACITY);
+	int err = create_duty(agent);
 
 	if (!err)
 		err = permit_out_start(&agent->out, set, agent->clk);
@@ -246,12 +227,9 @@
 		err = create_state(agent, set);
 	if (!err)
 		err = register_program(agent);
-	if (err)
-		return err;
-	if (pthread_create(&agent->thread, NULL, run, agent))
-		return PST_ERR_THREAD;
-	agent->started = true;
-	return 0;
+	if (!err)
+		err = permit_duty_start(agent->duty);
+	return err;
 }
 
 int permit_agent_start(struct permit_agent **out, const struct settings *set,
@@ -280,23 +258,12 @@
 
 void permit_agent_stop(struct permit_agent *agent)
 {
-	const struct command stop = {.kind = COMMAND_STOP};
-	struct command *command;
-
 	if (!agent)
 		return;
-	agent->stopping = true;
-	if (agent->started) {
-		push(agent, &stop);
-		pthread_join(agent->thread, NULL);
-	}
-	while (agent->ring && (command = permit_ring_pop(agent->ring, 0)))
-		free_command(command);
+	permit_duty_stop(agent->duty);
 	permit_out_stop(agent->out);
 	permit_state_destroy(agent->state);
-	if (agent->view)
-		ctl_view_put(agent->view);
-	permit_ring_destroy(agent->ring);
+	permit_duty_destroy(agent->duty);
 	free(agent);
 }
 
@@ -304,7 +271,7 @@
 {
 	const struct command command = {.kind = COMMAND_ASK, .ask = *ask};
 
-	return push(agent, &command);
+	return permit_duty_push(agent->duty, &command);
 }
 
 void permit_agent_cancel(struct permit_agent *agent, uint64_t ask_id)
@@ -314,7 +281,7 @@
 		.cancel = ask_id,
 	};
 
-	push(agent, &command);
+	permit_duty_push(agent->duty, &command);
 }
 
 void permit_agent_release(struct permit_agent *agent, uint64_t permit_id,
@@ -325,7 +292,7 @@
 		.release = {.permit = permit_id, .outcome = outcome},
 	};
 
-	push(agent, &command);
+	permit_duty_push(agent->duty, &command);
 }
 
 void permit_agent_report(struct permit_agent *agent, uint64_t permit_id,
@@ -336,5 +303,5 @@
 		.report = {.permit = permit_id, .report = *report},
 	};
 
-	push(agent, &command);
+	permit_duty_push(agent->duty, &command);
 }
--- a/controld/brk_svc.c
+++ b/controld/brk_svc.c
@@ -1,34 +1,21 @@
 #include "controld/brk_svc.h"
 
-#include <pthread.h>
-#include <stdatomic.h>
 #include <stdlib.h>
 
-#include "agent/permit_ring.h"
+#include "agent/permit_duty.h"
 #include "common/err.h"
-#include "common/evt.h"
 #include "common/rpcs.h"
 #include "controld/brk_host.h"
 
-#define LOG_MODULE "broker"
-
 /* Batches and reports that wait for the thread. */
 #define RING_CAPACITY 16384
 
-/* Time between ticks with and without a broker. */
-#define TICK_BUSY CLK_MS(10)
-#define TICK_IDLE CLK_MS(200)
-
-/* Time between looks for a new view. */
-#define VIEW_INTERVAL CLK_MS(50)
-
-/* Messages taken before what they cause is sent. */
-#define BURST 64
+/* Time between ticks while there is a broker. */
+#define TICK CLK_MS(10)
 
 enum message_kind {
 	MESSAGE_BATCH,
 	MESSAGE_REPORT,
-	MESSAGE_STOP,
 };
 
 struct message {
@@ -48,34 +35,14 @@
 struct brk_svc {
 	const struct clk *clk;
 	struct cview *cview;
-	struct permit_ring *ring;
+	struct permit_duty *duty;
 	struct permit_out *out;
 	struct brk_poll *poll;
 	struct brk_host *host;
-	struct ctl_view *view;
-	apr_time_t view_at;
-	apr_time_t tick_at;
-	atomic_bool stopping;
-	pthread_t thread;
-	bool started;
 	struct rpcs_proc proc;
 	struct rpcs_program program;
 };
 
-static int push(struct brk_svc *svc, const struct message *message)
-{
-	struct message *copy = malloc(sizeof(*copy));
-
-	if (!copy)
-		return PST_ERR_FULL;
-	*copy = *message;
-	if (permit_ring_push(svc->ring, copy))
-		return 0;
-	free(copy);
-	evt_log(BROKER_RING_FULL, "ring=broker");
-	return PST_ERR_FULL;
-}
-
 static int handle_batch(void *ctx, const struct net_addr *peer, void *args,
 			void *res)
 {
@@ -89,7 +56,7 @@
 	(void)res;
 	net_addr_ip(peer, &message.batch.address);
 	/* The thread frees what has been taken over. */
-	if (!push(svc, &message))
+	if (!permit_duty_push(svc->duty, &message))
 		*batch = (pmt_batch){0};
 	return 0;
 }
@@ -103,7 +70,8 @@
 		.report = {.upstream = *upstream, .report = *report},
 	};
 
-	push(svc, &message);
+	/* The next report comes soon. */
+	(void)permit_duty_push(svc->duty, &message);
 }
 
 static void send_mail(void *ctx, const struct permit_mail *mail)
@@ -114,9 +82,10 @@
 	(void)permit_out_send(svc->out, mail);
 }
 
-static void run_message(struct brk_svc *svc, const struct message *message)
+static void take_message(void *ctx, void *item, apr_time_t now)
 {
-	const apr_time_t now = clk_now(svc->clk);
+	const struct brk_svc *svc = ctx;
+	const struct message *message = item;
 
 	switch (message->kind) {
 	case MESSAGE_BATCH:
@@ -127,69 +96,77 @@
 		brk_host_report(svc->host, &message->report.upstream,
 				&message->report.report, now);
 		break;
-	case MESSAGE_STOP:
-		break;
 	}
 }
 
-static void free_message(struct message *message)
+static void drop_message(void *item)
 {
+	struct message *message = item;
+
 	if (message->kind == MESSAGE_BATCH)
 		xdr_free((xdrproc_t)xdr_pmt_batch, &message->batch.batch);
-	free(message);
 }
 
-static void look_for_view(struct brk_svc *svc, apr_time_t now)
+static struct ctl_view *present_view(void *ctx)
 {
-	struct ctl_view *view;
+	const struct brk_svc *svc = ctx;
 
-	if (svc->view && now - svc->view_at < VIEW_INTERVAL)
-		return;
-	svc->view_at = now;
-	view = cview_get(svc->cview);
-	if (view && view != svc->view)
-		brk_host_view(svc->host, view, now);
-	/* The reference kept here keeps the address from being used again. */
-	if (view && svc->view)
-		ctl_view_put(svc->view);
-	if (view)
-		svc->view = view;
+	return cview_get(svc->cview);
+}
+
+static void take_view(void *ctx, struct ctl_view *view, apr_time_t now)
+{
+	const struct brk_svc *svc = ctx;
+
+	brk_host_view(svc->host, view, now);
 }
 
-static void update_poll(struct brk_svc *svc)
+static void tick(void *ctx, apr_time_t now)
 {
+	const struct brk_svc *svc = ctx;
+
+	brk_host_tick(svc->host, now);
+}
+
+static void flush(void *ctx, apr_time_t now)
+{
+	const struct brk_svc *svc = ctx;
 	struct brk_poll_target *targets;
 	size_t count;
 
+	brk_host_flush(svc->host, now);
 	if (brk_host_targets(svc->host, &targets, &count))
 		brk_poll_set(svc->poll, targets, count);
 }
 
-static void *run(void *arg)
+static bool busy(void *ctx)
 {
-	struct brk_svc *svc = arg;
-
-	while (!svc->stopping) {
-		const apr_interval_time_t wait =
-			brk_host_busy(svc->host) ? TICK_BUSY : TICK_IDLE;
-		struct message *message = permit_ring_pop(svc->ring, wait);
-		const apr_time_t now = clk_now(svc->clk);
-
-		look_for_view(svc, now);
-		for (int i = 0; message && i < BURST; i++) {
-			run_message(svc, message);
-			free_message(message);
-			message = i + 1 < BURST ? permit_ring_pop(svc->ring, 0)
-						: NULL;
-		}
-		if (now - svc->tick_at >= TICK_BUSY) {
-			svc->tick_at = now;
-			brk_host_tick(svc->host, now);
-		}
-		brk_host_flush(svc->host, clk_now(svc->clk));
-		update_poll(svc);
-	}
-	return NULL;
+	const struct brk_svc *svc = ctx;
+
+	return brk_host_busy(svc->host);
+}
+
+static int create_duty(struct brk_svc *svc)
+{
+	const struct permit_duty_cfg cfg = {
+		.clk = svc->clk,
+		.name = "broker",
+		.capacity = RING_CAPACITY,
+		.tick = TICK,
+		.item_size = sizeof(struct message),
+	};
+	const struct permit_duty_hooks hooks = {
+		.take = take_message,
+		.drop = drop_message,
+		.view = present_view,
+		.moved = take_view,
+		.tick = tick,
+		.flush = flush,
+		.busy = busy,
+		.ctx = svc,
+	};
+
+	return permit_duty_create(&svc->duty, &cfg, &hooks);
 }
 
 static int register_program(struct brk_svc *svc)
@@ -216,7 +193,7 @@
 	const uint64_t incarnation =
 		str_hash(set->vm.id, (uint64_t)apr_time_now());
 	const struct brk_host_io io = {.send = send_mail, .ctx = svc};
-	int err = permit_ring_create(&svc->ring, RING_CAPACITY);
+	int err = create_duty(svc);
 
 	if (!err)
 		err = permit_out_start(&svc->out, set, svc->clk);
@@ -226,12 +203,9 @@
 		err = brk_poll_start(&svc->poll, set, svc->clk, on_report, svc);
 	if (!err)
 		err = register_program(svc);
-	if (err)
-		return err;
-	if (pthread_create(&svc->thread, NULL, run, svc))
-		return PST_ERR_THREAD;
-	svc->started = true;
-	return 0;
+	if (!err)
+		err = permit_duty_start(svc->duty);
+	return err;
 }
 
 int brk_svc_start(struct brk_svc **out, const struct settings *set,
@@ -255,23 +229,12 @@
 
 void brk_svc_stop(struct brk_svc *svc)
 {
-	const struct message stop = {.kind = MESSAGE_STOP};
-	struct message *message;
-
 	if (!svc)
 		return;
-	svc->stopping = true;
-	if (svc->started) {
-		push(svc, &stop);
-		pthread_join(svc->thread, NULL);
-	}
+	permit_duty_stop(svc->duty);
 	brk_poll_stop(svc->poll);
-	while (svc->ring && (message = permit_ring_pop(svc->ring, 0)))
-		free_message(message);
 	permit_out_stop(svc->out);
 	brk_host_destroy(svc->host);
-	if (svc->view)
-		ctl_view_put(svc->view);
-	permit_ring_destroy(svc->ring);
+	permit_duty_destroy(svc->duty);
 	free(svc);
 }
--- a/tests/test_brk_poll.c
+++ b/tests/test_brk_poll.c
@@ -105,7 +105,8 @@
 	struct brk_poll *poll = NULL;
 	struct set_range bad;
 
-	ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
+	if (!set.broker.poll_interval_ms)
+		ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
 	set.vm.address = fix_ip();
 	ck_assert_ptr_nonnull(target);
 	strbuf_set(&target[0].upstream, STR_LIT("u1"));
