Permit agent: a permit number given twice is handed back

Cause: two brokers that give the same number leave one ask without an answer until its deadline; seen when two of a process shared their upper half. Ruled out: numbers by broker in the agent's interface (callers know one). Before: the ask waits in vain. Conclusion: numbers of different VMs may meet by chance as well.

--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -93,6 +93,30 @@
 	return vm ? permit_key_peer(st, vm) : NULL;
 }
 
+/*
+ * Whether the answer came before. A number that another broker gave as well
+ * is handed back, and the ask sent again.
+ */
+static bool known_permit(struct permit_state *st, struct permit_key *key,
+			 const pmt_answer *a)
+{
+	const struct permit_held *held = FROM_NODE(
+		brk_map_find(&st->permits, a->permit, 0), struct permit_held);
+	struct permit_open *ask = permit_open_find(st, a->ask);
+	pmt_part *part;
+
+	if (!held || a->result != PERMIT_GRANTED)
+		return false;
+	if (held->key == key && held->ask == a->ask)
+		return true;
+	part = permit_key_part(key);
+	if (part)
+		permit_batch_cancel(part, a->ask);
+	if (ask && !ask->local && ask->key == key)
+		permit_open_send(ask);
+	return true;
+}
+
 static void take_answer(struct permit_state *st, const pmt_answer *a)
 {
 	struct permit_key *key = permit_key_named(st, str_from_c(a->service),
@@ -104,7 +128,7 @@
 		return;
 	if (a->result == PERMIT_GRANTED && a->grant > key->seen)
 		key->seen = a->grant;
-	if (brk_map_find(&st->permits, a->permit, 0))
+	if (known_permit(st, key, a))
 		return;
 	if (ask && !ask->local && ask->key == key) {
 		if (a->result == PERMIT_GRANTED) {
