Broker: a far permit counts for the time that it uses a slot

Cause: across regions a permit is out for four one-way delays besides the work (8 ms of 228 ms in the demo of the Fund); it counted as a whole slot. Ruled out: no permits for far entry VMs (ranks would be lost); booking slots by time of arrival (a timer for each permit). Entry VMs measure it; the margin of 2.5 leaves room for requests that arrive together.

--- a/agent/permit_peer.c
+++ b/agent/permit_peer.c
@@ -7,6 +7,9 @@
 /* A silent peer is asked this many times within the time for silence. */
 #define PINGS_PER_TIMEOUT 2
 
+/* What a longer round trip adds: one of so many parts. */
+#define ROUND_TRIP_PART 64
+
 /* Opening the first connection takes more messages than an answer does. */
 #define FIRST_CONTACT_FACTOR 2
 
@@ -48,8 +51,22 @@
 	return peer->batch;
 }
 
+/* A shorter time counts at once, a longer one bit by bit. */
+static void measure(struct permit_peer *peer, apr_time_t now)
+{
+	const apr_interval_time_t took = now - peer->owed_since;
+
+	if (!peer->owed_since || peer->probed || peer->silent)
+		return;
+	if (!peer->round_trip || took < peer->round_trip)
+		peer->round_trip = took > 0 ? took : 1;
+	else
+		peer->round_trip += (took - peer->round_trip) / ROUND_TRIP_PART;
+}
+
 enum permit_peer_change permit_peer_heard(struct permit_peer *peer,
-					  const pmt_answers *answers)
+					  const pmt_answers *answers,
+					  apr_time_t now)
 {
 	enum permit_peer_change change = PERMIT_PEER_SAME;
 
@@ -65,6 +82,7 @@
 		change = PERMIT_PEER_RESYNC;
 	if (answers->seq > peer->heard_seq)
 		peer->heard_seq = answers->seq;
+	measure(peer, now);
 	peer->owed_since = 0;
 	if (peer->silent)
 		change = PERMIT_PEER_BACK;
@@ -147,6 +165,7 @@
 		return;
 	peer->batch->seq = ++peer->sent_seq;
 	peer->batch->heard = peer->heard_seq;
+	peer->batch->round_trip_us = (uint64_t)peer->round_trip;
 	peer->batch->ping = peer->ping;
 	if (!peer->owed_since && wants_answer(peer->batch))
 		peer->owed_since = now;
--- a/agent/permit_peer.h
+++ b/agent/permit_peer.h
@@ -18,6 +18,8 @@
 	uint64_t heard_seq;
 	/* First message that is still without a sign of life, or 0. */
 	apr_time_t owed_since;
+	/* There and back, of late at best; 0 before the first answer. */
+	apr_interval_time_t round_trip;
 	apr_time_t pinged_at;
 	apr_time_t synced_at;
 	bool probed;
@@ -50,7 +52,8 @@
 			     const struct permit_state_cfg *cfg);
 
 enum permit_peer_change permit_peer_heard(struct permit_peer *peer,
-					  const pmt_answers *answers);
+					  const pmt_answers *answers,
+					  apr_time_t now);
 enum permit_peer_change permit_peer_tick(struct permit_peer *peer,
 					 const struct permit_state_cfg *cfg,
 					 apr_time_t now);
--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -377,7 +377,7 @@
 	peer = peer_named(st, str_from_c(answers->broker));
 	if (!peer)
 		return;
-	switch (permit_peer_heard(peer, answers)) {
+	switch (permit_peer_heard(peer, answers, now)) {
 	case PERMIT_PEER_BACK:
 		evt_log(BROKER_BACK, "broker=%s silent_ms=%lld", peer->vm.ptr,
 			(long long)(now - peer->silent_since) / 1000);
--- a/controld/brk_client.c
+++ b/controld/brk_client.c
@@ -68,6 +68,7 @@
 	strbuf_set(&c->region, str_from_c(batch->region));
 	c->address = *address;
 	c->heard_at = now;
+	c->round_trip = (apr_interval_time_t)batch->round_trip_us;
 	return c;
 }
 
--- a/controld/brk_client.h
+++ b/controld/brk_client.h
@@ -26,6 +26,8 @@
 	/* It is to send everything again. */
 	bool resync;
 	apr_time_t heard_at;
+	/* As it measures it; 0 when not known. */
+	apr_interval_time_t round_trip;
 	/* NULL when nothing is collected. */
 	pmt_answers *answers;
 };
--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -320,6 +320,7 @@
 	if (!entry)
 		return;
 	role->used_at = host->now;
+	brk_far(entry, c->round_trip);
 	take_reports(role, part);
 	take_releases(role, entry, part);
 	for (u_int i = 0; i < part->cancels.cancels_len; i++)
--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -368,7 +368,12 @@
 static struct brk_entry *self(struct model *m, const struct giver *g,
 			      const struct request *r)
 {
-	return brk_hello(g->brk, strbuf_str(&m->entries[r->entry]), 1, m->now);
+	struct brk_entry *entry =
+		brk_hello(g->brk, strbuf_str(&m->entries[r->entry]), 1, m->now);
+
+	if (!g->local)
+		brk_far(entry, 2 * hop(m, r));
+	return entry;
 }
 
 static void at_broker(struct model *m, uint32_t id)
--- a/policy/brk_core.c
+++ b/policy/brk_core.c
@@ -88,7 +88,8 @@
 		    const struct brk_ask *ask)
 {
 	const apr_interval_time_t need =
-		brk_line_need(&b->line, ask->rank, ask->deadline - b->now);
+		brk_line_need(&b->line, ask->rank, brk_give_messages(entry),
+			      ask->deadline - b->now);
 	struct brk_wait *wait;
 
 	if (!brk_fleet_any(&b->fleet)) {
@@ -216,6 +217,11 @@
 	return entry;
 }
 
+void brk_far(struct brk_entry *entry, apr_interval_time_t round_trip)
+{
+	entry->round_trip = round_trip;
+}
+
 void brk_ask(struct brk *b, struct brk_entry *entry, const struct brk_ask *ask,
 	     apr_time_t now)
 {
@@ -317,7 +323,7 @@
 		.upstreams = b->fleet.count,
 	};
 	for (int r = 0; r < RANK_COUNT; r++) {
-		out->held_by[r] = b->line.use[r].held;
+		out->held_by[r] = (uint32_t)(b->line.use[r].held + 0.5);
 		out->waiting_by[r] = b->line.use[r].waiting;
 	}
 }
--- a/policy/brk_core.h
+++ b/policy/brk_core.h
@@ -110,6 +110,12 @@
 struct brk_entry *brk_hello(struct brk *b, struct str name,
 			    uint64_t incarnation, apr_time_t now);
 
+/*
+ * Notes how long a message takes there and back. Work of a far entry VM uses
+ * a slot for a part of the time for which its permit is out.
+ */
+void brk_far(struct brk_entry *entry, apr_interval_time_t round_trip);
+
 /* Answered at once or later; an ask that is known is answered again. */
 void brk_ask(struct brk *b, struct brk_entry *entry, const struct brk_ask *ask,
 	     apr_time_t now);
--- a/policy/brk_give.c
+++ b/policy/brk_give.c
@@ -3,6 +3,18 @@
 /* Samples of a rank after which its mean tells a slow upstream. */
 #define PACE_SAMPLES_MIN 8
 
+/* Samples of a rank after which its mean tells what a far permit counts for. */
+#define FAR_SAMPLES_MIN 16
+
+/* Grant and request, answer and release: round trips while a permit is out. */
+#define MESSAGES_ROUND_TRIPS 2
+
+/* A far permit counts so many times the part of its time that it uses. */
+#define FAR_MARGIN 2.5
+
+/* The least that it counts for, in slots. */
+#define FAR_LEAST 0.05
+
 /* Part of the entries that have to report before a new broker grants. */
 #define LEARNED_PCT 75
 
@@ -32,7 +44,7 @@
 		.why = BRK_WHY_REFUSED,
 		.retry_after = brk_line_wait(&b->line, rank),
 		.among = (uint32_t)b->fleet.count,
-		.free = b->fleet.free,
+		.free = (uint32_t)(b->fleet.free / BRK_SLOT),
 		.waiting = waiting(b),
 	};
 
@@ -52,7 +64,7 @@
 		.up = permit->up,
 		.waited = waited,
 		.among = (uint32_t)b->fleet.count,
-		.free = b->fleet.free,
+		.free = (uint32_t)(b->fleet.free / BRK_SLOT),
 		.waiting = waiting(b),
 	};
 
@@ -61,6 +73,28 @@
 	b->sink.answer(b->sink.ctx, &answer);
 }
 
+apr_interval_time_t brk_give_messages(const struct brk_entry *entry)
+{
+	return MESSAGES_ROUND_TRIPS * entry->round_trip;
+}
+
+/*
+ * What a permit counts for: the part of its time for which the slot is used,
+ * with room for requests that arrive at the same time.
+ */
+static uint32_t weight_of(const struct brk *b, const struct brk_entry *entry,
+			  enum rank rank)
+{
+	const struct brk_use *use = &b->line.use[rank];
+	const double part =
+		FAR_MARGIN * use->mean / (use->mean + brk_give_messages(entry));
+
+	if (part >= 1 || use->samples < FAR_SAMPLES_MIN)
+		return BRK_SLOT;
+	return part < FAR_LEAST ? (uint32_t)(FAR_LEAST * BRK_SLOT)
+				: (uint32_t)(part * BRK_SLOT);
+}
+
 struct brk_permit *brk_give_take(struct brk *b, struct brk_entry *entry,
 				 struct brk_up *up, uint64_t id, uint64_t ask,
 				 enum rank rank)
@@ -73,9 +107,10 @@
 	permit->up = up;
 	permit->rank = rank;
 	permit->granted_at = b->now;
-	b->line.use[rank].held++;
+	permit->weight = weight_of(b, entry, rank);
+	b->line.use[rank].held += (double)permit->weight / BRK_SLOT;
 	brk_line_granted(&b->line, rank);
-	brk_up_take(&b->fleet, up, b->now);
+	brk_up_take(&b->fleet, up, permit->weight, b->now);
 	return permit;
 }
 
@@ -98,21 +133,34 @@
 	brk_hold_drop_wait(&b->hold, wait);
 }
 
+static double slots_free(const struct brk *b)
+{
+	return (double)b->fleet.free / BRK_SLOT;
+}
+
+static struct brk_up *pick(const struct brk *b, enum rank rank)
+{
+	const struct brk_wait *first = b->hold.queues[rank].first;
+
+	return brk_fleet_pick(&b->fleet, rank,
+			      weight_of(b, first->entry, rank));
+}
+
 /* Finds the next rank and its upstream; urgent work skips a slow one. */
 static struct brk_up *choose(struct brk *b, enum rank *rank, bool *reserve)
 {
-	int next = brk_line_next(&b->line, RANK_URGENT, b->fleet.free, reserve);
+	int next = brk_line_next(&b->line, RANK_URGENT, slots_free(b), reserve);
 	struct brk_up *up;
 
 	if (next == BRK_LINE_NONE)
 		return NULL;
-	up = brk_fleet_pick(&b->fleet, (enum rank)next);
+	up = pick(b, (enum rank)next);
 	if (!up && next == RANK_URGENT) {
-		next = brk_line_next(&b->line, RANK_NORMAL, b->fleet.free,
+		next = brk_line_next(&b->line, RANK_NORMAL, slots_free(b),
 				     reserve);
 		if (next == BRK_LINE_NONE)
 			return NULL;
-		up = brk_fleet_pick(&b->fleet, (enum rank)next);
+		up = pick(b, (enum rank)next);
 	}
 	*rank = (enum rank)next;
 	return up;
@@ -130,8 +178,8 @@
 		return true;
 	if (b->synced * 100 < b->expected * LEARNED_PCT || !b->expected)
 		return false;
-	return (uint64_t)(b->fleet.held + 1) * b->expected <=
-	       (uint64_t)b->fleet.usable * b->synced;
+	return (b->fleet.load + BRK_SLOT) * b->expected <=
+	       (uint64_t)b->fleet.usable * BRK_SLOT * b->synced;
 }
 
 void brk_give_serve(struct brk *b)
@@ -168,16 +216,18 @@
 		  enum permit_outcome outcome)
 {
 	struct brk_use *use = &b->line.use[permit->rank];
-	const apr_interval_time_t held = b->now - permit->granted_at;
+	const apr_interval_time_t held =
+		b->now - permit->granted_at - brk_give_messages(permit->entry);
 	double pace = 0;
 
-	use->held--;
+	use->held -= (double)permit->weight / BRK_SLOT;
 	if (outcome == PERMIT_DONE) {
 		if (permit->rank != RANK_BULK &&
 		    use->samples >= PACE_SAMPLES_MIN)
-			pace = held / use->mean;
+			pace = held > 0 ? held / use->mean : 0;
 		brk_line_sample(&b->line, permit->rank, held);
 	}
-	brk_up_free(&b->fleet, permit->up, outcome, pace, b->now);
+	brk_up_free(&b->fleet, permit->up, permit->weight, outcome, pace,
+		    b->now);
 	brk_hold_drop_permit(&b->hold, permit);
 }
--- a/policy/brk_give.h
+++ b/policy/brk_give.h
@@ -36,6 +36,9 @@
 				 struct brk_up *up, uint64_t id, uint64_t ask,
 				 enum rank rank);
 
+/* Time that messages take while a permit of the entry is out. */
+apr_interval_time_t brk_give_messages(const struct brk_entry *entry);
+
 void brk_give_drop_wait(struct brk *b, struct brk_wait *wait);
 void brk_give_end(struct brk *b, struct brk_permit *permit,
 		  enum permit_outcome outcome);
--- a/policy/brk_hold.h
+++ b/policy/brk_hold.h
@@ -14,6 +14,8 @@
 	struct brk_entry *entry;
 	struct brk_up *up;
 	enum rank rank;
+	/* What it counts for, in units of BRK_SLOT. */
+	uint32_t weight;
 	apr_time_t granted_at;
 	/* Number of the latest answer that carried it. */
 	uint64_t grant;
@@ -41,6 +43,8 @@
 	/* Key of its asks and permits; unique in the broker. */
 	uint64_t serial;
 	apr_time_t heard_at;
+	/* There and back between the broker and it; 0 when not known. */
+	apr_interval_time_t round_trip;
 	uint64_t grants;
 	uint64_t syncs;
 	struct brk_permit *permits;
--- a/policy/brk_line.c
+++ b/policy/brk_line.c
@@ -28,7 +28,7 @@
  * come free less often than once in GUARD_PART times the time of a request.
  */
 #define GUARD_PART 8.0
-#define GUARD_MOST 0.55
+#define GUARD_MOST 0.6
 
 /* Time after the last ask of a rank for which slots are kept free. */
 #define GUARD_TIME APR_TIME_C(10000000)
@@ -147,12 +147,12 @@
 	line->at = now > line->at ? now : line->at;
 }
 
-int brk_line_next(const struct brk_line *line, enum rank first, uint32_t free,
+int brk_line_next(const struct brk_line *line, enum rank first, double free,
 		  bool *reserve)
 {
 	double guarded = 0;
 
-	if (!free)
+	if (free <= 0)
 		return BRK_LINE_NONE;
 	*reserve = true;
 	for (int r = (int)first; r < RANK_COUNT; r++) {
@@ -199,10 +199,12 @@
 }
 
 apr_interval_time_t brk_line_need(const struct brk_line *line, enum rank rank,
+				  apr_interval_time_t messages,
 				  apr_interval_time_t left)
 {
 	const struct brk_use *use = &line->use[rank];
-	const double need = use->mean + NEED_DEVIATIONS * use->deviation;
+	const double need =
+		use->mean + NEED_DEVIATIONS * use->deviation + messages;
 
 	return (apr_interval_time_t)least(need, NEED_PART * left);
 }
--- a/policy/brk_line.h
+++ b/policy/brk_line.h
@@ -21,7 +21,8 @@
 struct brk_use {
 	uint32_t reserved_pct;
 	uint32_t waiting;
-	uint32_t held;
+	/* Slots, as far as its permits count. */
+	double held;
 	/* Slots kept for the rank at the present capacity. */
 	double reserved;
 	/* Slot-microseconds by which the rank is behind its reserved part. */
@@ -30,7 +31,7 @@
 	double demand;
 	/* Asks that got a slot, per microsecond, over DEMAND_TIME. */
 	double rate;
-	/* Time for which a slot is held: mean, and mean deviation. */
+	/* Time for which a slot is used: mean, and mean deviation. */
 	double mean;
 	double deviation;
 	uint32_t samples;
@@ -55,7 +56,7 @@
  * The rank, from first on, whose first ask takes one of the free slots, or
  * BRK_LINE_NONE. *reserve tells whether it is owed to the reserved part.
  */
-int brk_line_next(const struct brk_line *line, enum rank first, uint32_t free,
+int brk_line_next(const struct brk_line *line, enum rank first, double free,
 		  bool *reserve);
 
 /* Notes that an ask of the rank has left the line for a slot. */
@@ -68,8 +69,11 @@
 /* Time that an ask at the end of the rank's line would wait. */
 apr_interval_time_t brk_line_wait(const struct brk_line *line, enum rank rank);
 
-/* Time to keep for the request itself, out of what is left. */
+/*
+ * Time to keep for the request itself and its messages, out of what is left.
+ */
 apr_interval_time_t brk_line_need(const struct brk_line *line, enum rank rank,
+				  apr_interval_time_t messages,
 				  apr_interval_time_t left);
 
 #endif
--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -31,10 +31,23 @@
 /* Silences in a row after which an upstream may have been restarted. */
 #define RESTART_SILENCES 2
 
+/* Units that may still be given out. */
+static uint32_t spare(const struct brk_up *up)
+{
+	const uint32_t usable = up->usable * BRK_SLOT;
+
+	return up->load < usable ? usable - up->load : 0;
+}
+
+static uint32_t slots_of(uint32_t units)
+{
+	return (units + BRK_SLOT - 1) / BRK_SLOT;
+}
+
 static bool better(const struct brk_up *a, const struct brk_up *b)
 {
-	const bool a_free = a->held < a->usable;
-	const bool b_free = b->held < b->usable;
+	const bool a_free = spare(a) >= BRK_SLOT;
+	const bool b_free = spare(b) >= BRK_SLOT;
 	uint64_t left;
 	uint64_t right;
 
@@ -42,8 +55,8 @@
 		return a_free;
 	if (a->slow != b->slow)
 		return b->slow;
-	left = (uint64_t)a->held * b->usable;
-	right = (uint64_t)b->held * a->usable;
+	left = (uint64_t)a->load * b->usable;
+	right = (uint64_t)b->load * a->usable;
 	if (left != right)
 		return left < right;
 	return a->turn < b->turn;
@@ -79,31 +92,24 @@
 	place(fleet, at, up);
 }
 
-static uint32_t spare(const struct brk_up *up)
-{
-	return up->held < up->usable ? up->usable - up->held : 0;
-}
-
 static void count_out(struct brk_fleet *fleet, const struct brk_up *up)
 {
 	fleet->usable -= up->usable;
 	fleet->held -= up->held;
+	fleet->load -= up->load;
 	fleet->free -= spare(up);
-	if (!up->slow) {
-		fleet->free_prompt -= spare(up);
+	if (!up->slow)
 		fleet->prompt_usable -= up->usable;
-	}
 }
 
 static void count_in(struct brk_fleet *fleet, const struct brk_up *up)
 {
 	fleet->usable += up->usable;
 	fleet->held += up->held;
+	fleet->load += up->load;
 	fleet->free += spare(up);
-	if (!up->slow) {
-		fleet->free_prompt += spare(up);
+	if (!up->slow)
 		fleet->prompt_usable += up->usable;
-	}
 }
 
 static uint32_t ramp_slots(const struct brk_fleet *fleet,
@@ -143,7 +149,8 @@
 	if (now < up->silent_until)
 		limit(&usable, why, 0, BRK_UP_SILENT);
 	else if (up->silences_in_row)
-		limit(&usable, why, up->stuck + TRIAL_SLOTS, BRK_UP_SILENT);
+		limit(&usable, why, slots_of(up->stuck) + TRIAL_SLOTS,
+		      BRK_UP_SILENT);
 	if (now < up->shed_until)
 		limit(&usable, why, up->shed_limit, BRK_UP_SHED);
 	if (up->slow)
@@ -304,7 +311,7 @@
 {
 	const uint32_t before = up->silences_in_row++;
 
-	up->stuck = up->held;
+	up->stuck = up->load;
 	if (before)
 		up->silent_until =
 			now + grown(fleet->cfg.silent_hold, before - 1);
@@ -378,11 +385,12 @@
 		order(fleet);
 }
 
-struct brk_up *brk_fleet_pick(const struct brk_fleet *fleet, enum rank rank)
+struct brk_up *brk_fleet_pick(const struct brk_fleet *fleet, enum rank rank,
+			      uint32_t weight)
 {
 	struct brk_up *first = fleet->count ? fleet->heap[0] : NULL;
 
-	if (!first || !spare(first))
+	if (!first || spare(first) < weight)
 		return NULL;
 	if (first->slow && rank == RANK_URGENT && fleet->prompt_usable)
 		return NULL;
@@ -401,31 +409,33 @@
 	return false;
 }
 
-void brk_up_take(struct brk_fleet *fleet, struct brk_up *up, apr_time_t now)
+void brk_up_take(struct brk_fleet *fleet, struct brk_up *up, uint32_t weight,
+		 apr_time_t now)
 {
 	count_out(fleet, up);
 	up->held++;
+	up->load += weight;
 	up->turn = ++fleet->turns;
 	count_in(fleet, up);
 	sift(fleet, up);
 	refresh(fleet, up, now);
 }
 
-void brk_up_free(struct brk_fleet *fleet, struct brk_up *up,
+void brk_up_free(struct brk_fleet *fleet, struct brk_up *up, uint32_t weight,
 		 enum permit_outcome outcome, double pace, apr_time_t now)
 {
 	count_out(fleet, up);
 	up->held--;
+	up->load -= weight;
 	count_in(fleet, up);
-	if (up->stuck)
-		up->stuck--;
+	up->stuck -= up->stuck < weight ? up->stuck : weight;
 	switch (outcome) {
 	case PERMIT_DONE:
 		served(fleet, up, pace, now);
 		judge_pace(fleet, up);
 		break;
 	case PERMIT_SHED:
-		up->shed_limit = up->held;
+		up->shed_limit = slots_of(up->load);
 		up->shed_until =
 			now + grown(fleet->cfg.shed_hold, up->sheds_in_row++);
 		break;
--- a/policy/brk_up.h
+++ b/policy/brk_up.h
@@ -15,6 +15,12 @@
 #include "policy/brk_types.h"
 #include "policy/tbl.h"
 
+/*
+ * One slot in the units in which permits are counted. A permit of an entry VM
+ * far away uses a slot for a part of its time only, and counts for less.
+ */
+#define BRK_SLOT 1000u
+
 /* Why an upstream has the slots that it has. */
 enum brk_up_why {
 	BRK_UP_FULL,
@@ -52,8 +58,9 @@
 	struct brk_listed vm;
 	bool listed;
 	uint64_t list_number;
-	/* Permits out, and how many there may be now. */
+	/* Permits out, what they count for, and slots that may be in use. */
 	uint32_t held;
+	uint32_t load;
 	uint32_t usable;
 	enum brk_up_why why;
 	/* The report in force. */
@@ -67,7 +74,7 @@
 	uint32_t sheds_in_row;
 	apr_time_t silent_until;
 	uint32_t silences_in_row;
-	/* Permits out since before the latest silence. */
+	/* Load that is out since before the latest silence. */
 	uint32_t stuck;
 	/* Failures and silences without work done since. */
 	uint32_t failures_in_row;
@@ -90,12 +97,13 @@
 	size_t count;
 	size_t room;
 	struct brk_map names;
-	/* Sums over all upstreams. */
+	/* Sums over all upstreams: slots, permits, and load. */
 	uint32_t usable;
 	uint32_t held;
-	/* Slots that are usable and free, of all and of those not slow. */
-	uint32_t free;
-	uint32_t free_prompt;
+	uint64_t load;
+	/* Units that are usable and free. */
+	uint64_t free;
+	/* Slots of those not slow. */
 	uint32_t prompt_usable;
 	uint64_t turns;
 	uint64_t list_number;
@@ -123,19 +131,22 @@
 /* Moves what depends on time alone. */
 void brk_fleet_tick(struct brk_fleet *fleet, apr_time_t now);
 
-/* An upstream with a free slot for the rank, or NULL. */
-struct brk_up *brk_fleet_pick(const struct brk_fleet *fleet, enum rank rank);
+/* An upstream with room for a permit of the rank, or NULL. */
+struct brk_up *brk_fleet_pick(const struct brk_fleet *fleet, enum rank rank,
+			      uint32_t weight);
 
 /* Whether any upstream takes new work now or will without a new list. */
 bool brk_fleet_any(const struct brk_fleet *fleet);
 
-void brk_up_take(struct brk_fleet *fleet, struct brk_up *up, apr_time_t now);
+/* weight is what the permit counts for, at most BRK_SLOT. */
+void brk_up_take(struct brk_fleet *fleet, struct brk_up *up, uint32_t weight,
+		 apr_time_t now);
 
 /*
  * Ends the use of a slot; pace is the time it took over the mean of its
  * rank, or 0 when that says nothing.
  */
-void brk_up_free(struct brk_fleet *fleet, struct brk_up *up,
+void brk_up_free(struct brk_fleet *fleet, struct brk_up *up, uint32_t weight,
 		 enum permit_outcome outcome, double pace, apr_time_t now);
 
 void brk_up_report(struct brk_fleet *fleet, struct brk_up *up,
--- a/schema/gen/permit.h
+++ b/schema/gen/permit.h
@@ -87,6 +87,7 @@
 	u_quad_t incarnation;
 	u_quad_t seq;
 	u_quad_t heard;
+	u_quad_t round_trip_us;
 	bool_t ping;
 	struct {
 		u_int parts_len;
--- a/schema/gen/permit_xdr.c
+++ b/schema/gen/permit_xdr.c
@@ -112,6 +112,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->heard))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->round_trip_us))
+		 return FALSE;
 	 if (!xdr_bool (xdrs, &objp->ping))
 		 return FALSE;
 	 if (!xdr_array (xdrs, (char **)&objp->parts.parts_val, (u_int *) &objp->parts.parts_len, PMT_PARTS_MAX,
--- a/schema/permit.x
+++ b/schema/permit.x
@@ -65,6 +65,8 @@
 	unsigned hyper seq;
 	/* Highest seq of the answers received from this broker's VM. */
 	unsigned hyper heard;
+	/* There and back to the broker, in microseconds; 0: not known. */
+	unsigned hyper round_trip_us;
 	/* An answer is wanted, even an empty one. */
 	bool ping;
 	pmt_part parts<PMT_PARTS_MAX>;
--- a/tests/test_brk_core.c
+++ b/tests/test_brk_core.c
@@ -271,6 +271,30 @@
 }
 END_TEST
 
+/* Work of 8 ms from 110 ms away uses a slot for a thirtieth of the time. */
+START_TEST(far_permits_count_for_the_time_that_they_use)
+{
+	struct brk *b = new_broker(&default_cfg, 3);
+	apr_time_t now = 0;
+
+	for (uint64_t i = 0; i < 20; i++) {
+		ask(b, "near", i, RANK_NORMAL, now);
+		now += CLK_MS(8);
+		release(b, "near", answers[i].permit, PERMIT_DONE, now);
+	}
+	answer_count = 0;
+	brk_far(brk_hello(b, STR_LIT("far"), 1, now), CLK_MS(110));
+	for (uint64_t i = 0; i < 30; i++)
+		ask(b, "far", 100 + i, RANK_NORMAL, now);
+	ck_assert_uint_eq(answer_count, 30);
+	ck_assert_uint_le(stats_of(b).held_by[RANK_NORMAL], 9);
+	for (uint64_t i = 0; i < 30; i++)
+		ask(b, "near", 200 + i, RANK_NORMAL, now);
+	ck_assert_uint_lt(answer_count, 30 + 9);
+	brk_destroy(b);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("brk_core");
@@ -283,6 +307,7 @@
 	tcase_add_test(tc, complete_list_frees_what_the_entry_does_not_have);
 	tcase_add_test(tc, new_broker_learns_before_it_grants);
 	tcase_add_test(tc, learning_ends_by_itself);
+	tcase_add_test(tc, far_permits_count_for_the_time_that_they_use);
 	tcase_add_test(tc, ask_that_cannot_be_in_time_is_refused_early);
 	tcase_add_test(tc, full_line_and_no_upstream_are_refused);
 	return fix_run("brk_core", tc);
--- a/tests/test_brk_flood.c
+++ b/tests/test_brk_flood.c
@@ -26,8 +26,9 @@
 static const struct loads bulk_flood = {0.2, 0.2, FLOOD};
 static const struct loads urgent_flood = {FLOOD, 0.35, 0.25};
 
-static struct slot_model_results run(const struct slot_model_cfg *base,
-				     const struct loads *loads)
+/* Far permits count for less, so that there are more of them than slots. */
+static struct slot_model_results run_far(const struct slot_model_cfg *base,
+					 const struct loads *loads)
 {
 	struct slot_model_cfg cfg = *base;
 	struct slot_model_results results;
@@ -39,11 +40,19 @@
 	cfg.rank[RANK_BULK].load = loads->bulk;
 	printf("seed %d\n", SEED);
 	ck_assert_int_eq(slot_model_run(&cfg, &results), 0);
-	ck_assert_uint_eq(results.excess, 0);
 	ck_assert_uint_eq(results.leaked, 0);
 	return results;
 }
 
+static struct slot_model_results run(const struct slot_model_cfg *base,
+				     const struct loads *loads)
+{
+	const struct slot_model_results results = run_far(base, loads);
+
+	ck_assert_uint_eq(results.excess, 0);
+	return results;
+}
+
 static double useful(const struct slot_model_results *r)
 {
 	return (r->rank[RANK_URGENT].useful + r->rank[RANK_NORMAL].useful +
@@ -140,6 +149,32 @@
 }
 END_TEST
 
+/* A quarter of the load, half of it from 55 ms away. */
+START_TEST(work_from_other_regions_does_not_use_up_the_slots)
+{
+	static const struct loads quarter = {0.08, 0.08, 0.08};
+	struct slot_model_cfg cfg;
+	struct slot_model_results broker;
+	struct slot_model_results baseline;
+
+	slot_model_fund(&cfg);
+	cfg.hop_far = cfg.region_hop;
+	cfg.seed = SEED;
+	broker = run_far(&cfg, &quarter);
+	cfg.policy = PICK_TWO_CHOICES;
+	baseline = run_far(&cfg, &quarter);
+	for (int k = 0; k < RANK_COUNT; k++) {
+		ck_assert_uint_eq(broker.rank[k].refused, 0);
+		ck_assert_uint_eq(broker.rank[k].late, 0);
+	}
+	/* The ask takes one round trip. */
+	ck_assert_double_le((double)broker.rank[RANK_URGENT].p99,
+			    URGENT_P99_FACTOR *
+				    ((double)baseline.rank[RANK_URGENT].p99 +
+				     2.0 * (double)cfg.region_hop));
+}
+END_TEST
+
 START_TEST(urgent_p99_at_80_percent_is_half_of_the_best_baseline)
 {
 	static const enum pick_policy baselines[] = {
@@ -177,6 +212,7 @@
 		       fund_other_ranks_keep_their_reserve_in_an_urgent_flood);
 	tcase_add_test(tc, guild_other_ranks_keep_their_part_of_the_work);
 	tcase_add_test(tc, fund_slots_do_useful_work_in_floods);
+	tcase_add_test(tc, work_from_other_regions_does_not_use_up_the_slots);
 	tcase_add_test(tc,
 		       urgent_p99_at_80_percent_is_half_of_the_best_baseline);
 	return fix_run("brk_flood", tc);
--- a/tests/test_brk_up.c
+++ b/tests/test_brk_up.c
@@ -62,8 +62,8 @@
 static void use(const char *name, enum permit_outcome outcome, double pace,
 		apr_time_t now)
 {
-	brk_up_take(&fleet, up_of(name), now);
-	brk_up_free(&fleet, up_of(name), outcome, pace, now);
+	brk_up_take(&fleet, up_of(name), BRK_SLOT, now);
+	brk_up_free(&fleet, up_of(name), BRK_SLOT, outcome, pace, now);
 }
 
 START_TEST(first_list_is_warm_and_later_ones_ramp_up)
@@ -87,7 +87,7 @@
 	strbuf_set(&vms[0].address, STR_LIT("127.0.0.3"));
 	brk_fleet_list(&fleet, vms, 2, CLK_SEC(1));
 	ck_assert_uint_eq(up_of("a")->usable, SLOTS / 4);
-	brk_up_take(&fleet, up_of("b"), CLK_SEC(1));
+	brk_up_take(&fleet, up_of("b"), BRK_SLOT, CLK_SEC(1));
 	list("a", CLK_SEC(2));
 	ck_assert_uint_eq(up_of("b")->usable, 0);
 	list("ab", CLK_SEC(3));
@@ -109,12 +109,13 @@
 		use("a", PERMIT_DRAINING, 0, CLK_SEC(1));
 	ck_assert_uint_eq(up_of("a")->usable, 0);
 	for (int i = 0; i < SLOTS; i++) {
-		struct brk_up *up = brk_fleet_pick(&fleet, RANK_URGENT);
+		struct brk_up *up =
+			brk_fleet_pick(&fleet, RANK_URGENT, BRK_SLOT);
 
 		ck_assert_str_eq(up->vm.name.ptr, "b");
-		brk_up_take(&fleet, up, CLK_SEC(1));
+		brk_up_take(&fleet, up, BRK_SLOT, CLK_SEC(1));
 	}
-	ck_assert_ptr_null(brk_fleet_pick(&fleet, RANK_URGENT));
+	ck_assert_ptr_null(brk_fleet_pick(&fleet, RANK_URGENT, BRK_SLOT));
 }
 END_TEST
 
@@ -132,8 +133,8 @@
 
 START_TEST(refusals_lower_the_slots_for_a_short_while)
 {
-	brk_up_take(&fleet, up_of("a"), 0);
-	brk_up_take(&fleet, up_of("a"), 0);
+	brk_up_take(&fleet, up_of("a"), BRK_SLOT, 0);
+	brk_up_take(&fleet, up_of("a"), BRK_SLOT, 0);
 	use("a", PERMIT_SHED, 0, CLK_MS(1));
 	ck_assert_uint_eq(up_of("a")->usable, 2);
 	brk_fleet_tick(&fleet, CLK_MS(102));
@@ -169,13 +170,13 @@
 START_TEST(stuck_permits_do_not_keep_a_trial_from_being_made)
 {
 	for (int i = 0; i < SLOTS; i++)
-		brk_up_take(&fleet, up_of("a"), 0);
-	brk_up_free(&fleet, up_of("a"), PERMIT_SILENT, 0, CLK_SEC(3));
+		brk_up_take(&fleet, up_of("a"), BRK_SLOT, 0);
+	brk_up_free(&fleet, up_of("a"), BRK_SLOT, PERMIT_SILENT, 0, CLK_SEC(3));
 	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
 	use("a", PERMIT_DONE, 1, CLK_SEC(4));
 	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
-	brk_up_free(&fleet, up_of("a"), PERMIT_SILENT, 0, CLK_SEC(5));
-	brk_up_free(&fleet, up_of("a"), PERMIT_SILENT, 0, CLK_SEC(5));
+	brk_up_free(&fleet, up_of("a"), BRK_SLOT, PERMIT_SILENT, 0, CLK_SEC(5));
+	brk_up_free(&fleet, up_of("a"), BRK_SLOT, PERMIT_SILENT, 0, CLK_SEC(5));
 	ck_assert_uint_eq(up_of("a")->usable, 0);
 	brk_fleet_tick(&fleet, CLK_SEC(6));
 	ck_assert_uint_eq(up_of("a")->usable, SLOTS - 2);
@@ -225,9 +226,12 @@
 	ck_assert_uint_eq(up_of("a")->usable, 1);
 	ck_assert_int_eq(up_of("a")->why, BRK_UP_SLOW);
 	for (int i = 0; i < SLOTS; i++)
-		brk_up_take(&fleet, brk_fleet_pick(&fleet, RANK_URGENT), 0);
-	ck_assert_ptr_null(brk_fleet_pick(&fleet, RANK_URGENT));
-	ck_assert_str_eq(brk_fleet_pick(&fleet, RANK_BULK)->vm.name.ptr, "a");
+		brk_up_take(&fleet,
+			    brk_fleet_pick(&fleet, RANK_URGENT, BRK_SLOT),
+			    BRK_SLOT, 0);
+	ck_assert_ptr_null(brk_fleet_pick(&fleet, RANK_URGENT, BRK_SLOT));
+	ck_assert_str_eq(
+		brk_fleet_pick(&fleet, RANK_BULK, BRK_SLOT)->vm.name.ptr, "a");
 	for (int i = 0; i < 30; i++)
 		use("a", PERMIT_DONE, 1, 0);
 	ck_assert_uint_eq(up_of("a")->usable, SLOTS);
@@ -250,15 +254,15 @@
 
 START_TEST(upstream_off_the_list_is_kept_while_permits_are_out)
 {
-	brk_up_take(&fleet, up_of("a"), 0);
+	brk_up_take(&fleet, up_of("a"), BRK_SLOT, 0);
 	list("b", CLK_SEC(1));
 	ck_assert_uint_eq(up_of("a")->usable, 0);
 	ck_assert_uint_eq(fleet.held, 1);
-	brk_up_free(&fleet, up_of("a"), PERMIT_DONE, 1, CLK_SEC(2));
+	brk_up_free(&fleet, up_of("a"), BRK_SLOT, PERMIT_DONE, 1, CLK_SEC(2));
 	ck_assert_ptr_null(brk_fleet_find(&fleet, STR_LIT("a")));
 	ck_assert_uint_eq(fleet.held, 0);
 	ck_assert_uint_eq(fleet.usable, SLOTS);
-	ck_assert_uint_eq(fleet.free, SLOTS);
+	ck_assert_uint_eq(fleet.free / BRK_SLOT, SLOTS);
 }
 END_TEST
 
