Broker: asks do not wait for silent upstreams

Cause: with the only upstream of a failure domain killed, asks waited for its trials: urgent p99 2272 ms and 129 attempts refused as late, while the other domains had free slots. The new test failed first. Ruled out: no trial until the list changes (it lags). Before: an ask waited to its latest start. After: without a usable upstream all asks are refused as having none, and the entry VM takes another domain.

--- a/policy/brk_give.c
+++ b/policy/brk_give.c
@@ -182,11 +182,32 @@
 	       (uint64_t)b->fleet.usable * BRK_SLOT * b->synced;
 }
 
+/* Asks need not wait here while other failure domains may do the work. */
+static void refuse_all(struct brk *b)
+{
+	for (int r = 0; r < RANK_COUNT; r++) {
+		struct brk_wait *wait = b->hold.queues[r].first;
+
+		while (wait) {
+			struct brk_wait *next = wait->next;
+			struct brk_entry *entry = wait->entry;
+			const uint64_t ask = wait->by_ask.key[0];
+
+			brk_give_drop_wait(b, wait);
+			brk_give_refuse(b, entry, ask, (enum rank)r,
+					PERMIT_NO_UPSTREAM);
+			wait = next;
+		}
+	}
+}
+
 void brk_give_serve(struct brk *b)
 {
 	enum rank rank;
 	bool reserve;
 
+	if (!b->fleet.usable && waiting(b) && !brk_fleet_any(&b->fleet))
+		refuse_all(b);
 	while (may_grant(b)) {
 		struct brk_up *up = choose(b, &rank, &reserve);
 		struct brk_wait *wait;
--- a/policy/brk_up.c
+++ b/policy/brk_up.c
@@ -399,11 +399,10 @@
 
 bool brk_fleet_any(const struct brk_fleet *fleet)
 {
+	if (fleet->usable)
+		return true;
 	for (size_t i = 0; i < fleet->count; i++) {
-		const struct brk_up *up = fleet->heap[i];
-
-		if (up->usable || (up->listed && up->why != BRK_UP_LEAVING &&
-				   up->why != BRK_UP_DRAINING))
+		if (fleet->heap[i]->why == BRK_UP_SHED)
 			return true;
 	}
 	return false;
--- a/policy/brk_up.h
+++ b/policy/brk_up.h
@@ -135,7 +135,10 @@
 struct brk_up *brk_fleet_pick(const struct brk_fleet *fleet, enum rank rank,
 			      uint32_t weight);
 
-/* Whether any upstream takes new work now or will without a new list. */
+/*
+ * Whether any upstream takes new work now or very soon. One that is silent
+ * does not, until its hold is over.
+ */
 bool brk_fleet_any(const struct brk_fleet *fleet);
 
 /* weight is what the permit counts for, at most BRK_SLOT. */
--- a/tests/test_brk_core.c
+++ b/tests/test_brk_core.c
@@ -295,6 +295,33 @@
 }
 END_TEST
 
+/* Other failure domains can do the work meanwhile. */
+START_TEST(asks_do_not_wait_for_upstreams_that_are_silent)
+{
+	struct brk_cfg cfg = default_cfg;
+	struct brk *b = new_broker(&cfg, 1);
+	size_t given;
+
+	for (uint64_t i = 0; i < 6; i++)
+		ask(b, "e1", i, RANK_NORMAL, 0);
+	ck_assert_uint_eq(answer_count, 3);
+	for (int i = 0; i < 9; i++) {
+		given = answer_count;
+		for (size_t k = 0; k < given; k++)
+			release(b, "e1", answers[k].permit, PERMIT_SILENT, 1);
+	}
+	ck_assert_uint_eq(stats_of(b).usable, 0);
+	ck_assert_uint_eq(stats_of(b).waiting_by[RANK_NORMAL], 0);
+	ask(b, "e1", 100, RANK_URGENT, 2);
+	ck_assert_uint_eq(answers[answer_count - 1].ask, 100);
+	ck_assert_int_eq(answers[answer_count - 1].result, PERMIT_NO_UPSTREAM);
+	brk_tick(b, CLK_SEC(1));
+	ask(b, "e1", 101, RANK_URGENT, CLK_SEC(1));
+	ck_assert_int_eq(answers[answer_count - 1].result, PERMIT_GRANTED);
+	brk_destroy(b);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("brk_core");
@@ -307,6 +334,7 @@
 	tcase_add_test(tc, complete_list_frees_what_the_entry_does_not_have);
 	tcase_add_test(tc, new_broker_learns_before_it_grants);
 	tcase_add_test(tc, learning_ends_by_itself);
+	tcase_add_test(tc, asks_do_not_wait_for_upstreams_that_are_silent);
 	tcase_add_test(tc, far_permits_count_for_the_time_that_they_use);
 	tcase_add_test(tc, ask_that_cannot_be_in_time_is_refused_early);
 	tcase_add_test(tc, full_line_and_no_upstream_are_refused);
