--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -368,7 +368,12 @@
 static struct brk_entry *self(struct model *m, const struct giver *g,
 			      const struct request *r)
 {
-	return brk_hello(g->brk, strbuf_str(&m->entries[r->entry]), 1, m->now);
+	struct brk_entry *entry =
+		brk_hello(g->brk, strbuf_str(&m->entries[r->entry]), 1, m->now);
+
+	if (!g->local)
+		brk_far(entry, 2 * hop(m, r));
+	return entry;
 }
 
 static void at_broker(struct model *m, uint32_t id)
@@ -779,6 +784,7 @@
 		.slots_vary = true,
 		.hop_near = 100,
 		.hop_far = 500,
+		.region_hop = CLK_MS(55),
 		.report_interval = CLK_SEC(1),
 		.rank =
 			{
@@ -807,6 +813,7 @@
 	slot_model_fund(cfg);
 	cfg->slots_vary = false;
 	cfg->hop_far = 1500;
+	cfg->region_hop = CLK_MS(35);
 }
 
 int slot_model_run(const struct slot_model_cfg *cfg,
