--- a/agent/quota.c
+++ b/agent/quota.c
@@ -24,6 +24,13 @@
 #define SPLIT_PEERS   3
 #define SPLIT_TIMEOUT CLK_SEC(2)
 
+/* Wait for a list that has this VM, after which any list will do. */
+#define LIST_TIMEOUT CLK_SEC(10)
+
+/* Requests, and windows of an answer, given at once if the rate allows. */
+#define REQUEST_BURST 1
+#define LINK_BURST    2
+
 /* Least time between two lines about one limit. */
 #define SHORT_LOG_INTERVAL CLK_SEC(1)
 
@@ -47,10 +54,33 @@
 	apr_time_t draw_at;
 	apr_time_t started_at;
 	bool lapsed;
+	bool had_grants;
 	struct shr_ask asks[SHR_ASKS_MAX];
 	struct shr_grant grants[SHR_ASKS_MAX];
 };
 
+/* This thread's latest take that gave less than wanted. */
+struct short_take {
+	const struct quota_agent *agent;
+	uint32_t from;
+	uint32_t to;
+	size_t got;
+	apr_time_t at;
+};
+
+static _Thread_local struct short_take short_take;
+
+static struct ql_limit *link_limit(struct quota_agent *agent,
+				   const struct tbl *tbl, uint32_t from,
+				   uint32_t to)
+{
+	const uint64_t id = shr_link_id(strbuf_str(&tbl->regions[from].name),
+					strbuf_str(&tbl->regions[to].name));
+
+	return ql_limit(agent->ql, id,
+			LINK_BURST * agent->set->entry.link_window_bytes);
+}
+
 /* Limits that a VM of this region always keeps some part of. */
 static void create_links(struct quota_agent *agent, const struct tbl *tbl)
 {
@@ -62,7 +92,8 @@
 
 		if (str_eq(from, agent->set->vm.region) ||
 		    str_eq(to, agent->set->vm.region))
-			ql_limit(agent->ql, shr_link_id(from, to));
+			link_limit(agent, tbl, tbl->links[i].from,
+				   tbl->links[i].to);
 	}
 }
 
@@ -77,7 +108,8 @@
 			continue;
 		ql_limit(agent->ql,
 			 shr_intake_id(strbuf_str(&tbl->services[row->service]),
-				       row->rank, region));
+				       row->rank, region),
+			 REQUEST_BURST);
 	}
 }
 
@@ -98,20 +130,36 @@
 		create_intakes(agent, tbl, &tbl->rows[i]);
 }
 
-static void follow_view(struct quota_agent *agent)
+/*
+ * A split starts at its goal, so the first list to work it out from must be
+ * a whole one: it has this VM.
+ */
+static bool may_start(const struct quota_agent *agent,
+		      const struct ctl_view *view, apr_time_t now)
+{
+	return agent->splits_known || vml_find(view->vml, agent->set->vm.id) ||
+	       now - agent->started_at > LIST_TIMEOUT;
+}
+
+/* Returns whether there is a view to go by. */
+static bool follow_view(struct quota_agent *agent)
 {
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
 	const apr_time_t now = clk_now(agent->clk);
+	bool started;
 
 	if (!view)
-		return;
+		return false;
+	started = may_start(agent, view, now);
 	pthread_mutex_lock(&agent->lock);
-	qs_set_view(agent->qs, now, view->tbl, view->vml);
+	if (started)
+		qs_set_view(agent->qs, now, view->tbl, view->vml);
 	follow_table(agent, view->tbl);
 	if (agent->splits_known)
 		qs_step(agent->qs, now);
 	pthread_mutex_unlock(&agent->lock);
 	ctl_view_put(view);
+	return started;
 }
 
 /* Asks one peer's pst-controld; true when it knew. */
@@ -142,23 +190,35 @@
 	return known;
 }
 
-/* Peers in an order of this VM's own, so that not all ask the same ones. */
+static bool may_know_splits(const struct quota_agent *agent,
+			    const struct vm *vm)
+{
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
+	       str_eq(strbuf_str(&vm->region), agent->set->vm.region) &&
+	       !str_eq(strbuf_str(&vm->id), agent->set->vm.id);
+}
+
+/* Peers of the own region: splits differ between regions. */
 static void learn_splits(struct quota_agent *agent)
 {
-	const struct vm *vms[SPLIT_PEERS + 1];
 	struct ctl_view *view = ctl_agent_view(agent->ctl);
-	size_t count;
+	const apr_time_t began = clk_now(agent->clk);
+	size_t asked = 0;
+	size_t first;
 
 	if (!view)
 		return;
-	count = vml_rendezvous(view->vml, agent->set->vm.id, STR_LIT(""), vms,
-			       SPLIT_PEERS + 1);
-	for (size_t i = 0; i < count; i++) {
-		if (clk_now(agent->clk) - agent->started_at > SPLIT_TIMEOUT)
+	first = (size_t)agent->incarnation;
+	for (size_t i = 0; i < view->vml->count && asked < SPLIT_PEERS; i++) {
+		const size_t at = (first + i) % view->vml->count;
+		const struct vm *vm = &view->vml->vms[at];
+
+		if (clk_now(agent->clk) - began > SPLIT_TIMEOUT)
 			break;
-		if (str_eq(strbuf_str(&vms[i]->id), agent->set->vm.id))
+		if (!may_know_splits(agent, vm))
 			continue;
-		if (fetch_splits(agent, vms[i]))
+		asked++;
+		if (fetch_splits(agent, vm))
 			break;
 	}
 	ctl_view_put(view);
@@ -171,7 +231,10 @@
 {
 	const bool lapsed = count && !valid;
 
-	if (lapsed == agent->lapsed)
+	if (valid)
+		agent->had_grants = true;
+	/* Before the first grant nothing has lapsed. */
+	if (lapsed == agent->lapsed || !agent->had_grants)
 		return;
 	agent->lapsed = lapsed;
 	if (lapsed)
@@ -223,7 +286,7 @@
 	pthread_mutex_unlock(&agent->lock);
 	if (!count ||
 	    qm_borrow_make(&request, agent->set->vm.id, agent->incarnation,
-			   SHR_CHILD, agent->asks, count))
+			   SHR_CHILD, STR_LIT(""), agent->asks, count))
 		return;
 	sent_at = clk_now(agent->clk);
 	if (!rpcc_call(agent->rpc, SHR_X_BORROW, (xdrproc_t)xdr_shr_x_borrow,
@@ -284,8 +347,7 @@
 	struct quota_agent *agent = arg;
 
 	while (wait_step(agent)) {
-		follow_view(agent);
-		if (!agent->splits_known)
+		if (follow_view(agent) && !agent->splits_known)
 			learn_splits(agent);
 		draw_when_due(agent);
 	}
@@ -312,7 +374,7 @@
 	if (!err)
 		err = ql_create(&agent->ql, agent->started_at + BKT_WINDOW);
 	if (!err)
-		err = qs_create(&agent->qs);
+		err = qs_create(&agent->qs, agent->set->vm.region);
 	return err;
 }
 
@@ -385,12 +447,6 @@
 	return NULL;
 }
 
-static uint64_t id_of_link(const struct tbl *tbl, uint32_t from, uint32_t to)
-{
-	return shr_link_id(strbuf_str(&tbl->regions[from].name),
-			   strbuf_str(&tbl->regions[to].name));
-}
-
 static size_t take_link(struct quota_agent *agent, uint32_t from, uint32_t to,
 			enum rank rank, size_t want)
 {
@@ -403,7 +459,7 @@
 		return 0;
 	if (!find_link(tbl, from, to))
 		return want;
-	limit = ql_limit(agent->ql, id_of_link(tbl, from, to));
+	limit = link_limit(agent, tbl, from, to);
 	if (!limit)
 		return 0;
 	got = ql_take(agent->ql, limit, now, rank, want);
@@ -422,12 +478,19 @@
 		return want;
 	pthread_mutex_lock(&agent->lock);
 	got = take_link(agent, from, to, rank, want);
+	short_take = (struct short_take){
+		.agent = got < want ? agent : NULL,
+		.from = from,
+		.to = to,
+		.got = got,
+		.at = clk_now(agent->clk),
+	};
 	pthread_mutex_unlock(&agent->lock);
 	return got;
 }
 
-void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
-			size_t bytes)
+void quota_return_taken(struct quota_agent *agent, uint32_t from, uint32_t to,
+			size_t bytes, apr_time_t taken_at)
 {
 	const struct tbl *tbl;
 
@@ -435,15 +498,26 @@
 	tbl = agent->seen;
 	if (from != to && tbl && from < tbl->region_count &&
 	    to < tbl->region_count && find_link(tbl, from, to)) {
-		struct ql_limit *limit =
-			ql_limit(agent->ql, id_of_link(tbl, from, to));
+		struct ql_limit *limit = link_limit(agent, tbl, from, to);
 
 		if (limit)
-			ql_return(limit, clk_now(agent->clk), bytes);
+			ql_return(limit, clk_now(agent->clk), taken_at, bytes);
 	}
 	pthread_mutex_unlock(&agent->lock);
 }
 
+void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
+			size_t bytes)
+{
+	const struct short_take take = short_take;
+
+	if (take.agent != agent || take.from != from || take.to != to)
+		return;
+	short_take.agent = NULL;
+	quota_return_taken(agent, from, to, bytes < take.got ? bytes : take.got,
+			   take.at);
+}
+
 static bool take_intake(struct quota_agent *agent, const struct tbl *tbl,
 			const struct tbl_row *row, uint32_t region)
 {
@@ -455,7 +529,8 @@
 	if (str_eq(name, agent->set->vm.region) ||
 	    row->region_limits[region] == UINT32_MAX)
 		return true;
-	limit = ql_limit(agent->ql, shr_intake_id(service, row->rank, name));
+	limit = ql_limit(agent->ql, shr_intake_id(service, row->rank, name),
+			 REQUEST_BURST);
 	if (!limit)
 		return false;
 	if (ql_take(agent->ql, limit, now, RANK_URGENT, 1))
--- a/policy/bkt.c
+++ b/policy/bkt.c
@@ -5,9 +5,6 @@
 #define SLOT (BKT_WINDOW / BKT_SLOTS)
 #define RING (BKT_SLOTS + 2)
 
-/* Largest part of the rate that one slot may give: a divisor. */
-#define SLOT_BURST 32
-
 static void advance(struct bkt *bkt, apr_time_t now)
 {
 	const int64_t slot = now / SLOT;
@@ -33,21 +30,28 @@
 	return a < b ? a : b;
 }
 
-uint64_t bkt_take(struct bkt *bkt, apr_time_t now, uint64_t rate, uint64_t want)
+static uint64_t sum_recent(const struct bkt *bkt)
+{
+	uint64_t sum = 0;
+
+	for (int64_t i = 0; i <= BKT_PACE && i <= bkt->slot; i++)
+		sum += bkt->taken[(bkt->slot - i) % RING];
+	return sum;
+}
+
+uint64_t bkt_take(struct bkt *bkt, apr_time_t now, uint64_t rate,
+		  uint64_t burst, uint64_t want)
 {
-	uint64_t *slot;
-	uint64_t burst = rate / SLOT_BURST;
+	uint64_t recent;
 
 	advance(bkt, now);
 	if (bkt->sum >= rate)
 		return 0;
-	if (!burst)
-		burst = 1;
-	slot = &bkt->taken[bkt->slot % RING];
-	if (*slot >= burst)
+	recent = sum_recent(bkt);
+	if (recent >= burst)
 		return 0;
-	want = min_u64(want, min_u64(rate - bkt->sum, burst - *slot));
-	*slot += want;
+	want = min_u64(want, min_u64(rate - bkt->sum, burst - recent));
+	bkt->taken[bkt->slot % RING] += want;
 	bkt->sum += want;
 	return want;
 }
@@ -59,23 +63,19 @@
 	bkt->sum += amount;
 }
 
-/* The oldest slots give first: what stays counted then leaves later. */
-void bkt_return(struct bkt *bkt, apr_time_t now, uint64_t amount)
+void bkt_return(struct bkt *bkt, apr_time_t now, apr_time_t taken_at,
+		uint64_t amount)
 {
-	int64_t slot;
+	const int64_t slot = taken_at / SLOT;
+	uint64_t *taken;
 
 	advance(bkt, now);
-	slot = bkt->slot - BKT_RETURN / SLOT;
-	if (slot < 0)
-		slot = 0;
-	for (; slot <= bkt->slot && amount; slot++) {
-		uint64_t *taken = &bkt->taken[slot % RING];
-		const uint64_t part = min_u64(*taken, amount);
-
-		*taken -= part;
-		bkt->sum -= part;
-		amount -= part;
-	}
+	if (slot > bkt->slot || slot <= bkt->slot - RING)
+		return;
+	taken = &bkt->taken[slot % RING];
+	amount = min_u64(amount, *taken);
+	*taken -= amount;
+	bkt->sum -= amount;
 }
 
 uint64_t bkt_sum(struct bkt *bkt, apr_time_t now)
