--- /dev/null
+++ b/lab/bench.py
@@ -0,0 +1,277 @@
+"""Measures a deployment under load and faults, with our policy and the baselines."""
+import argparse
+import csv
+import os
+import subprocess
+import sys
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
+import lab as labs  # noqa: E402
+import works  # noqa: E402
+
+OUT = os.path.join(labs.ROOT, "build", "bench-out")
+POLICIES = ("broker", "random", "least_reported", "two_choices", "static_split")
+# Only for our own policy: what the baselines have no part in.
+OWN_SCENARIOS = ("hop", "region_lost", "drain", "rolling", "store_outage")
+SCENARIOS = ("steady", "flood_bulk", "flood_urgent") + OWN_SCENARIOS
+
+# Running time asked of the upstreams; it sets the capacity that one machine can load tenfold.
+RUN_MS = 250
+# Parts of the capacity that each rank asks for in the steady load of 80%.
+STEADY = {"urgent": 0.2, "normal": 0.3, "bulk": 0.3}
+FLOOD_FACTOR = 10
+WARMUP_S = 2
+SETTLE_S = 3
+HZ = os.sysconf("SC_CLK_TCK")
+
+FIELDS = ("deployment", "policy", "scenario", "seed", "rank", "sent", "whole", "refused", "unknown", "wrong",
+          "p50_ms", "p99_ms", "p999_ms", "useful_pct", "slots_busy_pct", "link_pct", "cpu_us_per_request", "extra")
+
+
+class Probe:
+    """Busy slots, processor time and link bytes between two instants."""
+
+    def __init__(self, lab):
+        self.lab = lab
+        self.at = time.monotonic()
+        self.busy = self._busy()
+        self.cpu = self._cpu()
+        labs.post(lab.link + "/fake/reset", {})
+
+    def _busy(self):
+        out = {}
+        for u in self.lab.upstreams:
+            try:
+                out[u.id] = self.lab.upstream_stats(u.id)["busy_us"]
+            except OSError:
+                pass
+        return out
+
+    def _cpu(self):
+        total = 0
+        for name, p in list(self.lab.procs.items()):
+            if name.startswith("entry-"):
+                try:
+                    with open("/proc/%d/stat" % p.pid) as f:
+                        fields = f.read().rsplit(")", 1)[1].split()
+                    total += int(fields[11]) + int(fields[12])
+                except OSError:
+                    pass
+        return total * 1e6 / HZ
+
+    def end(self, service):
+        took = time.monotonic() - self.at
+        busy = self._busy()
+        mine = [u for u in self.lab.upstreams if u.service == service and u.id in busy and u.id in self.busy]
+        slots = sum(u.slots for u in mine) or 1
+        used = sum(busy[u.id] - self.busy[u.id] for u in mine) / 1e6
+        link = max(w["max_1s"] for x in self.lab.link_stats() for w in (x["forth"], x["back"]))
+        limit = self.lab.conf["link_mbps"] * 1e6 / 8
+        return {"took_s": took, "slots_busy_pct": 100 * used / took / slots, "link_pct": 100 * link / limit,
+                "cpu_us": self._cpu() - self.cpu}
+
+
+def load_of(lab, service, scenario):
+    """The steady load; in a flood one rank asks for ten times the capacity."""
+    slots = sum(u.slots for u in lab.upstreams if u.service == service)
+    capacity = slots * 1000.0 / RUN_MS
+    out = []
+    for rank, part in STEADY.items():
+        if scenario == "flood_" + rank:
+            part = FLOOD_FACTOR
+        out.append(works.work(service, "get", rank, rate=max(1, round(part * capacity)), ms=RUN_MS, tries=1))
+    others = [n for n, s in lab.conf["services"].items() if s["kind"] == "book"]
+    out += [works.work(n, "book", "normal", rate=10) for n in others]
+    return out, capacity
+
+
+def rows_of(lab, policy, scenario, seed, caller, probe, capacity, extra=""):
+    service = next(iter(lab.conf["services"]))
+    ended = probe.end(service)
+    results = caller.rows()
+    total = sum(int(r["attempts"]) for r in results.values()) or 1
+    useful = sum(int(r["in_time"]) for n, r in results.items() if n.startswith(service + "."))
+    out = []
+    for rank in works.RANKS:
+        r = results.get("%s.%s" % (service, rank))
+        if not r:
+            continue
+        out.append({
+            "deployment": lab.conf["name"], "policy": policy, "scenario": scenario, "seed": seed, "rank": rank,
+            "sent": r["sent"], "whole": r["whole"], "refused": r["not_run"], "unknown": r["unknown"],
+            "wrong": r["wrong"], "p50_ms": "%.1f" % (int(r["p50_us"]) / 1e3), "p99_ms": "%.1f" % (int(r["p99_us"]) / 1e3),
+            "p999_ms": "%.1f" % (int(r["p999_us"]) / 1e3), "useful_pct": "%.1f" % (100 * useful / (capacity * ended["took_s"])),
+            "slots_busy_pct": "%.1f" % ended["slots_busy_pct"], "link_pct": "%.1f" % ended["link_pct"],
+            "cpu_us_per_request": "%.0f" % (ended["cpu_us"] / total), "extra": extra})
+    return out
+
+
+def during(lab, scenario):
+    """The scenario's fault; returns what was measured of it."""
+    time.sleep(WARMUP_S)
+    began = time.monotonic()
+    if scenario == "region_lost":
+        region = lab.regions[-1]
+        for v in lab.entries + lab.upstreams:
+            if v.region == region:
+                for name in [n for n in list(lab.procs) if n.split(".")[0] == v.id]:
+                    lab.kill(name)
+        return "lost %s" % region
+    if scenario == "drain":
+        u = lab.upstreams[0]
+        labs.post(u.url(labs.UPSTREAM_PORT, "/fake/drain"), {"on": True})
+        time.sleep(4)
+        last = lab.upstream_stats(u.id)["last_arrival_draining_us"]
+        labs.post(u.url(labs.UPSTREAM_PORT, "/fake/drain"), {"on": False})
+        return "last new work %.2f s after the drain began" % (max(last, 0) / 1e6)
+    if scenario == "rolling":
+        return rolling(lab)
+    if scenario == "store_outage":
+        lab.fault("platform", "down")
+        time.sleep(5)
+        lab.fault("platform", "none")
+        return "store down for %.1f s" % (time.monotonic() - began)
+    return ""
+
+
+def rolling(lab):
+    slowest = 0.0
+    for vm in lab.entries[:3]:
+        for program in ("lookupd", "entryd", "controld"):
+            began = time.monotonic()
+            lab.terminate("%s.%s" % (vm.id, program))
+            slowest = max(slowest, time.monotonic() - began)
+        lab.restart_vm(vm)
+    return "3 VMs replaced, slowest stop %.2f s" % slowest
+
+
+def measure(lab, policy, scenario, seed, seconds):
+    service = next(iter(lab.conf["services"]))
+    load, capacity = load_of(lab, service, scenario)
+    caller = works.Caller(lab, load, seconds + WARMUP_S, seed=seed, name="%s-%s" % (policy, scenario),
+                          extra=("--warmup-ms=%d" % (WARMUP_S * 1000),))
+    probe = Probe(lab)
+    notes = []
+    fault = threading.Thread(target=lambda: notes.append(during(lab, scenario)))
+    fault.start()
+    status = caller.wait(180)
+    fault.join()
+    del lab.procs["%s-%s" % (policy, scenario)]
+    rows = rows_of(lab, policy, scenario, seed, caller, probe, capacity,
+                   "; ".join(n for n in notes if n))
+    if status:
+        print(caller.report()[-1500:])
+    return rows, status
+
+
+def hop(lab, seed):
+    """Median time through our hop and without it, one request at a time, nothing else running."""
+    service = next(iter(lab.conf["services"]))
+    u = next(u for u in lab.upstreams if u.service == service)
+    entry = next(e for e in lab.entries if e.domain == u.domain)
+    base = [os.path.join(lab.bin, "fake-caller"), "--seconds=3", "--warmup-ms=500", "--seed=%d" % seed]
+    work = works.work(service, "get", "urgent", closed=1, ms=0, name="hop")
+    p50 = []
+    for i, way in enumerate(("--direct=" + u.url(labs.UPSTREAM_PORT),
+                             "--lookup=" + entry.url(labs.LOOKUP_PORT))):
+        path = lab.path("hop-%d.csv" % i)
+        subprocess.run(base + [way, work, "--csv=" + path, "--blocks=1"], stdout=subprocess.DEVNULL,
+                       stderr=subprocess.DEVNULL, timeout=60, check=True)
+        with open(path) as f:
+            row = next(csv.DictReader(f))
+        p50.append((int(row["p50_us"]), int(row["p99_us"]), row))
+    r = p50[1][2]
+    return [{"deployment": lab.conf["name"], "policy": "broker", "scenario": "hop", "seed": seed, "rank": "urgent",
+             "sent": r["sent"], "whole": r["whole"], "refused": r["not_run"], "unknown": r["unknown"],
+             "wrong": r["wrong"], "p50_ms": "%.3f" % (p50[1][0] / 1e3), "p99_ms": "%.3f" % (p50[1][1] / 1e3),
+             "p999_ms": "", "useful_pct": "", "slots_busy_pct": "", "link_pct": "", "cpu_us_per_request": "",
+             "extra": "median without our hop %.3f ms, added %.3f ms" % (p50[0][0] / 1e3, (p50[1][0] - p50[0][0]) / 1e3)}]
+
+
+def edit_time(lab):
+    service = next(iter(lab.conf["services"]))
+    began = time.monotonic()
+    lab.pstctl("--wait", "table", "set", service, "urgent", "weight." + lab.domains[0][0], "90", check=False)
+    return time.monotonic() - began
+
+
+def run(args, conf, policy, out):
+    status = 0
+    settings = {"entry": {"policy": policy, "leave_grace_ms": 1500}, "lookup": {"ttl_ms": 1000},
+                "broker": {"ramp_ms": 1000}, "log": {"level": "error"}}
+    # Each scenario that breaks something gets a lab of its own.
+    groups = [[s for s in args.scenarios if s not in OWN_SCENARIOS or s == "hop"]]
+    groups += [[s] for s in args.scenarios if s in OWN_SCENARIOS and s != "hop"]
+    for group in groups:
+        group = [s for s in group if policy == "broker" or s not in OWN_SCENARIOS]
+        if not group:
+            continue
+        with labs.Lab(conf, full=not args.small, settings=settings, vary=False) as lab:
+            lab.start()
+            time.sleep(SETTLE_S)
+            for scenario in group:
+                if scenario == "hop":
+                    rows = hop(lab, args.seed)
+                else:
+                    rows, failed = measure(lab, policy, scenario, args.seed, args.seconds)
+                    status = failed or status
+                if scenario == "steady":
+                    rows[0]["extra"] = "edit in force everywhere after %.2f s; %d processes, %d MiB" % (
+                        edit_time(lab), len(lab.procs), lab.memory_kib() / 1024)
+                for row in rows:
+                    out.writerow(row)
+                    print(" ".join("%s" % row[f] for f in FIELDS), flush=True)
+    return status
+
+
+def plot(path):
+    """p99 of urgent work by policy, a bar for each scenario."""
+    data = os.path.join(OUT, "urgent.dat")
+    with open(path) as f:
+        rows = [r for r in csv.DictReader(f) if r["rank"] == "urgent" and r["scenario"] != "hop"]
+    names = list(dict.fromkeys((r["deployment"], r["scenario"]) for r in rows))
+    policies = [p for p in POLICIES if any(r["policy"] == p for r in rows)]
+    with open(data, "w") as f:
+        f.write("run %s\n" % " ".join(policies))
+        for name in names:
+            cells = [next((r["p99_ms"] for r in rows if (r["deployment"], r["scenario"]) == name and r["policy"] == p), "NaN")
+                     for p in policies]
+            f.write("\"%s %s\" %s\n" % (*name, " ".join(cells)))
+    script = """set terminal svg size 1100,500; set output '%s'
+set style data histograms; set style fill solid 0.8; set logscale y; set ylabel 'p99 of urgent work, ms'
+set xtics rotate by -20; set key outside noenhanced; set xtics noenhanced
+plot for [i=2:%d] '%s' using i:xtic(1) title columnheader(i)
+""" % (os.path.join(OUT, "urgent.svg"), 1 + len(policies), data)
+    subprocess.run(["gnuplot"], input=script, text=True, timeout=60, check=False)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--confs", default="conf/fund.yaml,conf/guild.yaml")
+    parser.add_argument("--policies", default=",".join(POLICIES))
+    parser.add_argument("--scenarios", default=",".join(SCENARIOS))
+    parser.add_argument("--seconds", type=int, default=5, help="measured time of each run")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--small", action="store_true", help="6 entry VMs instead of 24")
+    args = parser.parse_args()
+    args.scenarios = args.scenarios.split(",")
+    os.makedirs(OUT, exist_ok=True)
+    path = os.path.join(OUT, "bench.csv")
+    print("run_ms=%d steady=%s flood=%dx seconds=%d seed=%d %s" % (
+        RUN_MS, STEADY, FLOOD_FACTOR, args.seconds, args.seed, "small" if args.small else "full size"))
+    print(" ".join(FIELDS))
+    status = 0
+    with open(path, "w", newline="") as f:
+        out = csv.DictWriter(f, FIELDS)
+        out.writeheader()
+        for conf in args.confs.split(","):
+            for policy in args.policies.split(","):
+                status = run(args, conf, policy, out) or status
+    plot(path)
+    print("written: %s, %s" % (path, os.path.join(OUT, "urgent.svg")))
+    sys.exit(status)
+
+
+main()
