Entry: a refused tunnel is not a lost request

Ruled out: the time before the transfer (libcurl takes it after the header was sent, so a send that breaks off would pass as not sent). Failed first: refusal_of_the_proxy_is_told_as_not_run, run unknown.

--- a/entryd/xfer.c
+++ b/entryd/xfer.c
@@ -340,6 +340,7 @@
 	snprintf(text, sizeof(text), "http://%s:%u", ip.ptr,
 		 net_addr_port(&proxy));
 	curl_easy_setopt(x->easy, CURLOPT_PROXY, text);
+	x->proxied = true;
 	curl_easy_setopt(x->easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
 	curl_easy_setopt(x->easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
 }
@@ -436,12 +437,28 @@
 	curl_easy_pause(x->easy, CURLPAUSE_CONT);
 }
 
-/* Whether a byte of the request can have left for the upstream. */
+/* Whether the proxy towards another region opened no way to the upstream. */
+static bool tunnel_failed(const struct xfer *x)
+{
+	long opened = 0;
+	long code = 0;
+
+	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &opened);
+	curl_easy_getinfo(x->easy, CURLINFO_HTTP_CONNECTCODE, &code);
+	return x->proxied && opened > 0 && code / 100 != 2;
+}
+
+/*
+ * Whether a byte of the request can have left for the upstream. libcurl
+ * counts what it sent to the proxy as part of the request.
+ */
 static bool may_have_left(const struct xfer *x)
 {
 	curl_off_t body = 0;
 	long header = 0;
 
+	if (tunnel_failed(x))
+		return false;
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &header);
 	curl_easy_getinfo(x->easy, CURLINFO_SIZE_UPLOAD_T, &body);
 	return header > 0 || body > 0;
--- a/entryd/xfer.h
+++ b/entryd/xfer.h
@@ -33,6 +33,8 @@
 
 	/* Handed to libcurl. */
 	bool started;
+	/* Goes through the proxy of the upstream's region. */
+	bool proxied;
 	/* Halted until the link's limit has room. */
 	bool throttled;
 	/* Halted until the caller's side has moved bytes. */
--- a/tests/fix_upstream.c
+++ b/tests/fix_upstream.c
@@ -159,6 +159,10 @@
 				   "{\"application_utilization\":0.25}\r\n";
 	const char *path = r->path;
 
+	if (!strncmp(r->head, "CONNECT ", 8)) {
+		send_head(fd, 502, "", 0, "");
+		return false;
+	}
 	if (!strcmp(path, "/big")) {
 		send_big(fd, r->id);
 	} else if (!strcmp(path, "/length")) {
--- a/tests/fix_upstream.h
+++ b/tests/fix_upstream.h
@@ -12,6 +12,7 @@
  *   /shedonce  as /shed for the first request, then as /ok
  *   /drop      reads the request and closes without an answer
  *   /silent    reads the request and never answers
+ *   CONNECT    502, as a proxy that cannot reach the other side
  *   /later     keeps silent on the connection's second request
  */
 #ifndef TESTS_FIX_UPSTREAM_H
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -421,6 +421,26 @@
 }
 END_TEST
 
+START_TEST(refusal_of_the_proxy_is_told_as_not_run)
+{
+	static char text[64];
+	struct str proxy;
+	struct caller c;
+
+	snprintf(text, sizeof(text), "r2=%s:%d", fix_ip().ptr, UPSTREAM_PORT);
+	proxy = str_from_c(text);
+	set.net.proxies = &proxy;
+	set.net.proxies_count = 1;
+	remote = 1;
+	c = call("POST", "/s/svc/ok", "Idempotency-Key: k4", 0, false);
+	ck_assert_int_eq(c.status, 502);
+	ck_assert_ptr_nonnull(strstr(c.text, "\"run\":\"no\""));
+	wait_idle();
+	set.net.proxies_count = 0;
+	remote = 0;
+}
+END_TEST
+
 START_TEST(connection_stays_open_between_requests)
 {
 	CURL *easy = curl_easy_init();
@@ -559,6 +579,7 @@
 	tcase_add_test(tc, connection_that_went_silent_is_not_used_again);
 	tcase_add_test(tc, deadline_of_a_booking_ends_it_as_unknown);
 	tcase_add_test(tc, small_share_of_a_link_slows_but_does_not_stop);
+	tcase_add_test(tc, refusal_of_the_proxy_is_told_as_not_run);
 	tcase_add_test(tc, connection_stays_open_between_requests);
 	tcase_add_test(tc, malformed_requests_get_their_own_answer);
 	return fix_run("entry", tc);
