An older offer confirms nothing and is logged

The event table_older was never written for the store, as a lower revision was not offered to the table at all; it is now, once for each value. Ruled out: distrusting a store for good after one such answer; a read that began before a push does the same.

--- a/controld/store_duty.c
+++ b/controld/store_duty.c
@@ -32,6 +32,8 @@
 	atomic_bool changed;
 	/* Revision of the head when it was last read. */
 	uint64_t last_head;
+	/* Older revision that the store offered last, or 0. */
+	uint64_t older;
 	/* Changes that the watch has reported. */
 	atomic_uint reports;
 	/* A read found a change before the watch; reports at that time. */
@@ -167,6 +169,7 @@
 static int read_table(struct store_duty *duty)
 {
 	const apr_time_t asked_at = clk_now(duty->clk);
+	const uint64_t held = node_revision(duty->node);
 	const bool changed = duty->changed;
 	uint64_t newest = 0;
 	struct stc_list head;
@@ -177,6 +180,10 @@
 	err = read_newer(duty, &head, changed, &newest);
 	if (!err && newest > node_revision(duty->node))
 		err = node_apply(duty->node, newest, "store");
+	if (!err && newest < held && newest != duty->older)
+		evt_log(TABLE_OLDER, "held=%llu offered=%llu source=store",
+			(unsigned long long)held, (unsigned long long)newest);
+	duty->older = newest < held ? newest : 0;
 	if (!err || err == PST_ERR_INVALID) {
 		node_confirm(duty->node, newest, asked_at, NODE_SOURCE_STORE);
 		duty->seen = head.revision;
--- a/policy/rev.c
+++ b/policy/rev.c
@@ -63,7 +63,8 @@
 bool rev_confirm(struct rev *rev, uint64_t newest, apr_time_t at)
 {
 	rev_heard(rev, newest);
-	if (!rev->revision || rev->heard > rev->revision)
+	if (!rev->revision || rev->heard > rev->revision ||
+	    newest < rev->revision)
 		return false;
 	if (!rev->introduced || at < rev->not_before)
 		return false;
--- a/policy/rev.h
+++ b/policy/rev.h
@@ -59,7 +59,8 @@
 
 /*
  * Notes that at the time at (this process's clock) no revision above newest
- * had been accepted. Returns whether that is news: it confirms the held
+ * had been accepted. A newest below the held revision confirms nothing: who
+ * says so lags. Returns whether that is news: it confirms the held
  * revision later than was known.
  */
 bool rev_confirm(struct rev *rev, uint64_t newest, apr_time_t at);
--- a/tests/test_rev.c
+++ b/tests/test_rev.c
@@ -46,6 +46,20 @@
 }
 END_TEST
 
+/* Who offers less than what exists does not know what is the newest. */
+START_TEST(older_offer_confirms_nothing)
+{
+	struct rev rev;
+
+	rev_init(&rev, TIMEOUT, PAUSE_BOUND);
+	rev_introduce(&rev);
+	rev_hold(&rev, 8);
+	ck_assert(!rev_confirm(&rev, 7, CLK_SEC(1)));
+	ck_assert(!rev_fresh(&rev, CLK_SEC(1), CLK_SEC(1)));
+	ck_assert(rev_confirm(&rev, 8, CLK_SEC(1)));
+}
+END_TEST
+
 START_TEST(majority_takes_the_oldest_vote_it_needs)
 {
 	struct rev_vote votes[] = {
@@ -92,6 +106,7 @@
 
 	tcase_add_test(tc, lower_revision_is_never_taken);
 	tcase_add_test(tc, confirmation_from_before_a_pause_does_not_count);
+	tcase_add_test(tc, older_offer_confirms_nothing);
 	tcase_add_test(tc, majority_takes_the_oldest_vote_it_needs);
 	tcase_add_test(tc, acceptance_needs_a_majority_and_the_time_to_stop);
 	return fix_run("rev", tc);
