table load: one failure domain at a time, and waits for acceptance

Cause: two majorities share a failure domain only if the sets differ by one at most; a load could change any number and told nothing of acceptance. It now refuses more than one, names the cell, and reports as an edit does when a table was there before. A list without entry VMs counts as accepted. Ruled out: carrying old and new sets at once (joint majorities), more than the rare change of domains needs.

--- a/policy/edit.c
+++ b/policy/edit.c
@@ -269,6 +269,39 @@
 	return err;
 }
 
+static size_t domains_missing(const struct tbl_frame *from,
+			      const struct tbl_frame *in)
+{
+	size_t missing = 0;
+
+	for (size_t d = 0; d < from->domain_count; d++)
+		missing += tbl_frame_domain(
+				   in, strbuf_str(&from->domains[d].name)) < 0;
+	return missing;
+}
+
+int edit_check_manifest(struct str old, struct str next,
+			struct tbl_problem *problem)
+{
+	struct tbl_problem ignored;
+	struct tbl_frame *before = NULL;
+	struct tbl_frame *after = NULL;
+	int err = tbl_frame_parse(&after, next, problem);
+
+	if (err || !after)
+		return err;
+	if (!old.len || tbl_frame_parse(&before, old, &ignored) || !before) {
+		ref_put(&after->ref);
+		return 0;
+	}
+	if (domains_missing(before, after) + domains_missing(after, before) > 1)
+		err = tbl_refuse(problem, STR_LIT(""), PST_ERR_INVALID,
+				 "domains (more than one changed)");
+	ref_put(&before->ref);
+	ref_put(&after->ref);
+	return err;
+}
+
 void edit_begin(struct edit *edit, const struct edit_cell *cell,
 		const char *label, const char *wanted, apr_time_t give_up_at)
 {
--- a/policy/edit.h
+++ b/policy/edit.h
@@ -74,6 +74,15 @@
 int edit_check(struct str manifest, struct str service, struct str part,
 	       struct tbl_problem *problem);
 
+/*
+ * Whether a manifest may follow another: at most one failure domain is added
+ * or removed, so that a majority of the old and one of the new always share a
+ * domain. An empty old manifest may be followed by any. Returns 0 or
+ * PST_ERR_INVALID with the manifest's cell or "domains" named.
+ */
+int edit_check_manifest(struct str old, struct str next,
+			struct tbl_problem *problem);
+
 enum edit_step {
 	/* Read part, head and manifest. */
 	EDIT_STEP_READ,
--- a/pstctl/accept.c
+++ b/pstctl/accept.c
@@ -110,7 +110,13 @@
 	apr_time_t majority_at = 0;
 	struct rev_holders holders = {0};
 
-	while (clk_now(cmd->clk) - written < BOUND_TIMEOUTS * timeout) {
+	/* Without VMs there is nobody who could serve under an older table. */
+	if (!poll->count) {
+		out->accepted = true;
+		out->accepted_after = written - began;
+	}
+	while (poll->count &&
+	       clk_now(cmd->clk) - written < BOUND_TIMEOUTS * timeout) {
 		const apr_time_t now = clk_now(cmd->clk);
 
 		if (!count_holders(poll, frame, &holders))
--- a/pstctl/cmd.h
+++ b/pstctl/cmd.h
@@ -30,6 +30,12 @@
 int cmd_status(struct cmd *cmd);
 int cmd_explain(struct cmd *cmd, const char *id);
 
+/*
+ * Waits until a written edit is accepted and prints the result. began is when
+ * the write was begun.
+ */
+int cmd_report(struct cmd *cmd, uint64_t revision, apr_time_t began);
+
 /* Prints "pstctl: what: text of err" to standard error. */
 void cmd_complain(const char *what, int err);
 
--- a/pstctl/cmd_edit.c
+++ b/pstctl/cmd_edit.c
@@ -43,29 +43,6 @@
 	       r->vms_holding, r->domains, r->domains_whole, r->silent);
 }
 
-static int report(struct cmd *cmd, uint64_t revision, apr_time_t began)
-{
-	struct accept_result result;
-	const int err = accept_wait(cmd, revision, began, &result);
-
-	if (err) {
-		printf("revision=%llu accepted=unknown\n",
-		       (unsigned long long)revision);
-		cmd_complain("the write took effect, but the VMs' state is "
-			     "not known",
-			     err);
-		return CLI_EXIT_UNAVAILABLE;
-	}
-	print_result(cmd, revision, &result);
-	if (result.accepted && !(cmd->wait && result.whole_after < 0))
-		return CLI_EXIT_OK;
-	fprintf(stderr, "pstctl: %s: %s\n",
-		result.accepted ? "accepted, but not confirmed by"
-				: "written, but not accepted; not confirmed by",
-		result.silent);
-	return CLI_EXIT_FAILED;
-}
-
 static int explain_refusal(const struct edit *edit,
 			   const struct tbl_problem *problem)
 {
@@ -114,7 +91,30 @@
 			     edit.err);
 		return CLI_EXIT_UNAVAILABLE;
 	}
-	return report(cmd, edit.revision, began);
+	return cmd_report(cmd, edit.revision, began);
+}
+
+int cmd_report(struct cmd *cmd, uint64_t revision, apr_time_t began)
+{
+	struct accept_result result;
+	const int err = accept_wait(cmd, revision, began, &result);
+
+	if (err) {
+		printf("revision=%llu accepted=unknown\n",
+		       (unsigned long long)revision);
+		cmd_complain("the write took effect, but the VMs' state is "
+			     "not known",
+			     err);
+		return CLI_EXIT_UNAVAILABLE;
+	}
+	print_result(cmd, revision, &result);
+	if (result.accepted && !(cmd->wait && result.whole_after < 0))
+		return CLI_EXIT_OK;
+	fprintf(stderr, "pstctl: %s: %s\n",
+		result.accepted ? "accepted, but not confirmed by"
+				: "written, but not accepted; not confirmed by",
+		result.silent);
+	return CLI_EXIT_FAILED;
 }
 
 int cmd_table_set(struct cmd *cmd, const char *service, const char *rank,
--- a/pstctl/cmd_table.c
+++ b/pstctl/cmd_table.c
@@ -306,22 +306,57 @@
 	return err;
 }
 
-int cmd_table_load(struct cmd *cmd, const char *path)
+/* Whether the file's manifest may follow the one in the store. */
+static int check_change(struct cmd *cmd, const struct file_parts *file,
+			bool *first)
 {
-	struct file_parts file = {0};
-	uint64_t revision = 0;
-	int err = read_file(path, &file);
+	struct tbl_problem problem = {0};
+	struct stc_list list;
+	int err = stc_read_key(cmd->stc, STR_LIT(TBL_KEY_MANIFEST), &list);
 
 	if (err) {
-		file_free(&file);
-		return CLI_EXIT_FAILED;
+		cmd_complain("store", err);
+		return cmd_exit(err);
 	}
-	err = write_file(cmd, &file, path, &revision);
-	file_free(&file);
+	*first = !list.count;
+	err = edit_check_manifest(*first ? STR_LIT("") : list.items[0].value,
+				  file->parts[0].value, &problem);
+	stc_list_free(&list);
+	if (!err)
+		return CLI_EXIT_OK;
+	print_problem(&problem);
+	return CLI_EXIT_FAILED;
+}
+
+/* The first table has nobody to wait for. */
+static int load(struct cmd *cmd, const struct file_parts *file,
+		const char *path)
+{
+	const apr_time_t began = clk_now(cmd->clk);
+	uint64_t revision = 0;
+	bool first = true;
+	const int status = check_change(cmd, file, &first);
+	int err;
+
+	if (status)
+		return status;
+	err = write_file(cmd, file, path, &revision);
 	if (err) {
 		cmd_complain("the table is written in part or not at all", err);
 		return cmd_exit(err);
 	}
+	if (!first)
+		return cmd_report(cmd, revision, began);
 	printf("revision=%llu\n", (unsigned long long)revision);
 	return CLI_EXIT_OK;
 }
+
+int cmd_table_load(struct cmd *cmd, const char *path)
+{
+	struct file_parts file = {0};
+	const int err = read_file(path, &file);
+	const int status = err ? CLI_EXIT_FAILED : load(cmd, &file, path);
+
+	file_free(&file);
+	return status;
+}
--- a/tests/test_edit.c
+++ b/tests/test_edit.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include <check.h>
+#include <jansson.h>
 
 #include "common/clk.h"
 #include "common/err.h"
@@ -95,6 +96,45 @@
 }
 END_TEST
 
+/* Drops the last count domains of the manifest. */
+static char *fewer_domains(int count)
+{
+	json_t *root = json_loads(fix_manifest, 0, NULL);
+	json_t *domains = json_object_get(root, "domains");
+	char *text;
+
+	for (; count; count--)
+		json_array_remove(domains, json_array_size(domains) - 1);
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+START_TEST(failure_domains_change_one_at_a_time)
+{
+	const struct str all = str_from_c(fix_manifest);
+	struct tbl_problem problem = {0};
+	char *five = fewer_domains(1);
+	char *four = fewer_domains(2);
+
+	ck_assert_int_eq(edit_check_manifest(STR_LIT(""), all, &problem), 0);
+	ck_assert_int_eq(edit_check_manifest(all, all, &problem), 0);
+	ck_assert_int_eq(edit_check_manifest(all, str_from_c(five), &problem),
+			 0);
+	ck_assert_int_eq(edit_check_manifest(str_from_c(five), all, &problem),
+			 0);
+	ck_assert_int_eq(edit_check_manifest(all, str_from_c(four), &problem),
+			 PST_ERR_INVALID);
+	ck_assert_int_eq(edit_check_manifest(str_from_c(four), all, &problem),
+			 PST_ERR_INVALID);
+	ck_assert_str_eq(problem.cell.ptr, "domains (more than one changed)");
+	ck_assert_int_eq(edit_check_manifest(all, STR_LIT("{}"), &problem),
+			 PST_ERR_INVALID);
+	free(five);
+	free(four);
+}
+END_TEST
+
 START_TEST(drain_mark_is_a_cell)
 {
 	struct edit_cell cell;
@@ -473,6 +513,7 @@
 	tcase_add_loop_test(tc, cell_is_named_read_and_written, 0,
 			    (int)(sizeof(cells) / sizeof(cells[0])));
 	tcase_add_test(tc, bad_edit_is_refused_before_the_store);
+	tcase_add_test(tc, failure_domains_change_one_at_a_time);
 	tcase_add_test(tc, drain_mark_is_a_cell);
 	tcase_add_loop_test(tc, each_fate_of_a_swap_at_each_step_of_the_other,
 			    0,
