A malformed part keeps out only itself, and passes for nothing

Cause: a VM that refused a malformed part reported its revision as in force, and any later edit of another service was refused with it, as the parts were put in force together; an edit could be told as accepted that no VM followed. Failed first: malformed_part_holds_up_only_itself (in force 6, expected 5). Such a part is now left out, remembered, and bounds what is in force. Ruled out: ignoring the refused part's revision, which would call the value accepted in the mixed case of two versions of the program.

--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -135,7 +135,7 @@
 	table_ask args = {
 		.from = (char *)agent->set->vm.id.ptr,
 		.client = agent->id,
-		.held = agent->hold.rev.revision,
+		.held = hold_in_force(&agent->hold),
 		.after = *after,
 		.list_incarnation = agent->list_incarnation,
 		.list_revision = agent->list_revision,
--- a/agent/hold.c
+++ b/agent/hold.c
@@ -19,10 +19,105 @@
 	return false;
 }
 
+static struct hold_refused *find_refused(struct hold *hold,
+					 const struct strbuf *service)
+{
+	for (size_t i = 0; i < hold->refused_count; i++) {
+		if (strbuf_eq(&hold->refused[i].service, service))
+			return &hold->refused[i];
+	}
+	return NULL;
+}
+
+/* Logs a refusal once for each value. */
+static void note_refused(struct hold *hold, const struct tbl_problem *problem,
+			 uint64_t mod_revision)
+{
+	struct hold_refused *refused = find_refused(hold, &problem->service);
+
+	if (refused && refused->mod_revision == mod_revision)
+		return;
+	if (!refused && hold->refused_count < HOLD_MAX_REFUSED)
+		refused = &hold->refused[hold->refused_count++];
+	if (refused)
+		*refused = (struct hold_refused){
+			.service = problem->service,
+			.mod_revision = mod_revision,
+		};
+	evt_log(TABLE_REFUSED, "revision=%llu service=%s cell=%s err=%s",
+		(unsigned long long)mod_revision, problem->service.ptr,
+		problem->cell.ptr, err_name(problem->err));
+}
+
+static bool key_is_service(struct str key, const struct strbuf *service)
+{
+	const struct str prefix = STR_LIT(TBL_PREFIX_SERVICE);
+
+	return service->len && key.len == prefix.len + service->len &&
+	       !memcmp(key.ptr, prefix.ptr, prefix.len) &&
+	       !memcmp(key.ptr + prefix.len, service->ptr, service->len);
+}
+
+static size_t find_service(const struct tbl_part *parts, size_t count,
+			   const struct strbuf *service)
+{
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (key_is_service(parts[i].key, service))
+			break;
+	}
+	return i;
+}
+
+/* What has a newer value in parts is no longer refused. */
+static void forget_replaced(struct hold *hold, const struct tbl_part *parts,
+			    size_t count)
+{
+	for (size_t i = 0; i < hold->refused_count;) {
+		const struct hold_refused *refused = &hold->refused[i];
+		const size_t at = find_service(parts, count, &refused->service);
+		const bool replaced =
+			refused->service.len
+				? at < count && parts[at].mod_revision >
+							refused->mod_revision
+				: has_manifest(parts, count);
+
+		if (replaced)
+			hold->refused[i] = hold->refused[--hold->refused_count];
+		else
+			i++;
+	}
+}
+
+/* Leaves malformed parts out until the rest is a table. */
+static int apply_good(struct hold *hold, struct tbl_part *parts, size_t count,
+		      uint64_t revision, struct tbl **out)
+{
+	struct tbl_problem problem = {0};
+
+	forget_replaced(hold, parts, count);
+	for (;;) {
+		const int err = tbl_apply(out, hold->tbl, parts, count,
+					  revision, &problem);
+		const size_t at = find_service(parts, count, &problem.service);
+
+		if (err != PST_ERR_INVALID)
+			return err;
+		if (!hold->tbl || at == count) {
+			note_refused(hold, &problem, revision);
+			return err;
+		}
+		note_refused(hold, &problem, parts[at].mod_revision);
+		parts[at] = parts[--count];
+		if (!count)
+			return err;
+	}
+}
+
 /* A changed manifest needs every part; else the changed ones are enough. */
 static int build(struct hold *hold, uint64_t revision, struct tbl **out)
 {
-	struct tbl_problem problem = {0};
 	struct tbl_part *parts = NULL;
 	size_t count = 0;
 	const uint64_t applied = hold->tbl ? hold->tbl->revision : 0;
@@ -36,14 +131,8 @@
 		err = pts_since(hold->pts, 0, &parts, &count);
 	}
 	if (!err)
-		err = tbl_apply(out, hold->tbl, parts, count, revision,
-				&problem);
+		err = apply_good(hold, parts, count, revision, out);
 	free(parts);
-	if (err)
-		evt_log(TABLE_REFUSED,
-			"revision=%llu service=%s cell=%s err=%s",
-			(unsigned long long)revision, problem.service.ptr,
-			problem.cell.ptr, err_name(err));
 	return err;
 }
 
@@ -102,6 +191,17 @@
 	return 0;
 }
 
+uint64_t hold_in_force(const struct hold *hold)
+{
+	uint64_t revision = hold->tbl ? hold->tbl->revision : 0;
+
+	for (size_t i = 0; i < hold->refused_count; i++) {
+		if (hold->refused[i].mod_revision <= revision)
+			revision = hold->refused[i].mod_revision - 1;
+	}
+	return revision;
+}
+
 bool hold_tick(struct hold *hold, bool was_fresh)
 {
 	const apr_time_t now = clk_now(hold->clk);
--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -62,8 +62,9 @@
 	out->vm = strdup(node->set->vm.id.ptr);
 	out->incarnation = node->incarnation;
 	out->revision = rev->revision;
-	out->in_force = clients_lowest(&node->clients, rev->revision,
-				       now - rev->freshness_timeout);
+	out->in_force =
+		clients_lowest(&node->clients, hold_in_force(&node->hold),
+			       now - rev->freshness_timeout);
 	out->confirmed_age_ms = tmsg_age_ms(rev_age(rev, now));
 	out->voter = rev->voter;
 	out->relay = node->relay;
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -243,6 +243,50 @@
 }
 END_TEST
 
+static uint64_t in_force(void)
+{
+	table_status status = {0};
+	uint64_t revision;
+
+	ck_assert_int_eq(node_status(node, &status), 0);
+	revision = status.in_force;
+	xdr_free((xdrproc_t)xdr_table_status, &status);
+	return revision;
+}
+
+/* It must not pass for accepted, nor keep other services' edits out. */
+START_TEST(malformed_part_holds_up_only_itself)
+{
+	struct tbl_part change;
+	struct tbl *tbl;
+	char *text;
+
+	begin();
+	take(fix_parts, 3, 5);
+	ck_assert_uint_eq(in_force(), 5);
+	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100",
+			 "\"almaty-1\":-1", &text);
+	node_take_change(node, &change, 1, 5, 6, "peer");
+	free(text);
+	ck_assert_uint_eq(in_force(), 5);
+	change = edit_of(&fix_parts[2], 7, "\"almaty-1\":100", "\"almaty-1\":9",
+			 &text);
+	node_take_change(node, &change, 1, 6, 7, "peer");
+	free(text);
+	tbl = node_table(node);
+	ck_assert_uint_eq(tbl_row(tbl, 0, RANK_URGENT)->weights[0], 100);
+	ck_assert_uint_eq(tbl_row(tbl, 1, RANK_URGENT)->weights[0], 9);
+	tbl_put(tbl);
+	ck_assert_uint_eq(in_force(), 5);
+	change = edit_of(&fix_parts[1], 8, "\"almaty-1\":100", "\"almaty-1\":3",
+			 &text);
+	node_take_change(node, &change, 1, 7, 8, "peer");
+	free(text);
+	ck_assert_uint_eq(in_force(), 8);
+	end();
+}
+END_TEST
+
 /* A table of several pages, whose parts are large. */
 static struct tbl_part *big_table(char **manifest)
 {
@@ -374,6 +418,7 @@
 	tcase_add_test(tc, agent_is_fresh_as_long_as_the_node_is_confirmed);
 	tcase_add_test(tc, push_with_a_gap_is_refused);
 	tcase_add_test(tc, malformed_part_leaves_the_last_table_in_force);
+	tcase_add_test(tc, malformed_part_holds_up_only_itself);
 	tcase_add_test(tc, table_of_many_pages_arrives_whole);
 	tcase_add_test(tc,
 		       new_node_takes_table_list_and_confirmation_from_a_peer);
