A slow exchange is no longer taken for a pause

Cause: any gap of a second in a duty dropped the confirmation. An agent whose pst-controld is silent takes 0.5 to 1.5 s a round, so it would have dropped it in every round and never been fresh. gap_on_both_clocks_counts_by_its_age failed first. A pause that the monotonic clock sees only ages the confirmation; a difference between the clocks drops it. Ruled out: a longer bound, which no bound on calls would respect.

--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -312,7 +312,7 @@
 		agent->id = (uint64_t)apr_time_now();
 	pthread_mutex_init(&agent->lock, NULL);
 	pthread_cond_init(&agent->wake, NULL);
-	err = hold_init(&agent->hold, set, clk);
+	err = hold_init(&agent->hold, set, clk, hold_wall_clock());
 	agent->rev = agent->hold.rev;
 	agent->hold.lean = true;
 	if (!err)
@@ -376,8 +376,8 @@
 	bool fresh;
 
 	pthread_mutex_lock(&agent->lock);
-	fresh = agent->view &&
-		rev_fresh(&agent->rev, clk_now(agent->clk), apr_time_now());
+	fresh = agent->view && rev_fresh(&agent->rev, clk_now(agent->clk),
+					 clk_now(hold_wall_clock()));
 	pthread_mutex_unlock(&agent->lock);
 	return fresh;
 }
--- a/agent/hold.c
+++ b/agent/hold.c
@@ -10,6 +10,12 @@
 
 #define US_PER_MS  1000
 
+static apr_time_t read_wall(const struct clk *clk)
+{
+	(void)clk;
+	return apr_time_now();
+}
+
 static bool has_manifest(const struct tbl_part *parts, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
@@ -136,11 +142,19 @@
 	return err;
 }
 
+const struct clk *hold_wall_clock(void)
+{
+	static const struct clk wall = {.now = read_wall};
+
+	return &wall;
+}
+
 int hold_init(struct hold *hold, const struct settings *set,
-	      const struct clk *clk)
+	      const struct clk *clk, const struct clk *wall)
 {
 	memset(hold, 0, sizeof(*hold));
 	hold->clk = clk;
+	hold->wall = wall;
 	rev_init(&hold->rev, CLK_MS(set->control.freshness_timeout_ms),
 		 CLK_MS(set->table.pause_ms));
 	return pts_create(&hold->pts);
@@ -206,8 +220,8 @@
 {
 	const apr_time_t now = clk_now(hold->clk);
 	const apr_interval_time_t gap =
-		rev_tick(&hold->rev, now, apr_time_now());
-	const bool fresh = rev_fresh(&hold->rev, now, apr_time_now());
+		rev_tick(&hold->rev, now, clk_now(hold->wall));
+	const bool fresh = rev_fresh(&hold->rev, now, clk_now(hold->wall));
 	const apr_interval_time_t age = rev_age(&hold->rev, now);
 
 	if (gap)
--- a/agent/hold.h
+++ b/agent/hold.h
@@ -22,6 +22,7 @@
 
 struct hold {
 	const struct clk *clk;
+	const struct clk *wall;
 	struct pts *pts;
 	struct rev rev;
 	/* NULL before the first. */
@@ -34,9 +35,15 @@
 	size_t refused_count;
 };
 
-/* Returns 0 or PST_ERR_NOMEM. */
+/* The system's wall clock. */
+const struct clk *hold_wall_clock(void);
+
+/*
+ * Borrows clk and wall, which is compared with it to find a VM that was
+ * suspended. Returns 0 or PST_ERR_NOMEM.
+ */
 int hold_init(struct hold *hold, const struct settings *set,
-	      const struct clk *clk);
+	      const struct clk *clk, const struct clk *wall);
 void hold_done(struct hold *hold);
 
 /* Keeps parts of an exchange that goes on; nothing is in force yet. */
--- a/controld/main.c
+++ b/controld/main.c
@@ -11,6 +11,7 @@
 #include "common/evt.h"
 #include "common/rpcs.h"
 #include "controld/brk_svc.h"
+#include "agent/hold.h"
 #include "controld/list_duty.h"
 #include "controld/node.h"
 #include "controld/peer_duty.h"
@@ -66,7 +67,8 @@
 	int err = cview_create(&app->cview);
 
 	if (!err)
-		err = node_create(&app->node, set, app->clk, app->cview);
+		err = node_create(&app->node, set, app->clk, hold_wall_clock(),
+				  app->cview);
 	if (!err)
 		err = admin_start(&app->admin, set,
 				  (uint16_t)set->control.admin_port);
--- a/controld/node.c
+++ b/controld/node.c
@@ -113,7 +113,8 @@
 }
 
 int node_create(struct node **out, const struct settings *set,
-		const struct clk *clk, struct cview *cview)
+		const struct clk *clk, const struct clk *wall,
+		struct cview *cview)
 {
 	struct node *node = calloc(1, sizeof(*node));
 	int err;
@@ -128,7 +129,7 @@
 	node->relay_heard_at = node->started_at;
 	pthread_mutex_init(&node->lock, NULL);
 	pthread_cond_init(&node->newer, NULL);
-	err = hold_init(&node->hold, set, clk);
+	err = hold_init(&node->hold, set, clk, wall);
 	if (!err)
 		err = lsd_create(&node->listed);
 	if (!err)
--- a/controld/node.h
+++ b/controld/node.h
@@ -20,9 +20,13 @@
 	NODE_SOURCE_MAJORITY,
 };
 
-/* Borrows set, clk and cview. Returns 0 or PST_ERR_NOMEM. */
+/*
+ * Borrows set, both clocks (see hold_init()) and cview. Returns 0 or
+ * PST_ERR_NOMEM.
+ */
 int node_create(struct node **out, const struct settings *set,
-		const struct clk *clk, struct cview *cview);
+		const struct clk *clk, const struct clk *wall,
+		struct cview *cview);
 void node_destroy(struct node *node);
 
 /* Keeps parts of an exchange that goes on. */
--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -69,7 +69,7 @@
 	out->voter = rev->voter;
 	out->relay = node->relay;
 	out->store_reachable = node->store_reachable;
-	out->fresh = rev_fresh(rev, now, apr_time_now());
+	out->fresh = rev_fresh(rev, now, clk_now(node->hold.wall));
 	return out->vm ? 0 : PST_ERR_NOMEM;
 }
 
--- a/policy/rev.c
+++ b/policy/rev.c
@@ -20,14 +20,16 @@
 	return part * 2 > all;
 }
 
-/* The wall clock moved away from the monotonic one since the last tick. */
-static bool clocks_parted(const struct rev *rev, apr_time_t now,
-			  apr_time_t wall)
+/* How far the wall clock moved from the monotonic one since the last tick. */
+static apr_interval_time_t parted_by(const struct rev *rev, apr_time_t now,
+				     apr_time_t wall)
 {
 	const apr_interval_time_t by =
 		(wall - rev->last_wall) - (now - rev->last_tick);
 
-	return rev->ticked && (by > rev->pause_bound || by < -rev->pause_bound);
+	if (!rev->ticked)
+		return 0;
+	return by < 0 ? -by : by;
 }
 
 void rev_init(struct rev *rev, apr_interval_time_t freshness_timeout,
@@ -84,24 +86,21 @@
 bool rev_fresh(const struct rev *rev, apr_time_t now, apr_time_t wall)
 {
 	return rev_age(rev, now) <= rev->freshness_timeout &&
-	       !clocks_parted(rev, now, wall);
+	       parted_by(rev, now, wall) <= rev->pause_bound;
 }
 
 apr_interval_time_t rev_tick(struct rev *rev, apr_time_t now, apr_time_t wall)
 {
-	const apr_interval_time_t gap = now - rev->last_tick;
-	const apr_interval_time_t wall_gap = wall - rev->last_wall;
-	const apr_interval_time_t longest = gap > wall_gap ? gap : wall_gap;
-	const bool paused = rev->ticked && longest > rev->pause_bound;
+	const apr_interval_time_t by = parted_by(rev, now, wall);
 
 	rev->ticked = true;
 	rev->last_tick = now;
 	rev->last_wall = wall;
-	if (!paused)
+	if (by <= rev->pause_bound)
 		return 0;
 	rev->confirmed = false;
 	rev->not_before = now;
-	return longest;
+	return by;
 }
 
 bool rev_majority(const struct rev_vote *votes, size_t count, uint64_t held,
--- a/policy/rev.h
+++ b/policy/rev.h
@@ -75,9 +75,10 @@
 bool rev_fresh(const struct rev *rev, apr_time_t now, apr_time_t wall);
 
 /*
- * Called regularly with the monotonic and the wall clock. After a gap of
- * more than the pause bound on either, the confirmation is dropped and the
- * gap returned; otherwise returns 0.
+ * Called regularly with the monotonic and the wall clock. When they have moved
+ * apart by more than the pause bound, the VM was suspended: the confirmation
+ * is dropped and the difference returned; otherwise returns 0. A pause that
+ * the monotonic clock saw needs no more than the confirmation's age.
  */
 apr_interval_time_t rev_tick(struct rev *rev, apr_time_t now, apr_time_t wall);
 
