Agents stay with one other VM and take their leave

Ruled out: forgetting such processes sooner; one may serve for the whole freshness timeout after its last exchange.

--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -18,6 +18,9 @@
 /* Failed exchanges with the own pst-controld before another VM is asked. */
 #define FAILURES_BEFORE_OTHERS 2
 
+/* While another answers, the own is tried once in so many rounds. */
+#define OWN_RETRY_ROUNDS 8
+
 /* Pages of one exchange; a table has fewer. */
 #define MAX_PAGES 64
 
@@ -38,7 +41,10 @@
 	uint64_t list_revision;
 	uint32_t failures;
 	uint32_t next_other;
+	uint32_t round;
 	struct rpcc *own;
+	/* Another VM's, while the own does not answer; else NULL. */
+	struct rpcc *other;
 	bool fresh;
 	/* A new table is in force that pst-controld does not know of yet. */
 	bool changed;
@@ -217,33 +223,76 @@
 	return NULL;
 }
 
+/* Tells a pst-controld that it need no longer wait for this process. */
+static void take_leave(struct ctl_agent *agent, struct rpcc *rpcc)
+{
+	table_ask args = {
+		.from = (char *)agent->set->vm.id.ptr,
+		.client = agent->id,
+		.held = UINT64_MAX,
+		.after = UINT64_MAX,
+		.list_incarnation = agent->list_incarnation,
+		.list_revision = agent->list_revision,
+	};
+	table_answer answer = {0};
+
+	if (!rpcc_call(rpcc, TABLE_VIEW, (xdrproc_t)xdr_table_ask, &args,
+		       (xdrproc_t)xdr_table_answer, &answer,
+		       CLK_MS(agent->set->net.rpc_timeout_ms)))
+		xdr_free((xdrproc_t)xdr_table_answer, &answer);
+}
+
+static void drop_other(struct ctl_agent *agent)
+{
+	rpcc_destroy(agent->other);
+	agent->other = NULL;
+}
+
+/* Stays with one VM while it answers: each one asked waits for this process. */
 static void exchange_with_other(struct ctl_agent *agent)
 {
-	const struct vm *vm = pick_other(agent);
-	struct rpcc *rpcc = NULL;
+	const struct vm *vm;
+
+	if (!agent->other) {
+		vm = pick_other(agent);
+		if (!vm || open_client(agent, strbuf_str(&vm->region),
+				       strbuf_str(&vm->address), &agent->other))
+			return;
+	}
+	if (exchange(agent, agent->other))
+		drop_other(agent);
+}
 
-	if (!vm || open_client(agent, strbuf_str(&vm->region),
-			       strbuf_str(&vm->address), &rpcc))
+static void own_answered(struct ctl_agent *agent)
+{
+	if (agent->failures >= FAILURES_BEFORE_OTHERS)
+		evt_log(SYNC_BACK, "vm=%.*s", STR_ARG(agent->set->vm.id));
+	agent->failures = 0;
+	if (!agent->other)
 		return;
-	exchange(agent, rpcc);
-	rpcc_destroy(rpcc);
+	take_leave(agent, agent->other);
+	drop_other(agent);
 }
 
 static void run_once(struct ctl_agent *agent)
 {
-	const int err = exchange(agent, agent->own);
-
-	if (err) {
-		if (++agent->failures == FAILURES_BEFORE_OTHERS)
-			evt_log(SYNC_LOST, "vm=%.*s err=%s",
-				STR_ARG(agent->set->vm.id), err_name(err));
-		if (agent->failures >= FAILURES_BEFORE_OTHERS)
-			exchange_with_other(agent);
+	int err;
+
+	agent->round++;
+	if (agent->other && agent->round % OWN_RETRY_ROUNDS) {
+		exchange_with_other(agent);
 		return;
 	}
+	err = exchange(agent, agent->own);
+	if (!err) {
+		own_answered(agent);
+		return;
+	}
+	if (++agent->failures == FAILURES_BEFORE_OTHERS)
+		evt_log(SYNC_LOST, "vm=%.*s err=%s", STR_ARG(agent->set->vm.id),
+			err_name(err));
 	if (agent->failures >= FAILURES_BEFORE_OTHERS)
-		evt_log(SYNC_BACK, "vm=%.*s", STR_ARG(agent->set->vm.id));
-	agent->failures = 0;
+		exchange_with_other(agent);
 }
 
 /* Readers judge freshness themselves, on their own clock reading. */
@@ -284,12 +333,14 @@
 		run_once(agent);
 		share_rev(agent);
 	} while (wait_interval(agent));
+	take_leave(agent, agent->other ? agent->other : agent->own);
 	return NULL;
 }
 
 static void destroy(struct ctl_agent *agent)
 {
 	rpcc_destroy(agent->own);
+	rpcc_destroy(agent->other);
 	hold_done(&agent->hold);
 	vml_put(agent->vml);
 	ctl_view_put(agent->view);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -112,19 +112,22 @@
 	}
 }
 
+static uint64_t in_force(void)
+{
+	table_status status = {0};
+	uint64_t revision;
+
+	ck_assert_int_eq(node_status(node, &status), 0);
+	revision = status.in_force;
+	xdr_free((xdrproc_t)xdr_table_status, &status);
+	return revision;
+}
+
 static void wait_in_force(uint64_t revision)
 {
 	const apr_time_t until = clk_now(clk_system()) + WAIT;
 
-	for (;;) {
-		table_status status = {0};
-		uint64_t in_force;
-
-		ck_assert_int_eq(node_status(node, &status), 0);
-		in_force = status.in_force;
-		xdr_free((xdrproc_t)xdr_table_status, &status);
-		if (in_force == revision)
-			return;
+	while (in_force() != revision) {
 		ck_assert(clk_now(clk_system()) < until);
 		apr_sleep(POLL);
 	}
@@ -165,6 +168,28 @@
 }
 END_TEST
 
+/* Else each stop of a process would hold up edits for the freshness timeout. */
+START_TEST(stopped_agent_is_not_waited_for)
+{
+	struct ctl_agent *agent = NULL;
+	struct tbl_part change;
+	char *text;
+
+	begin();
+	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	take(fix_parts, 3, 5);
+	wait_revision(agent, 5);
+	wait_in_force(5);
+	ctl_agent_stop(agent);
+	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100", "\"almaty-1\":7",
+			 &text);
+	take(&change, 1, 6);
+	ck_assert_uint_eq(in_force(), 6);
+	free(text);
+	end();
+}
+END_TEST
+
 START_TEST(agent_is_fresh_as_long_as_the_node_is_confirmed)
 {
 	struct ctl_agent *agent = NULL;
@@ -246,17 +271,6 @@
 }
 END_TEST
 
-static uint64_t in_force(void)
-{
-	table_status status = {0};
-	uint64_t revision;
-
-	ck_assert_int_eq(node_status(node, &status), 0);
-	revision = status.in_force;
-	xdr_free((xdrproc_t)xdr_table_status, &status);
-	return revision;
-}
-
 /* It must not pass for accepted, nor keep other services' edits out. */
 START_TEST(malformed_part_holds_up_only_itself)
 {
@@ -419,6 +433,7 @@
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, agent_follows_edits_and_a_new_manifest);
+	tcase_add_test(tc, stopped_agent_is_not_waited_for);
 	tcase_add_test(tc, agent_is_fresh_as_long_as_the_node_is_confirmed);
 	tcase_add_test(tc, push_with_a_gap_is_refused);
 	tcase_add_test(tc, malformed_part_leaves_the_last_table_in_force);
