Shares: the books of all limits in a file of their own

Ruled out: nothing; no change in behaviour. Conclusion: shr_books finds, opens and closes books; shr_node decides.

--- /dev/null
+++ b/policy/shr_books.c
@@ -0,0 +1,131 @@
+#include "policy/shr_books.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+
+/* Least size of the index, which is at most half full. */
+#define FIRST_INDEX 64
+
+int shr_books_init(struct shr_books *books)
+{
+	*books = (struct shr_books){.index_size = FIRST_INDEX};
+	books->index = calloc(FIRST_INDEX, sizeof(*books->index));
+	return books->index ? 0 : PST_ERR_NOMEM;
+}
+
+void shr_books_done(struct shr_books *books)
+{
+	for (size_t i = 0; i < books->count; i++)
+		shr_book_done(&books->list[i]);
+	free(books->list);
+	free(books->index);
+}
+
+struct shr_book *shr_books_find(const struct shr_books *books, uint64_t id)
+{
+	for (size_t at = id >> 1;; at++) {
+		const uint32_t pos = books->index[at & (books->index_size - 1)];
+
+		if (!pos)
+			return NULL;
+		if (books->list[pos - 1].id == id)
+			return &books->list[pos - 1];
+	}
+}
+
+static void index_one(struct shr_books *books, uint32_t pos)
+{
+	size_t at = books->list[pos].id >> 1;
+
+	while (books->index[at & (books->index_size - 1)])
+		at++;
+	books->index[at & (books->index_size - 1)] = pos + 1;
+}
+
+static int grow_index(struct shr_books *books, size_t size)
+{
+	uint32_t *index = calloc(size, sizeof(*index));
+
+	if (!index)
+		return PST_ERR_NOMEM;
+	free(books->index);
+	books->index = index;
+	books->index_size = size;
+	for (uint32_t i = 0; i < books->count; i++)
+		index_one(books, i);
+	return 0;
+}
+
+static int reserve(struct shr_books *books)
+{
+	size_t room = books->room;
+	void *grown;
+
+	if (books->count == SHR_LIMITS_MAX)
+		return PST_ERR_FULL;
+	if (2 * (books->count + 1) > books->index_size &&
+	    grow_index(books, 2 * books->index_size))
+		return PST_ERR_NOMEM;
+	if (books->count < room)
+		return 0;
+	room = room ? 2 * room : FIRST_INDEX / 2;
+	grown = realloc(books->list, room * sizeof(*books->list));
+	if (!grown)
+		return PST_ERR_NOMEM;
+	books->list = grown;
+	books->room = room;
+	return 0;
+}
+
+int shr_books_get(struct shr_books *books, uint64_t id, struct shr_book **out)
+{
+	int err;
+
+	*out = shr_books_find(books, id);
+	if (*out)
+		return 0;
+	err = reserve(books);
+	if (err)
+		return err;
+	*out = &books->list[books->count];
+	**out = (struct shr_book){.id = id};
+	index_one(books, (uint32_t)books->count++);
+	return 0;
+}
+
+void shr_books_sweep(struct shr_books *books, apr_time_t now,
+		     apr_interval_time_t loan)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < books->count; i++) {
+		if (shr_book_idle(&books->list[i], now, loan)) {
+			shr_book_done(&books->list[i]);
+			continue;
+		}
+		books->list[kept++] = books->list[i];
+	}
+	if (kept == books->count)
+		return;
+	books->count = kept;
+	memset(books->index, 0, books->index_size * sizeof(*books->index));
+	for (uint32_t i = 0; i < books->count; i++)
+		index_one(books, i);
+}
+
+size_t shr_books_bytes(const struct shr_books *books)
+{
+	size_t sum = books->room * sizeof(*books->list) +
+		     books->index_size * sizeof(*books->index);
+
+	for (size_t i = 0; i < books->count; i++) {
+		const struct shr_book *book = &books->list[i];
+
+		sum += book->source_count * sizeof(*book->sources) +
+		       book->claim_count *
+			       (sizeof(*book->claims) + sizeof(*book->levels));
+	}
+	return sum;
+}
--- a/policy/shr_node.c
+++ b/policy/shr_node.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "common/err.h"
+#include "policy/shr_books.h"
 
 /* Tables in force lately. */
 #define MAPS_MAX 8
@@ -14,8 +15,6 @@
 /* Part of a former lender's grants given up in each exchange: a divisor. */
 #define FORMER_PART 32
 
-#define FIRST_INDEX 64
-
 struct known_map {
 	struct shr_map *map;
 	/* When the next one came; 0 for the newest. */
@@ -37,12 +36,7 @@
 	size_t held_count;
 	struct known_borrower *borrowers;
 	size_t borrower_count;
-	struct shr_book *books;
-	size_t book_count;
-	size_t book_room;
-	/* Open hash table of positions in books, plus one; 0: free. */
-	uint32_t *index;
-	size_t index_size;
+	struct shr_books books;
 };
 
 int shr_node_create(struct shr_node **out, apr_interval_time_t loan)
@@ -52,9 +46,7 @@
 	if (!node)
 		return PST_ERR_NOMEM;
 	node->loan = loan;
-	node->index_size = FIRST_INDEX;
-	node->index = calloc(FIRST_INDEX, sizeof(*node->index));
-	if (!node->index) {
+	if (shr_books_init(&node->books)) {
 		free(node);
 		return PST_ERR_NOMEM;
 	}
@@ -68,12 +60,9 @@
 		return;
 	for (size_t i = 0; i < node->map_count; i++)
 		shr_map_put(node->maps[i].map);
-	for (size_t i = 0; i < node->book_count; i++)
-		shr_book_done(&node->books[i]);
-	free(node->books);
+	shr_books_done(&node->books);
 	free(node->held);
 	free(node->borrowers);
-	free(node->index);
 	free(node);
 }
 
@@ -180,78 +169,6 @@
 	return least == UINT64_MAX ? 0 : least;
 }
 
-static struct shr_book *find_book(const struct shr_node *node, uint64_t id)
-{
-	for (size_t at = id >> 1;; at++) {
-		const uint32_t pos = node->index[at & (node->index_size - 1)];
-
-		if (!pos)
-			return NULL;
-		if (node->books[pos - 1].id == id)
-			return &node->books[pos - 1];
-	}
-}
-
-static void index_book(struct shr_node *node, uint32_t pos)
-{
-	size_t at = node->books[pos].id >> 1;
-
-	while (node->index[at & (node->index_size - 1)])
-		at++;
-	node->index[at & (node->index_size - 1)] = pos + 1;
-}
-
-static int rebuild_index(struct shr_node *node, size_t size)
-{
-	uint32_t *index = calloc(size, sizeof(*index));
-
-	if (!index)
-		return PST_ERR_NOMEM;
-	free(node->index);
-	node->index = index;
-	node->index_size = size;
-	for (uint32_t i = 0; i < node->book_count; i++)
-		index_book(node, i);
-	return 0;
-}
-
-static int reserve_book(struct shr_node *node)
-{
-	size_t room = node->book_room;
-	void *grown;
-
-	if (node->book_count == SHR_LIMITS_MAX)
-		return PST_ERR_FULL;
-	if (2 * (node->book_count + 1) > node->index_size &&
-	    rebuild_index(node, 2 * node->index_size))
-		return PST_ERR_NOMEM;
-	if (node->book_count < room)
-		return 0;
-	room = room ? 2 * room : FIRST_INDEX / 2;
-	grown = realloc(node->books, room * sizeof(*node->books));
-	if (!grown)
-		return PST_ERR_NOMEM;
-	node->books = grown;
-	node->book_room = room;
-	return 0;
-}
-
-static int book_of(struct shr_node *node, uint64_t id, struct shr_book **out)
-{
-	int err;
-
-	*out = find_book(node, id);
-	if (*out)
-		return 0;
-	err = reserve_book(node);
-	if (err)
-		return err;
-	*out = &node->books[node->book_count];
-	**out = (struct shr_book){.id = id};
-	index_book(node, (uint32_t)node->book_count++);
-	return 0;
-}
-
 static bool same_borrower(const struct shr_borrower *a,
 			  const struct shr_borrower *b)
 {
@@ -316,7 +233,7 @@
 	*out = (struct shr_grant){0};
 	if (limit == UINT64_MAX)
 		return 0;
-	err = book_of(node, ask->id, &book);
+	err = shr_books_get(&node->books, ask->id, &book);
 	if (err)
 		return err;
 	request.root = shr_node_root(node, now, ask->id);
@@ -340,8 +257,8 @@
 {
 	apr_time_t end = now;
 
-	for (size_t i = 0; i < node->book_count; i++) {
-		const apr_time_t one = shr_book_end(&node->books[i]);
+	for (size_t i = 0; i < node->books.count; i++) {
+		const apr_time_t one = shr_book_end(&node->books.list[i]);
 
 		if (one > end)
 			end = one;
@@ -435,8 +352,8 @@
 	const uint32_t number = lender_number(lender);
 	size_t count = 0;
 
-	for (size_t i = 0; i < node->book_count && count < SHR_ASKS_MAX; i++) {
-		struct shr_book *book = &node->books[i];
+	for (size_t i = 0; i < node->books.count && count < SHR_ASKS_MAX; i++) {
+		struct shr_book *book = &node->books.list[i];
 		const uint64_t want = ask_of(node, now, book, lender);
 
 		if (!want && !shr_book_source(book, number, now))
@@ -454,7 +371,8 @@
 	const uint32_t number = lender_number(lender);
 
 	for (size_t i = 0; i < count; i++) {
-		struct shr_book *book = find_book(node, asks[i].id);
+		struct shr_book *book =
+			shr_books_find(&node->books, asks[i].id);
 		const apr_time_t expires = sent_at + grants[i].duration;
 
 		if (!book)
@@ -467,7 +385,7 @@
 
 uint64_t shr_node_pool(struct shr_node *node, apr_time_t now, uint64_t id)
 {
-	const struct shr_book *book = find_book(node, id);
+	const struct shr_book *book = shr_books_find(&node->books, id);
 	const uint64_t root = shr_node_root(node, now, id);
 
 	return book ? shr_book_pool(book, now, root) : root;
@@ -475,41 +393,17 @@
 
 void shr_node_sweep(struct shr_node *node, apr_time_t now)
 {
-	size_t kept = 0;
-
-	for (size_t i = 0; i < node->book_count; i++) {
-		if (shr_book_idle(&node->books[i], now, node->loan)) {
-			shr_book_done(&node->books[i]);
-			continue;
-		}
-		node->books[kept++] = node->books[i];
-	}
-	if (kept == node->book_count)
-		return;
-	node->book_count = kept;
-	memset(node->index, 0, node->index_size * sizeof(*node->index));
-	for (uint32_t i = 0; i < node->book_count; i++)
-		index_book(node, i);
+	shr_books_sweep(&node->books, now, node->loan);
 }
 
 size_t shr_node_limits(const struct shr_node *node)
 {
-	return node->book_count;
+	return node->books.count;
 }
 
 size_t shr_node_bytes(const struct shr_node *node)
 {
-	size_t sum = sizeof(*node) + node->held_count * sizeof(*node->held) +
-		     node->borrower_count * sizeof(*node->borrowers) +
-		     node->book_room * sizeof(*node->books) +
-		     node->index_size * sizeof(*node->index);
-
-	for (size_t i = 0; i < node->book_count; i++) {
-		const struct shr_book *book = &node->books[i];
-
-		sum += book->source_count * sizeof(*book->sources) +
-		       book->claim_count *
-			       (sizeof(*book->claims) + sizeof(*book->levels));
-	}
-	return sum;
+	return sizeof(*node) + node->held_count * sizeof(*node->held) +
+	       node->borrower_count * sizeof(*node->borrowers) +
+	       shr_books_bytes(&node->books);
 }
--- a/policy/shr_node.h
+++ b/policy/shr_node.h
@@ -11,9 +11,8 @@
 #include "policy/shr_book.h"
 #include "policy/shr_map.h"
 
-/* Limits in one message, and limits in use at once. */
-#define SHR_ASKS_MAX   2048
-#define SHR_LIMITS_MAX 65536
+/* Limits in one message. */
+#define SHR_ASKS_MAX 2048
 
 /*
  * Time that a raised part waits, so that every VM has seen the table change
