Look-up, split: views that say the same change nothing

Ruled out: comparing revisions (two incarnations may share them). Conclusion: a digest of live entry VMs and services decides; splits compare demand and serving domains.

--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -31,6 +31,8 @@
 
 struct qs {
 	struct strbuf region;
+	/* Of the goals in force. */
+	struct basis basis;
 	struct tbl *tbl;
 	struct vml *vml;
 	struct row *rows;
@@ -52,11 +54,19 @@
 	free(rows);
 }
 
+static void free_basis(struct basis *basis)
+{
+	free(basis->demand);
+	free(basis->serving);
+	free(basis->places);
+}
+
 void qs_destroy(struct qs *qs)
 {
 	if (!qs)
 		return;
 	free_rows(qs->rows, qs->row_count);
+	free_basis(&qs->basis);
 	if (qs->tbl)
 		tbl_put(qs->tbl);
 	if (qs->vml)
@@ -181,13 +191,6 @@
 	return err == PST_ERR_INVALID ? 0 : err;
 }
 
-static void free_basis(struct basis *basis)
-{
-	free(basis->demand);
-	free(basis->serving);
-	free(basis->places);
-}
-
 static int make_basis(const struct qs *qs, const struct tbl *tbl,
 		      const struct vml *vml, struct basis *out)
 {
@@ -206,39 +209,35 @@
 	return PST_ERR_NOMEM;
 }
 
-static int make_rows(const struct qs *qs, apr_time_t now, const struct tbl *tbl,
-		     const struct vml *vml, struct row *rows)
+static bool same_basis(const struct basis *a, const struct basis *b)
 {
-	struct basis basis;
-	int err = make_basis(qs, tbl, vml, &basis);
-
-	if (err)
-		return err;
-	for (size_t i = 0; !err && i < tbl->service_count * RANK_COUNT; i++)
-		err = make_row(qs, now, &basis, &tbl->rows[i], &rows[i]);
-	free_basis(&basis);
-	return err;
+	const struct tbl *tbl = b->tbl;
+
+	return a->tbl == tbl &&
+	       !memcmp(a->demand, b->demand,
+		       tbl->region_count * sizeof(*a->demand)) &&
+	       !memcmp(a->serving, b->serving,
+		       tbl->service_count * tbl->domain_count *
+			       sizeof(*a->serving));
 }
 
-int qs_set_view(struct qs *qs, apr_time_t now, struct tbl *tbl, struct vml *vml)
+static struct row *make_rows(const struct qs *qs, apr_time_t now,
+			     struct basis *basis)
 {
-	const size_t count = tbl->service_count * RANK_COUNT;
-	struct row *rows;
-	int err;
+	const size_t count = basis->tbl->service_count * RANK_COUNT;
+	struct row *rows = calloc(count + 1, sizeof(*rows));
 
-	if (tbl == qs->tbl && vml == qs->vml)
-		return 0;
-	rows = calloc(count + 1, sizeof(*rows));
-	if (!rows)
-		return PST_ERR_NOMEM;
-	err = make_rows(qs, now, tbl, vml, rows);
-	if (err) {
+	for (size_t i = 0; rows && i < count; i++) {
+		if (!make_row(qs, now, basis, &basis->tbl->rows[i], &rows[i]))
+			continue;
 		free_rows(rows, count);
-		return err;
+		rows = NULL;
 	}
-	free_rows(qs->rows, qs->row_count);
-	qs->rows = rows;
-	qs->row_count = count;
+	return rows;
+}
+
+static void put_view(struct qs *qs, struct tbl *tbl, struct vml *vml)
+{
 	tbl_get(tbl);
 	vml_get(vml);
 	if (qs->tbl)
@@ -247,6 +246,33 @@
 		vml_put(qs->vml);
 	qs->tbl = tbl;
 	qs->vml = vml;
+}
+
+int qs_set_view(struct qs *qs, apr_time_t now, struct tbl *tbl, struct vml *vml)
+{
+	struct basis basis;
+	struct row *rows;
+
+	if (tbl == qs->tbl && vml == qs->vml)
+		return 0;
+	if (make_basis(qs, tbl, vml, &basis))
+		return PST_ERR_NOMEM;
+	if (qs->tbl && same_basis(&qs->basis, &basis)) {
+		free_basis(&basis);
+		put_view(qs, tbl, vml);
+		return 0;
+	}
+	rows = make_rows(qs, now, &basis);
+	if (!rows) {
+		free_basis(&basis);
+		return PST_ERR_NOMEM;
+	}
+	free_rows(qs->rows, qs->row_count);
+	qs->rows = rows;
+	qs->row_count = tbl->service_count * RANK_COUNT;
+	free_basis(&qs->basis);
+	qs->basis = basis;
+	put_view(qs, tbl, vml);
 	return 0;
 }
 
--- a/lookupd/snap.c
+++ b/lookupd/snap.c
@@ -25,6 +25,7 @@
 	pthread_key_t key;
 	/* Of the builder's thread only. */
 	struct ctl_view *view;
+	uint64_t digest;
 	bool stale;
 };
 
@@ -56,6 +57,7 @@
 
 static bool rebuild(struct snap *snap, const struct ctl_view *view)
 {
+	const uint64_t digest = lkp_digest(view->vml, view->tbl);
 	const struct lkp_conf conf = {
 		.region = snap->set->vm.region,
 		.entry_port = (uint16_t)snap->set->entry.port,
@@ -63,8 +65,12 @@
 	};
 	const bool same_list = snap->view && snap->view->vml == view->vml;
 	struct lkp *lkp = NULL;
-	const int err = lkp_build(&lkp, view->vml, view->tbl, &conf);
+	int err;
 
+	/* Lists of other VMs differ in revision and say the same. */
+	if (snap->view && digest == snap->digest)
+		return true;
+	err = lkp_build(&lkp, view->vml, view->tbl, &conf);
 	if (err) {
 		evt_log(LOOKUP_BUILD_FAILED, "err=%s", err_name(err));
 		return false;
@@ -74,6 +80,7 @@
 		(unsigned long)view->vml->revision, lkp_vm_count(lkp),
 		lkp_bytes(lkp), same_list ? "table_changed" : "list_changed");
 	publish(snap, lkp);
+	snap->digest = digest;
 	return true;
 }
 
--- a/policy/lkp.c
+++ b/policy/lkp.c
@@ -278,6 +278,30 @@
 		lkp->domains = domains;
 }
 
+static uint64_t hash_name(const struct strbuf *name, uint64_t seed)
+{
+	return str_hash(strbuf_str(name), seed);
+}
+
+uint64_t lkp_digest(const struct vml *vml, const struct tbl *tbl)
+{
+	uint64_t digest = SEED_VM;
+
+	for (size_t i = 0; i < vml->count; i++) {
+		const struct vm *vm = &vml->vms[i];
+
+		if (!is_live_entry(vm))
+			continue;
+		digest = hash_name(&vm->id, digest);
+		digest = hash_name(&vm->region, digest);
+		digest = hash_name(&vm->domain, digest);
+		digest = hash_name(&vm->address, digest);
+	}
+	for (size_t i = 0; i < tbl->service_count; i++)
+		digest = hash_name(&tbl->services[i], digest);
+	return digest;
+}
+
 int lkp_build(struct lkp **out, const struct vml *vml, const struct tbl *tbl,
 	      const struct lkp_conf *conf)
 {
--- a/policy/lkp.h
+++ b/policy/lkp.h
@@ -34,6 +34,12 @@
 
 struct lkp;
 
+/*
+ * A digest of what answers are worked out from: equal digests give equal
+ * answers, also from lists and tables of different revisions.
+ */
+uint64_t lkp_digest(const struct vml *vml, const struct tbl *tbl);
+
 /*
  * Builds a snapshot from the live entry VMs and the table's services. On
  * success *out holds one reference. Returns 0 or PST_ERR_NOMEM.
--- a/tests/test_lkp.c
+++ b/tests/test_lkp.c
@@ -86,11 +86,17 @@
 START_TEST(a_leaving_vm_moves_only_its_blocks)
 {
 	struct vml *vml = fix_vml(3, 2, 4);
+	struct tbl *tbl = fix_tbl(3, 2, 100, 0, 1);
 	struct lkp *before = build(vml);
 	struct lkp *after;
+	uint64_t digest;
 	size_t moved = 0;
 
+	digest = lkp_digest(vml, tbl);
+	vml->revision++;
+	ck_assert_uint_eq(lkp_digest(vml, tbl), digest);
 	vml->vms[9].state = VM_LEAVING;
+	ck_assert_uint_ne(lkp_digest(vml, tbl), digest);
 	after = build(vml);
 	for (size_t b = 0; b < 20000; b++) {
 		uint32_t p[LKP_CHOICES];
@@ -110,6 +116,7 @@
 	ck_assert_uint_le(moved, 5000);
 	lkp_put(before);
 	lkp_put(after);
+	tbl_put(tbl);
 	vml_put(vml);
 }
 END_TEST
