Split: the first request that fails may go elsewhere

Cause: a new split had no room in its cap for a redraw until ten requests had passed, so a service with little work had its first failures refused. Ruled out: a deeper store of redraws (bursts above the cap). Figures: redraws of 10000 requests, half of them failing, stay at or below 1001 with a cap of 10% (test_shf). Conclusion: one redraw is there from the start.

--- a/policy/shf.c
+++ b/policy/shf.c
@@ -48,7 +48,8 @@
 {
 	const double total = sum_of(parts, count);
 
-	*shf = (struct shf){.count = count, .at = now};
+	/* A first request that fails may go elsewhere. */
+	*shf = (struct shf){.count = count, .at = now, .credit = 1};
 	if (total <= 0)
 		return PST_ERR_INVALID;
 	shf->share = calloc(count, sizeof(*shf->share));
