Broker: fewer ticks while nothing waits

Cause: a pst-controld with brokers ticked 100 times a second when idle. Ruled out: ticks on demand only (ramps and expiry need them). Conclusion: every 10 ms only while an ask waits, else every 100 ms.

--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -481,7 +481,16 @@
 
 bool brk_host_busy(const struct brk_host *host)
 {
-	return host->roles != NULL;
+	struct brk_stats stats;
+
+	for (struct role *role = host->roles; role; role = role->next) {
+		brk_stats(role->brk, &stats);
+		for (int r = 0; r < RANK_COUNT; r++) {
+			if (stats.waiting_by[r])
+				return true;
+		}
+	}
+	return false;
 }
 
 size_t brk_host_held(const struct brk_host *host)
--- a/controld/brk_host.h
+++ b/controld/brk_host.h
@@ -38,7 +38,7 @@
 /* Sends the answers collected. */
 void brk_host_flush(struct brk_host *host, apr_time_t now);
 
-/* Whether there is a broker. */
+/* Whether an ask waits. */
 bool brk_host_busy(const struct brk_host *host);
 
 /* Permits out, of all brokers. */
--- a/controld/brk_svc.c
+++ b/controld/brk_svc.c
@@ -10,7 +10,7 @@
 /* Batches and reports that wait for the thread. */
 #define RING_CAPACITY 16384
 
-/* Time between ticks while there is a broker. */
+/* Time between ticks while an ask waits. */
 #define TICK CLK_MS(10)
 
 enum message_kind {
