Permit agent: asks are sent again in their order

Ruled out: sorting by number (numbers are the caller's own). Before: order 3, 2, 1. Conclusion: open asks are kept in the order in which they came.

--- a/agent/permit_key.c
+++ b/agent/permit_key.c
@@ -25,6 +25,8 @@
 		st->first_ask = ask->next;
 	if (ask->next)
 		ask->next->prev = ask->prev;
+	else
+		st->last_ask = ask->prev;
 	free(ask);
 }
 
--- a/agent/permit_key.h
+++ b/agent/permit_key.h
@@ -60,7 +60,9 @@
 	struct permit_key *first_key;
 	struct permit_peer *first_peer;
 	struct brk_map asks;
+	/* In the order in which they came. */
 	struct permit_open *first_ask;
+	struct permit_open *last_ask;
 	struct brk_map permits;
 	apr_time_t now;
 };
--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -302,10 +302,12 @@
 	a->key = key;
 	a->rank = ask->rank;
 	a->deadline = ask->deadline;
-	a->next = st->first_ask;
-	if (a->next)
-		a->next->prev = a;
-	st->first_ask = a;
+	a->prev = st->last_ask;
+	if (a->prev)
+		a->prev->next = a;
+	else
+		st->first_ask = a;
+	st->last_ask = a;
 	brk_map_add(&st->asks, &a->node, ask->id, 0);
 	key->used_at = now;
 	if (permit_key_reachable(key))
--- a/tests/test_permit_state.c
+++ b/tests/test_permit_state.c
@@ -108,10 +108,43 @@
 }
 END_TEST
 
+START_TEST(asks_are_sent_again_in_the_order_in_which_they_came)
+{
+	struct fix_net net;
+	struct permit_state *st;
+	pmt_answers *m;
+
+	fix_net_start(&net);
+	st = new_state(net.view);
+	ask(st, 1);
+	ask(st, 2);
+	ask(st, 3);
+	permit_state_flush(st, CLK_SEC(1));
+	m = permit_answers_new(str_from_c(fix_net_broker(&net)->id), 1, 5);
+	ck_assert_ptr_nonnull(m);
+	m->resync = true;
+	m->seq = 1;
+	permit_state_answers(st, m, CLK_SEC(1));
+	permit_state_flush(st, CLK_SEC(1));
+	ck_assert_uint_eq(sent->parts.parts_val[0].asks.asks_len, 3);
+	for (u_int i = 0; i < 3; i++)
+		ck_assert_uint_eq(sent->parts.parts_val[0].asks.asks_val[i].id,
+				  i + 1);
+	xdr_free((xdrproc_t)xdr_pmt_answers, m);
+	free(m);
+	permit_state_destroy(st);
+	xdr_free((xdrproc_t)xdr_pmt_batch, sent);
+	free(sent);
+	sent = NULL;
+	fix_net_stop(&net);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("permit_state");
 
 	tcase_add_test(tc, number_given_twice_is_handed_back_and_asked_again);
+	tcase_add_test(tc, asks_are_sent_again_in_the_order_in_which_they_came);
 	return fix_run("permit_state", tc);
 }
