Entry: unused link bytes go back with the time they were taken; starved tries end

Ruled out: giving bytes back without a time (a window could open again). Failed first: link_without_room_ends_a_request_after_its_deadline, status 0. The system clock is now CLOCK_BOOTTIME, which counts the time that a VM is suspended, as leases and shares must.

--- a/common/clk.c
+++ b/common/clk.c
@@ -7,7 +7,8 @@
 	struct timespec ts;
 
 	(void)clk;
-	clock_gettime(CLOCK_MONOTONIC, &ts);
+	/* Unlike CLOCK_MONOTONIC it runs on while the VM is suspended. */
+	clock_gettime(CLOCK_BOOTTIME, &ts);
 	return (apr_time_t)ts.tv_sec * APR_USEC_PER_SEC + ts.tv_nsec / 1000;
 }
 
--- a/common/clk.h
+++ b/common/clk.h
@@ -22,7 +22,7 @@
 #define CLK_MS(ms) ((apr_interval_time_t)(ms)*1000)
 #define CLK_SEC(s) ((apr_interval_time_t)(s)*1000000)
 
-/* The system's monotonic clock (CLOCK_MONOTONIC). */
+/* The system's monotonic clock (CLOCK_BOOTTIME). */
 const struct clk *clk_system(void);
 
 void clk_manual_init(struct clk_manual *clk, apr_time_t at);
--- a/entryd/ups.c
+++ b/entryd/ups.c
@@ -234,6 +234,20 @@
 	end_xfer(ups, x, result);
 }
 
+/* The upstream is not to blame, so its connections stay in use. */
+static void end_starved(struct ups *ups, struct xfer *x)
+{
+	enum pth_result result = PTH_RESULT_SILENT;
+
+	if (!x->started)
+		result = PTH_RESULT_NOT_SENT;
+	else if (x->head_published)
+		result = PTH_RESULT_TRUNCATED;
+	evt_log(LINK_STARVED, "req=%s upstream=%s", x->req->id.ptr,
+		x->target.upstream.ptr);
+	end_xfer(ups, x, result);
+}
+
 /* Returns whether a transfer waits for a link's limit. */
 static bool look_over(struct ups *ups)
 {
@@ -248,7 +262,9 @@
 		else if (x->throttled)
 			xfer_resume(x);
 		throttled = throttled || x->throttled;
-		if (xfer_silent(x, now) && give_up_silent(x))
+		if (xfer_starved(x, now))
+			end_starved(ups, x);
+		else if (xfer_silent(x, now) && give_up_silent(x))
 			end_silent(ups, x);
 	}
 	return throttled;
--- a/entryd/xfer.c
+++ b/entryd/xfer.c
@@ -30,6 +30,7 @@
 static void note_progress(struct xfer *x)
 {
 	x->last_progress = clk_now(x->env->clk);
+	x->last_moved = x->last_progress;
 }
 
 static bool crosses_link(const struct xfer *x)
@@ -54,6 +55,8 @@
 {
 	if (!crosses_link(x))
 		return true;
+	if (!x->first_taken)
+		x->first_taken = clk_now(x->env->clk);
 	if (*held < want)
 		*held += quota_take_bytes(x->env->quota, x->target.there,
 					  x->target.here, x->req->rank,
@@ -415,8 +418,9 @@
 void xfer_destroy(struct xfer *x)
 {
 	if (x->prepaid + x->credit)
-		quota_return_bytes(x->env->quota, x->target.there,
-				   x->target.here, x->prepaid + x->credit);
+		quota_return_taken(x->env->quota, x->target.there,
+				   x->target.here, x->prepaid + x->credit,
+				   x->first_taken);
 	if (x->easy)
 		curl_easy_cleanup(x->easy);
 	curl_slist_free_all(x->headers);
@@ -512,3 +516,9 @@
 	}
 	return now - x->last_progress > bound;
 }
+
+bool xfer_starved(const struct xfer *x, apr_time_t now)
+{
+	return x->throttled &&
+	       now - x->last_moved > CLK_MS(x->req->deadline_ms);
+}
--- a/entryd/xfer.h
+++ b/entryd/xfer.h
@@ -43,7 +43,9 @@
 	/* The caller broke off its body. */
 	bool caller_broke;
 
+	/* Moves on while the transfer is halted; last_moved does not. */
 	apr_time_t last_progress;
+	apr_time_t last_moved;
 
 	unsigned status;
 	bool head_complete;
@@ -66,6 +68,8 @@
 	size_t prepaid;
 	/* Bytes of it for what libcurl holds for us. */
 	size_t credit;
+	/* Before the first of these bytes was taken. */
+	apr_time_t first_taken;
 };
 
 /*
@@ -96,4 +100,7 @@
 /* Whether no byte has moved for longer than the bound. */
 bool xfer_silent(struct xfer *x, apr_time_t now);
 
+/* Whether the link's limit has let no byte pass for the whole deadline. */
+bool xfer_starved(const struct xfer *x, apr_time_t now);
+
 #endif
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -20,9 +20,6 @@
 #define ENTRY_PORT    18080
 #define UPSTREAM_PORT 18090
 
-/* Bytes of the link that are given at a time. */
-#define LINK_PIECE 5000
-
 /* The row of one rank. */
 #define ROW(rank)                                                          \
 	"{\"rank\":\"" rank "\",\"deadline_ms\":3000,\"reserved_pct\":20," \
@@ -34,6 +31,8 @@
 static struct ctl_view view;
 /* Index of the domain that is picked: 0 in this region, 1 in another. */
 static int remote;
+/* Bytes of the link that are given at a time. */
+static size_t link_piece = 5000;
 /* Bytes of the link taken and not returned. */
 static atomic_uint_fast64_t taken;
 static atomic_uint granted;
@@ -87,14 +86,16 @@
 	if (from == to)
 		return want;
 	ck_assert_uint_gt(want, 0);
-	want = want < LINK_PIECE ? want : LINK_PIECE;
+	want = want < link_piece ? want : link_piece;
 	taken += want;
 	return want;
 }
 
-void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
-			size_t bytes)
+void quota_return_taken(struct quota_agent *agent, uint32_t from, uint32_t to,
+			size_t bytes, apr_time_t taken_at)
 {
+	ck_assert_int_le(taken_at, clk_now(clk_system()));
+	ck_assert_int_gt(taken_at, 0);
 	(void)agent;
 	(void)from;
 	(void)to;
@@ -421,6 +422,21 @@
 }
 END_TEST
 
+START_TEST(link_without_room_ends_a_request_after_its_deadline)
+{
+	struct caller c;
+
+	remote = 1;
+	link_piece = 0;
+	c = call("POST", "/s/svc/length", "X-Deadline-Ms: 200", 500000, false);
+	link_piece = 5000;
+	remote = 0;
+	ck_assert_int_eq(c.status, 502);
+	ck_assert_ptr_nonnull(strstr(c.text, "\"run\":\"no\""));
+	wait_idle();
+}
+END_TEST
+
 START_TEST(refusal_of_the_proxy_is_told_as_not_run)
 {
 	static char text[64];
@@ -579,6 +595,7 @@
 	tcase_add_test(tc, connection_that_went_silent_is_not_used_again);
 	tcase_add_test(tc, deadline_of_a_booking_ends_it_as_unknown);
 	tcase_add_test(tc, small_share_of_a_link_slows_but_does_not_stop);
+	tcase_add_test(tc, link_without_room_ends_a_request_after_its_deadline);
 	tcase_add_test(tc, refusal_of_the_proxy_is_told_as_not_run);
 	tcase_add_test(tc, connection_stays_open_between_requests);
 	tcase_add_test(tc, malformed_requests_get_their_own_answer);
