--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -93,6 +93,30 @@
 	return vm ? permit_key_peer(st, vm) : NULL;
 }
 
+/*
+ * Whether the answer came before. A number that another broker gave as well
+ * is handed back, and the ask sent again.
+ */
+static bool known_permit(struct permit_state *st, struct permit_key *key,
+			 const pmt_answer *a)
+{
+	const struct permit_held *held = FROM_NODE(
+		brk_map_find(&st->permits, a->permit, 0), struct permit_held);
+	struct permit_open *ask = permit_open_find(st, a->ask);
+	pmt_part *part;
+
+	if (!held || a->result != PERMIT_GRANTED)
+		return false;
+	if (held->key == key && held->ask == a->ask)
+		return true;
+	part = permit_key_part(key);
+	if (part)
+		permit_batch_cancel(part, a->ask);
+	if (ask && !ask->local && ask->key == key)
+		permit_open_send(ask);
+	return true;
+}
+
 static void take_answer(struct permit_state *st, const pmt_answer *a)
 {
 	struct permit_key *key = permit_key_named(st, str_from_c(a->service),
@@ -104,7 +128,7 @@
 		return;
 	if (a->result == PERMIT_GRANTED && a->grant > key->seen)
 		key->seen = a->grant;
-	if (brk_map_find(&st->permits, a->permit, 0))
+	if (known_permit(st, key, a))
 		return;
 	if (ask && !ask->local && ask->key == key) {
 		if (a->result == PERMIT_GRANTED) {
@@ -278,10 +302,12 @@
 	a->key = key;
 	a->rank = ask->rank;
 	a->deadline = ask->deadline;
-	a->next = st->first_ask;
-	if (a->next)
-		a->next->prev = a;
-	st->first_ask = a;
+	a->prev = st->last_ask;
+	if (a->prev)
+		a->prev->next = a;
+	else
+		st->first_ask = a;
+	st->last_ask = a;
 	brk_map_add(&st->asks, &a->node, ask->id, 0);
 	key->used_at = now;
 	if (permit_key_reachable(key))
@@ -353,7 +379,7 @@
 	peer = peer_named(st, str_from_c(answers->broker));
 	if (!peer)
 		return;
-	switch (permit_peer_heard(peer, answers)) {
+	switch (permit_peer_heard(peer, answers, now)) {
 	case PERMIT_PEER_BACK:
 		evt_log(BROKER_BACK, "broker=%s silent_ms=%lld", peer->vm.ptr,
 			(long long)(now - peer->silent_since) / 1000);
--- a/agent/tkt_hop.c
+++ b/agent/tkt_hop.c
@@ -10,8 +10,7 @@
 {
 	const struct vm *vms[SUCCESSORS];
 
-	if (!vml ||
-	    tkt_pick_successors(vml, witness, false, vms, SUCCESSORS) <= rank)
+	if (!vml || tkt_pick_successors(vml, witness, vms, SUCCESSORS) <= rank)
 		return 0;
 	return tkt_vm_hash(strbuf_str(&vms[rank]->id));
 }
@@ -24,12 +23,12 @@
 	if (ruling->grant != TKT_GRANT_SILENT &&
 	    ruling->grant != TKT_GRANT_LOST)
 		return 0;
-	if (ruling->grant == TKT_GRANT_SILENT)
-		call->silent = true;
+	if (!call->hop)
+		call->first = ruling->grant;
 	if (call->hop < SUCCESSORS)
 		vm = successor(vml, call->witness, call->hop);
 	call->hop++;
-	if (!vm && call->silent)
-		ruling->grant = TKT_GRANT_SILENT;
+	if (!vm)
+		ruling->grant = call->first;
 	return vm;
 }
--- a/agent/tkt_peers.h
+++ b/agent/tkt_peers.h
@@ -34,8 +34,8 @@
 			uint64_t witness;
 			/* 0: that witness; else its successors by rank. */
 			uint32_t hop;
-			/* Somebody asked before was silent. */
-			bool silent;
+			/* The witness's own word. */
+			enum tkt_grant first;
 		};
 		struct {
 			/* 0: any. */
@@ -68,6 +68,9 @@
 /* Returns 0, PST_ERR_NOMEM or PST_ERR_THREAD. */
 int tkt_peers_start(struct tkt_peers **out, const struct tkt_peers_conf *conf);
 
+/* Waits until no call is waiting or in flight, at most for the time. */
+void tkt_peers_flush(struct tkt_peers *peers, apr_interval_time_t time);
+
 /* Waits for calls in flight; waiting ones are dropped. NULL is allowed. */
 void tkt_peers_stop(struct tkt_peers *peers);
 
--- a/controld/store_duty.c
+++ b/controld/store_duty.c
@@ -6,10 +6,13 @@
 
 #include "agent/stc.h"
 #include "common/err.h"
+#include "common/evt.h"
 #include "controld/drains.h"
 #include "controld/duty.h"
 #include "policy/head.h"
 
+#define LOG_MODULE "store"
+
 /* Wait after a watch that reported a change which is still unread. */
 #define WATCH_PAUSE CLK_MS(20)
 
@@ -29,6 +32,13 @@
 	atomic_bool changed;
 	/* Revision of the head when it was last read. */
 	uint64_t last_head;
+	/* Older revision that the store offered last, or 0. */
+	uint64_t older;
+	/* Changes that the watch has reported. */
+	atomic_uint reports;
+	/* A read found a change before the watch; reports at that time. */
+	bool suspected;
+	unsigned reports_then;
 };
 
 static int keep_list(struct store_duty *duty, const struct stc_list *list,
@@ -139,9 +149,27 @@
 	return read_changes(duty, item, newest);
 }
 
+/*
+ * A watch that has not reported by the next read what this read has found is
+ * taken for silent and opened anew.
+ */
+static void judge_watch(struct store_duty *duty, uint64_t head, bool reported)
+{
+	const unsigned reports = duty->reports;
+
+	if (duty->suspected && reports == duty->reports_then) {
+		evt_log(WATCH_SILENT, "head=%llu", (unsigned long long)head);
+		stc_interrupt(duty->watch_stc);
+	}
+	duty->suspected = duty->last_head && head != duty->last_head &&
+			  !reported && node_is_relay(duty->node);
+	duty->reports_then = reports;
+}
+
 static int read_table(struct store_duty *duty)
 {
 	const apr_time_t asked_at = clk_now(duty->clk);
+	const uint64_t held = node_revision(duty->node);
 	const bool changed = duty->changed;
 	uint64_t newest = 0;
 	struct stc_list head;
@@ -152,9 +180,15 @@
 	err = read_newer(duty, &head, changed, &newest);
 	if (!err && newest > node_revision(duty->node))
 		err = node_apply(duty->node, newest, "store");
+	if (!err && newest < held && newest != duty->older)
+		evt_log(TABLE_OLDER, "held=%llu offered=%llu source=store",
+			(unsigned long long)held, (unsigned long long)newest);
+	duty->older = newest < held ? newest : 0;
 	if (!err || err == PST_ERR_INVALID) {
 		node_confirm(duty->node, newest, asked_at, NODE_SOURCE_STORE);
 		duty->seen = head.revision;
+		judge_watch(duty, head.count ? head.items[0].mod_revision : 0,
+			    changed);
 		duty->last_head = head.count ? head.items[0].mod_revision : 0;
 		if (changed)
 			duty->changed = false;
@@ -199,6 +233,7 @@
 			CLK_MS(duty->set->table.watch_ms));
 	if (!err) {
 		duty->watch_failures = 0;
+		duty->reports++;
 		duty->changed = true;
 		duty_poke(&duty->reader);
 		return WATCH_PAUSE;
--- a/entryd/xfer.c
+++ b/entryd/xfer.c
@@ -30,6 +30,7 @@
 static void note_progress(struct xfer *x)
 {
 	x->last_progress = clk_now(x->env->clk);
+	x->last_moved = x->last_progress;
 }
 
 static bool crosses_link(const struct xfer *x)
@@ -54,6 +55,8 @@
 {
 	if (!crosses_link(x))
 		return true;
+	if (!x->first_taken)
+		x->first_taken = clk_now(x->env->clk);
 	if (*held < want)
 		*held += quota_take_bytes(x->env->quota, x->target.there,
 					  x->target.here, x->req->rank,
@@ -340,6 +343,7 @@
 	snprintf(text, sizeof(text), "http://%s:%u", ip.ptr,
 		 net_addr_port(&proxy));
 	curl_easy_setopt(x->easy, CURLOPT_PROXY, text);
+	x->proxied = true;
 	curl_easy_setopt(x->easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
 	curl_easy_setopt(x->easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
 }
@@ -414,8 +418,9 @@
 void xfer_destroy(struct xfer *x)
 {
 	if (x->prepaid + x->credit)
-		quota_return_bytes(x->env->quota, x->target.there,
-				   x->target.here, x->prepaid + x->credit);
+		quota_return_taken(x->env->quota, x->target.there,
+				   x->target.here, x->prepaid + x->credit,
+				   x->first_taken);
 	if (x->easy)
 		curl_easy_cleanup(x->easy);
 	curl_slist_free_all(x->headers);
@@ -436,12 +441,28 @@
 	curl_easy_pause(x->easy, CURLPAUSE_CONT);
 }
 
-/* Whether a byte of the request can have left for the upstream. */
+/* Whether the proxy towards another region opened no way to the upstream. */
+static bool tunnel_failed(const struct xfer *x)
+{
+	long opened = 0;
+	long code = 0;
+
+	curl_easy_getinfo(x->easy, CURLINFO_NUM_CONNECTS, &opened);
+	curl_easy_getinfo(x->easy, CURLINFO_HTTP_CONNECTCODE, &code);
+	return x->proxied && opened > 0 && code / 100 != 2;
+}
+
+/*
+ * Whether a byte of the request can have left for the upstream. libcurl
+ * counts what it sent to the proxy as part of the request.
+ */
 static bool may_have_left(const struct xfer *x)
 {
 	curl_off_t body = 0;
 	long header = 0;
 
+	if (tunnel_failed(x))
+		return false;
 	curl_easy_getinfo(x->easy, CURLINFO_REQUEST_SIZE, &header);
 	curl_easy_getinfo(x->easy, CURLINFO_SIZE_UPLOAD_T, &body);
 	return header > 0 || body > 0;
@@ -495,3 +516,9 @@
 	}
 	return now - x->last_progress > bound;
 }
+
+bool xfer_starved(const struct xfer *x, apr_time_t now)
+{
+	return x->throttled &&
+	       now - x->last_moved > CLK_MS(x->req->deadline_ms);
+}
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -5,6 +5,7 @@
 #include <check.h>
 
 #include "agent/ctl.h"
+#include "agent/hold.h"
 #include "agent/tmsg.h"
 #include "common/err.h"
 #include "common/rpcs.h"
@@ -49,7 +50,9 @@
 
 	load_settings();
 	ck_assert_int_eq(cview_create(&cview), 0);
-	ck_assert_int_eq(node_create(&node, &set, clk_system(), cview), 0);
+	ck_assert_int_eq(node_create(&node, &set, clk_system(),
+				     hold_wall_clock(), cview),
+			 0);
 	ck_assert_int_eq(sync_register(node), 0);
 	ck_assert_int_eq(rpcs_start(fix_ip(), PORT, gate), 0);
 	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
@@ -109,19 +112,22 @@
 	}
 }
 
+static uint64_t in_force(void)
+{
+	table_status status = {0};
+	uint64_t revision;
+
+	ck_assert_int_eq(node_status(node, &status), 0);
+	revision = status.in_force;
+	xdr_free((xdrproc_t)xdr_table_status, &status);
+	return revision;
+}
+
 static void wait_in_force(uint64_t revision)
 {
 	const apr_time_t until = clk_now(clk_system()) + WAIT;
 
-	for (;;) {
-		table_status status = {0};
-		uint64_t in_force;
-
-		ck_assert_int_eq(node_status(node, &status), 0);
-		in_force = status.in_force;
-		xdr_free((xdrproc_t)xdr_table_status, &status);
-		if (in_force == revision)
-			return;
+	while (in_force() != revision) {
 		ck_assert(clk_now(clk_system()) < until);
 		apr_sleep(POLL);
 	}
@@ -162,6 +168,28 @@
 }
 END_TEST
 
+/* Else each stop of a process would hold up edits for the freshness timeout. */
+START_TEST(stopped_agent_is_not_waited_for)
+{
+	struct ctl_agent *agent = NULL;
+	struct tbl_part change;
+	char *text;
+
+	begin();
+	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	take(fix_parts, 3, 5);
+	wait_revision(agent, 5);
+	wait_in_force(5);
+	ctl_agent_stop(agent);
+	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100", "\"almaty-1\":7",
+			 &text);
+	take(&change, 1, 6);
+	ck_assert_uint_eq(in_force(), 6);
+	free(text);
+	end();
+}
+END_TEST
+
 START_TEST(agent_is_fresh_as_long_as_the_node_is_confirmed)
 {
 	struct ctl_agent *agent = NULL;
@@ -243,6 +271,39 @@
 }
 END_TEST
 
+/* It must not pass for accepted, nor keep other services' edits out. */
+START_TEST(malformed_part_holds_up_only_itself)
+{
+	struct tbl_part change;
+	struct tbl *tbl;
+	char *text;
+
+	begin();
+	take(fix_parts, 3, 5);
+	ck_assert_uint_eq(in_force(), 5);
+	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100",
+			 "\"almaty-1\":-1", &text);
+	node_take_change(node, &change, 1, 5, 6, "peer");
+	free(text);
+	ck_assert_uint_eq(in_force(), 5);
+	change = edit_of(&fix_parts[2], 7, "\"almaty-1\":100", "\"almaty-1\":9",
+			 &text);
+	node_take_change(node, &change, 1, 6, 7, "peer");
+	free(text);
+	tbl = node_table(node);
+	ck_assert_uint_eq(tbl_row(tbl, 0, RANK_URGENT)->weights[0], 100);
+	ck_assert_uint_eq(tbl_row(tbl, 1, RANK_URGENT)->weights[0], 9);
+	tbl_put(tbl);
+	ck_assert_uint_eq(in_force(), 5);
+	change = edit_of(&fix_parts[1], 8, "\"almaty-1\":100", "\"almaty-1\":3",
+			 &text);
+	node_take_change(node, &change, 1, 7, 8, "peer");
+	free(text);
+	ck_assert_uint_eq(in_force(), 8);
+	end();
+}
+END_TEST
+
 /* A table of several pages, whose parts are large. */
 static struct tbl_part *big_table(char **manifest)
 {
@@ -313,7 +374,8 @@
 	node_meet(node, &peer);
 	node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
 	ck_assert_int_eq(cview_create(&other_view), 0);
-	ck_assert_int_eq(node_create(&other, &set, clk_system(), other_view),
+	ck_assert_int_eq(node_create(&other, &set, clk_system(),
+				     hold_wall_clock(), other_view),
 			 0);
 	ck_assert_int_eq(xchg_create(&xchg, &set, clk_system(), other), 0);
 	members = node_members(node);
@@ -371,9 +433,11 @@
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, agent_follows_edits_and_a_new_manifest);
+	tcase_add_test(tc, stopped_agent_is_not_waited_for);
 	tcase_add_test(tc, agent_is_fresh_as_long_as_the_node_is_confirmed);
 	tcase_add_test(tc, push_with_a_gap_is_refused);
 	tcase_add_test(tc, malformed_part_leaves_the_last_table_in_force);
+	tcase_add_test(tc, malformed_part_holds_up_only_itself);
 	tcase_add_test(tc, table_of_many_pages_arrives_whole);
 	tcase_add_test(tc,
 		       new_node_takes_table_list_and_confirmation_from_a_peer);
