RPC client makes libtirpc's shared handle once

Ruled out: a call in each program that has threads (two had one). Before: two calls, and none in pst-entryd. After: pthread_once in rpcc.

--- a/common/rpcc.c
+++ b/common/rpcc.c
@@ -1,5 +1,6 @@
 #include "common/rpcc.h"
 
+#include <pthread.h>
 #include <stdlib.h>
 #include <unistd.h>
 
@@ -16,6 +17,16 @@
 #define SEND_BUFFER    65536
 #define RECEIVE_BUFFER 65536
 
+/* libtirpc fills in its shared handle at the first use, without a lock. */
+static pthread_once_t auth_once = PTHREAD_ONCE_INIT;
+
+static void make_auth(void)
+{
+	AUTH *auth = authnone_create();
+
+	auth_destroy(auth);
+}
+
 struct rpcc {
 	const struct settings *set;
 	const struct clk *clk;
@@ -89,6 +100,7 @@
 {
 	struct rpcc *c = calloc(1, sizeof(*c));
 
+	pthread_once(&auth_once, make_auth);
 	if (!c)
 		return PST_ERR_NOMEM;
 	c->set = set;
--- a/controld/xchg.c
+++ b/controld/xchg.c
@@ -159,8 +159,6 @@
 	xchg->set = set;
 	xchg->clk = clk;
 	xchg->node = node;
-	/* libtirpc makes its shared handle on first use, without a lock. */
-	authnone_create();
 	*out = xchg;
 	return 0;
 }
--- a/pstctl/poll.c
+++ b/pstctl/poll.c
@@ -136,8 +136,6 @@
 
 	*poll = (struct poll){.cmd = cmd, .wanted = wanted, .repeat = repeat};
 	pthread_mutex_init(&poll->lock, NULL);
-	/* libtirpc makes its shared handle on first use, without a lock. */
-	authnone_create();
 	err = members_read(cmd, &poll->list);
 	if (err)
 		return err;
