Split: settled rows are not stepped; capacity of the splits

Cause: every row of every service was stepped 40 times a second, whether or not its split was at its goal. Ruled out: longer steps (they would make the moves coarser for all).

--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -16,6 +16,8 @@
 	struct shf shf;
 	double *goal;
 	double left;
+	/* At the goal; nothing to step until a new goal or split comes. */
+	bool settled;
 	bool moving;
 };
 
@@ -335,10 +337,11 @@
 		const struct tbl_row *cells = &qs->tbl->rows[i];
 		struct row *row = &qs->rows[i];
 
-		if (!row->shf.count)
+		if (!row->shf.count || row->settled)
 			continue;
 		row->left = shf_step(&row->shf, now, row->goal,
 				     cells->shift_cap_pct_per_s);
+		row->settled = row->left <= SETTLED;
 		log_motion(qs, cells, row);
 	}
 }
@@ -471,6 +474,7 @@
 	if (!shf_init(&shf, mine, qs->tbl->domain_count, now)) {
 		shf_done(&row->shf);
 		row->shf = shf;
+		row->settled = false;
 		evt_log(SPLIT_ADOPTED, "service=%.*s rank=%s from=%.*s",
 			STR_ARG(service), rank_name(rank), STR_ARG(from));
 	}
