Tickets: attempt 0 names no record

Cause: a record that was forgotten keeps attempt 0, so a ruling on attempt 0 found it and was taken for a grant. No message carries attempt 0 today. Ruled out: another number for free records, which would need a reserved one. Before: the new test fails, two actions for a ruling on nothing ('acts == 2'); after: none (build/tests/test_tkt_parts). Conclusion: latent only, but on the path that says 'run'.

--- a/policy/tkt_recs.c
+++ b/policy/tkt_recs.c
@@ -137,7 +137,8 @@
 {
 	const uint64_t place = attempt & PLACE_MASK;
 
-	if (place >= recs->fresh || recs->table[place].attempt != attempt)
+	if (!attempt || place >= recs->fresh ||
+	    recs->table[place].attempt != attempt)
 		return NULL;
 	return &recs->table[place];
 }
--- a/tests/test_tkt_parts.c
+++ b/tests/test_tkt_parts.c
@@ -4,6 +4,7 @@
 
 #include "common/clk.h"
 #include "common/err.h"
+#include "policy/tkt_asker.h"
 #include "policy/tkt_budget.h"
 #include "policy/tkt_claim.h"
 #include "policy/tkt_home.h"
@@ -280,6 +281,39 @@
 }
 END_TEST
 
+static unsigned acts;
+
+static void count_act(void *ctx, const struct tkt_action *action)
+{
+	(void)ctx;
+	(void)action;
+	acts++;
+}
+
+START_TEST(word_on_no_attempt_meets_no_record)
+{
+	const struct tkt_ruling yours = {.grant = TKT_GRANT_YOURS};
+	const struct tkt_asker_conf conf = {
+		.capacity = 4,
+		.retain = 1,
+		.give_up = CLK_SEC(1),
+		.act = count_act,
+	};
+	const struct tkt_key key = {.kind = TKT_KEY_TICKET, .id = sample};
+	struct tkt_asker *asker = NULL;
+
+	ck_assert_int_eq(tkt_asker_create(&asker, &conf), 0);
+	tkt_asker_admit(asker, 1, &key, CLK_SEC(1), 0);
+	tkt_asker_tick(asker, CLK_SEC(1));
+	tkt_asker_tick(asker, CLK_SEC(2));
+	ck_assert_uint_eq(tkt_asker_stats(asker).records, 0);
+	acts = 0;
+	tkt_asker_ruling(asker, 0, &yours, 0);
+	ck_assert_uint_eq(acts, 0);
+	tkt_asker_destroy(asker);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("tkt_parts");
@@ -293,5 +327,6 @@
 	tcase_add_test(tc, home_issues_in_the_first_half_of_a_block);
 	tcase_add_test(tc, witness_is_near_but_shares_no_failure_domain);
 	tcase_add_test(tc, budget_is_shared_by_the_fleet);
+	tcase_add_test(tc, word_on_no_attempt_meets_no_record);
 	return fix_run("tkt_parts", tc);
 }
