t_limit_use: slots no longer the bottleneck

With 6 targets of the small deployment only 6 uploads ran at once, so the demand was not above the limit; there are now 36 targets. The bound is the same. Ruled out: a larger deployment, which takes longer to start.

--- a/lab/lab.py
+++ b/lab/lab.py
@@ -112,17 +112,18 @@
 
 class Lab:
     def __init__(self, conf, full=False, net=None, settings=None, bin_dir=None, vary=True,
-                 row_cells=None):
+                 row_cells=None, targets=None):
         """
         settings: {section: {key: value}} over every VM's settings file; vary:
         exponential running times; row_cells: {cell: value} over every row of
-        the table.
+        the table; targets: number of upstreams of a service.
         """
         self.conf = read_yaml(os.path.join(ROOT, conf))
         self.full = full
         self.net = net or int(os.environ.get("PST_LAB_NET", 0)) or 1 + os.getpid() % 250
         self.settings = settings or {}
         self.vary = vary
+        self.targets = targets or {}
         self.row_cells = row_cells or {}
         self.bin = bin_dir or os.environ.get("PST_BIN", os.path.join(ROOT, "build/bin"))
         os.makedirs(RUNS, exist_ok=True)
@@ -140,10 +141,11 @@
             self.entries.append(self._vm("entry-%d" % (i + 1), "entry", i, 1 + i // len(self.domains)))
         host = FIRST_UPSTREAM_HOST
         for name, service in self.conf["services"].items():
-            for i in range(service["targets" + size]):
+            count = self.targets.get(name, service["targets" + size])
+            for i in range(count):
                 self.upstreams.append(self._vm("%s-%d" % (name, i + 1), "upstream", i,
                                                host + i // len(self.domains), name, service["slots"]))
-            host += 1 + service["targets" + size] // len(self.domains)
+            host += 1 + count // len(self.domains)
 
     def _vm(self, id, kind, i, host, service=None, slots=0):
         d = i % len(self.domains)
