--- a/agent/quota.c
+++ b/agent/quota.c
@@ -172,15 +172,6 @@
 	pthread_mutex_unlock(&agent->lock);
 }
 
-void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
-			size_t bytes)
-{
-	(void)agent;
-	(void)from;
-	(void)to;
-	(void)bytes;
-}
-
 static bool take_intake(struct quota_agent *agent, const struct tbl *tbl,
 			const struct tbl_row *row, uint32_t region)
 {
--- a/agent/quota.h
+++ b/agent/quota.h
@@ -25,13 +25,6 @@
 size_t quota_take_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
 			enum rank rank, size_t want);
 
-/*
- * Gives up bytes taken at an unknown time: they count as sent, since the
- * window that counted them may be over. See quota_return_taken().
- */
-void quota_return_bytes(struct quota_agent *agent, uint32_t from, uint32_t to,
-			size_t bytes);
-
 /*
  * Returns bytes that were taken at taken_at, by the agent's clock, and will
  * not be sent. For bytes of several takes it is the time of the first. After
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -74,9 +74,6 @@
 	if (!err)
 		err = admin_start(&d->admin, d->set,
 				  (uint16_t)d->set->entry.admin_port);
-	if (!err)
-		err = frt_start(&d->frt, d->set, d->clk, d->rte, d->parts.ups,
-				d->parts.ticket);
 	return err;
 }
 
@@ -124,7 +121,8 @@
 
 static void stop(struct daemon *d)
 {
-	frt_stop(d->frt);
+	if (d->frt)
+		frt_stop(d->frt);
 	rpcs_stop();
 	ups_stop(d->parts.ups);
 	tkt_agent_stop(d->parts.ticket);
@@ -136,6 +134,21 @@
 	admin_stop(d->admin);
 }
 
+/*
+ * Opens the callers' port once the table is confirmed, so that look-ups that
+ * name this VM early lead to a refused connection and not to a refusal.
+ * Returns 1 when a signal came first.
+ */
+static int open_front(struct daemon *d, const sigset_t *signals)
+{
+	while (!ctl_agent_fresh(d->parts.ctl)) {
+		if (tick_until(d, signals, clk_now(d->clk) + RTE_TICK, false))
+			return 1;
+	}
+	return frt_start(&d->frt, d->set, d->clk, d->rte, d->parts.ups,
+			 d->parts.ticket);
+}
+
 static int run(struct daemon *d)
 {
 	sigset_t signals;
@@ -147,6 +160,13 @@
 	pthread_sigmask(SIG_BLOCK, &signals, NULL);
 	signal(SIGPIPE, SIG_IGN);
 	err = start(d);
+	if (!err)
+		err = open_front(d, &signals);
+	if (err > 0) {
+		evt_log(PROCESS_STOP, "program=pst-entryd reason=signal");
+		stop(d);
+		return CLI_EXIT_OK;
+	}
 	if (err) {
 		evt_log(PROCESS_STOP, "program=pst-entryd reason=%s",
 			err_name(err));
--- a/policy/brk_core.c
+++ b/policy/brk_core.c
@@ -50,12 +50,8 @@
 
 		while (wait && b->now > wait->latest_start) {
 			struct brk_wait *next = wait->next;
-			struct brk_entry *entry = wait->entry;
-			const uint64_t ask = wait->by_ask.key[0];
 
-			brk_give_drop_wait(b, wait);
-			brk_give_refuse(b, entry, ask, (enum rank)r,
-					PERMIT_LATE);
+			brk_give_turn_away(b, wait, (enum rank)r, PERMIT_LATE);
 			wait = next;
 		}
 	}
--- a/policy/brk_give.c
+++ b/policy/brk_give.c
@@ -133,6 +133,16 @@
 	brk_hold_drop_wait(&b->hold, wait);
 }
 
+void brk_give_turn_away(struct brk *b, struct brk_wait *wait, enum rank rank,
+			enum permit_result result)
+{
+	const struct brk_entry *entry = wait->entry;
+	const uint64_t ask = wait->by_ask.key[0];
+
+	brk_give_drop_wait(b, wait);
+	brk_give_refuse(b, entry, ask, rank, result);
+}
+
 static double slots_free(const struct brk *b)
 {
 	return (double)b->fleet.free / BRK_SLOT;
@@ -190,12 +200,9 @@
 
 		while (wait) {
 			struct brk_wait *next = wait->next;
-			struct brk_entry *entry = wait->entry;
-			const uint64_t ask = wait->by_ask.key[0];
 
-			brk_give_drop_wait(b, wait);
-			brk_give_refuse(b, entry, ask, (enum rank)r,
-					PERMIT_NO_UPSTREAM);
+			brk_give_turn_away(b, wait, (enum rank)r,
+					   PERMIT_NO_UPSTREAM);
 			wait = next;
 		}
 	}
--- a/policy/brk_give.h
+++ b/policy/brk_give.h
@@ -40,6 +40,11 @@
 apr_interval_time_t brk_give_messages(const struct brk_entry *entry);
 
 void brk_give_drop_wait(struct brk *b, struct brk_wait *wait);
+
+/* Drops a waiting ask and refuses it. */
+void brk_give_turn_away(struct brk *b, struct brk_wait *wait, enum rank rank,
+			enum permit_result result);
+
 void brk_give_end(struct brk *b, struct brk_permit *permit,
 		  enum permit_outcome outcome);
 
