Entry: a refusal names the reason behind the key's verdict

Cause: every refusal for a key said REQ_KEY; what a caller should do next depends on the verdict's own reason, which only the log held. Ruled out: a status for each reason (409 stays; the reason is a member). Failed first: key_that_may_not_run_is_refused_without_a_run, REQ_KEY for TKT_SEALED. Man pages carry a date.

--- a/entryd/req.h
+++ b/entryd/req.h
@@ -81,6 +81,8 @@
 
 	/* The deciding thread only. */
 	struct pth pth;
+	/* Error behind the verdict on the key, or 0. */
+	int key_reason;
 	apr_time_t deadline;
 	apr_time_t asked_at;
 	uint64_t permit_id;
--- a/entryd/route.c
+++ b/entryd/route.c
@@ -170,6 +170,7 @@
 
 	if (!req)
 		return;
+	req->key_reason = answer->reason;
 	evt_log(REQ_KEY_VERDICT, "req=%s verdict=%s reason=%s", req->id.ptr,
 		names[answer->verdict], err_name(answer->reason));
 	run(rte, req,
--- a/entryd/route_act.c
+++ b/entryd/route_act.c
@@ -74,11 +74,16 @@
 
 void rte_refuse(struct rte *rte, struct req *req, bool not_run, int reason)
 {
+	const unsigned status = status_of(reason);
+
+	/* The verdict's own reason tells the caller what to do next. */
+	if (reason == PST_ERR_REQ_KEY && req->key_reason)
+		reason = req->key_reason;
 	evt_log(REQ_REFUSED, "req=%s run=%s cause=%s", req->id.ptr,
 		not_run ? "no" : "unknown", err_name(reason));
 	ctr_add(rte->refused[req->rank], 1);
 	pthread_mutex_lock(&req->lock);
-	req->status = status_of(reason);
+	req->status = status;
 	req->not_run = not_run;
 	req->reason = reason;
 	req->stage = REQ_REFUSED;
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -12,6 +12,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 
+#include "common/err.h"
 #include "common/evt.h"
 #include "entryd/front.h"
 #include "tests/fix_run.h"
@@ -148,6 +149,7 @@
 	const struct tkt_answer answer = {
 		.request_id = request_id,
 		.verdict = verdict,
+		.reason = verdict == TKT_RUN ? 0 : PST_ERR_TKT_SEALED,
 	};
 
 	(void)agent;
@@ -353,6 +355,7 @@
 	c = call("POST", "/s/svc/ok", "Idempotency-Key: k2", 0, false);
 	ck_assert_int_eq(c.status, 409);
 	ck_assert_ptr_nonnull(strstr(c.text, "\"run\":\"no\""));
+	ck_assert_ptr_nonnull(strstr(c.text, "\"reason\":\"TKT_SEALED\""));
 	verdict = TKT_UNKNOWN;
 	c = call("POST", "/s/svc/ok", "Idempotency-Key: k3", 0, false);
 	ck_assert_ptr_nonnull(strstr(c.text, "\"run\":\"unknown\""));
--- a/tools/gen_settings.py
+++ b/tools/gen_settings.py
@@ -234,7 +234,7 @@
 
 
 def man(sections):
-    out = [".TH PST-SETTINGS 5", ".SH NAME",
+    out = [".TH PST-SETTINGS 5 2026-12-04 pistachiostage", ".SH NAME",
            "pst-settings \\- settings file of pistachiostage", ".SH DESCRIPTION",
            "One YAML file holds the settings of every daemon on a VM. Unknown keys "
            "are errors. A setting that is left out takes its default.", ".SH OPTIONS"]
