make demo and make check build on all cores

Cause: a first make demo built one file after the other. Ruled out: fewer seconds of load in the demo.

--- a/Makefile
+++ b/Makefile
@@ -94,6 +94,7 @@
 	@$(CC) $(CFLAGS) $< $(B)/libfakes.a $(LIBS) $(LDLIBS) -o $@
 
 check: deps
+	$(MAKE) -j$(shell nproc) all
 	$(MAKE) check-unit
 	$(MAKE) check-proc
 
@@ -104,7 +105,7 @@
 	tools/run-proc-tests.sh $(B)
 
 demo: deps
-	$(MAKE) all
+	$(MAKE) -j$(shell nproc) all
 	lab/demo.sh
 
 bench: all
