Events found by number; a field that nothing read is gone

Cause: on reading the whole change again: each log line searched the list of events, which is known by number, and struct req kept answer_queued unread. Ruled out: a sorted list with bsearch (the number is the index already).

--- a/common/evt.c
+++ b/common/evt.c
@@ -14,15 +14,18 @@
 #define LINE_MAX_BYTES 512
 #define RING_LINES     4096
 
+/* Numbers of events are from EVT_FIRST up; see docs/INTERFACES.md. */
+#define EVT_FIRST 1000
+
 struct event {
-	int number;
 	const char *name;
 	enum evt_level level;
 };
 
+/* By number, so that a line costs no search. */
 static const struct event events[] = {
 #define X(num, symbol, nm, lvl, keys, meaning, action) \
-	{.number = (num), .name = (nm), .level = EVT_##lvl},
+	[(num)-EVT_FIRST] = {.name = (nm), .level = EVT_##lvl},
 #include "schema/events/all.def"
 #undef X
 };
@@ -74,17 +77,6 @@
 	.append = plain_append,
 };
 
-static const struct event *find_event(enum evt_id id)
-{
-	const size_t count = sizeof(events) / sizeof(events[0]);
-
-	for (size_t i = 0; i < count; i++) {
-		if (events[i].number == (int)id)
-			return &events[i];
-	}
-	return &events[0];
-}
-
 static size_t put_stamp(char *line, size_t size)
 {
 	struct timespec ts;
@@ -159,7 +151,7 @@
 
 void evt_write(const char *module, enum evt_id id, const char *fmt, ...)
 {
-	const struct event *event = find_event(id);
+	const struct event *event = &events[id - EVT_FIRST];
 	char line[LINE_MAX_BYTES];
 	size_t used = 0;
 	va_list ap;
@@ -171,7 +163,7 @@
 		used = put_stamp(line, sizeof(line));
 	n = snprintf(line + used, sizeof(line) - used, "%s%s %s event=%d %s ",
 		     redirect ? "" : " ", level_names[event->level], module,
-		     event->number, event->name);
+		     (int)id, event->name);
 	used += (size_t)n;
 	va_start(ap, fmt);
 	n = vsnprintf(line + used, sizeof(line) - used, fmt, ap);
--- a/entryd/front.c
+++ b/entryd/front.c
@@ -158,7 +158,6 @@
 	MHD_add_response_header(response, "X-Served-By", req->upstream.ptr);
 	if (frt->closing)
 		MHD_add_response_header(response, "Connection", "close");
-	req->answer_queued = true;
 	result = MHD_queue_response(conn, req->status, response);
 	MHD_destroy_response(response);
 	return result;
--- a/entryd/req.h
+++ b/entryd/req.h
@@ -77,7 +77,6 @@
 
 	/* The caller's threads only. */
 	bool body_started;
-	bool answer_queued;
 
 	/* The deciding thread only. */
 	struct pth pth;
