Bench: a window without the run-out, refusals in p99, mixed running times

Cause: useful work was given as 85% of the slots (Fund, flood of bulk work), though slots were full. The probe ran from the start of the callers to the end of the last answer, so the start and up to a deadline in which the queues ran empty counted as slot time; and p99 was of the whole answers alone, which hides what a baseline refuses.

--- a/lab/bench.py
+++ b/lab/bench.py
@@ -1,5 +1,6 @@
 """Measures a deployment under load and faults, with our policy and the baselines."""
 import argparse
+import collections
 import csv
 import os
 import subprocess
@@ -17,8 +18,9 @@
 OWN_SCENARIOS = ("hop", "region_lost", "drain", "rolling", "store_outage")
 SCENARIOS = ("steady", "flood_bulk", "flood_urgent") + OWN_SCENARIOS
 
-# Running time asked of the upstreams; it sets the capacity that one machine can load tenfold.
-RUN_MS = 250
+# Mean running times by rank, asked of the upstreams; long enough for one machine to load them tenfold.
+# "fixed": all alike and constant; "mixed": exponential, urgent work short and bulk work long.
+RUN_MS = {"fixed": {"urgent": 250, "normal": 250, "bulk": 250}, "mixed": {"urgent": 50, "normal": 100, "bulk": 375}}
 # Parts of the capacity that each rank asks for in the steady load of 80%.
 STEADY = {"urgent": 0.2, "normal": 0.3, "bulk": 0.3}
 FLOOD_FACTOR = 10
@@ -26,8 +28,8 @@
 SETTLE_S = 3
 HZ = os.sysconf("SC_CLK_TCK")
 
-FIELDS = ("deployment", "policy", "scenario", "seed", "rank", "sent", "whole", "refused", "unknown", "wrong",
-          "p50_ms", "p99_ms", "p999_ms", "useful_pct", "slots_busy_pct", "link_pct", "cpu_us_per_request", "extra")
+FIELDS = ("deployment", "times", "policy", "scenario", "seed", "rank", "sent", "whole", "refused", "unknown", "wrong",
+          "p50_ms", "p99_ms", "p999_ms", "p99_all_ms", "useful_pct", "slots_busy_pct", "link_pct", "cpu_us_per_request", "extra")
 
 
 class Probe:
@@ -73,36 +75,56 @@
                 "cpu_us": self._cpu() - self.cpu}
 
 
-def load_of(lab, service, scenario):
+def load_of(lab, service, scenario, times):
     """The steady load; in a flood one rank asks for ten times the capacity."""
     slots = sum(u.slots for u in lab.upstreams if u.service == service)
-    capacity = slots * 1000.0 / RUN_MS
     out = []
     for rank, part in STEADY.items():
         if scenario == "flood_" + rank:
             part = FLOOD_FACTOR
-        out.append(works.work(service, "get", rank, rate=max(1, round(part * capacity)), ms=RUN_MS, tries=1))
+        ms = RUN_MS[times][rank]
+        out.append(works.work(service, "get", rank, rate=max(1, round(part * slots * 1000.0 / ms)), ms=ms, tries=1))
     others = [n for n, s in lab.conf["services"].items() if s["kind"] == "book"]
     out += [works.work(n, "book", "normal", rate=10) for n in others]
-    return out, capacity
+    return out, slots
 
 
-def rows_of(lab, policy, scenario, seed, caller, probe, capacity, extra=""):
+def quantile(sorted_us, part):
+    return "%.1f" % (sorted_us[min(len(sorted_us) - 1, int(part * len(sorted_us)))] / 1e3) if sorted_us else ""
+
+
+def latencies(jobs, deadline_ms):
+    """Whole answers' latencies, and all jobs' with the deadline for what was not answered; sorted."""
+    whole = sorted(int(j["took_us"]) for j in jobs if j["outcome"] == "whole")
+    return whole, whole + [max(deadline_ms * 1000, whole[-1] if whole else 0)] * (len(jobs) - len(whole))
+
+
+def useful_ms(jobs, times, window):
+    """Running time of the jobs answered within their deadline in the window, in milliseconds."""
+    return sum(RUN_MS[times][j["rank"]] for j in jobs
+               if j["outcome"] == "whole" and int(j["took_us"]) <= works.DEADLINE_MS[j["rank"]] * 1000 and
+               window[0] * 1e6 <= int(j["at_us"]) + int(j["took_us"]) < window[1] * 1e6)
+
+
+def rows_of(lab, policy, scenario, args, caller, ended, slots, extra=""):
     service = next(iter(lab.conf["services"]))
-    ended = probe.end(service)
-    results = caller.rows()
-    total = sum(int(r["attempts"]) for r in results.values()) or 1
-    useful = sum(int(r["in_time"]) for n, r in results.items() if n.startswith(service + "."))
+    window = (WARMUP_S, WARMUP_S + args.seconds)
+    mine = [j for j in caller.jobs() if j["work"].startswith(service + ".")]
+    useful = useful_ms(mine, args.times, window) / (slots * args.seconds * 1e3)
+    counted = [j for j in mine if int(j["at_us"]) >= WARMUP_S * 1e6]
+    total = sum(int(j["attempts"]) for j in caller.jobs()
+                if window[0] * 1e6 <= int(j["at_us"]) + int(j["took_us"]) < window[1] * 1e6) or 1
     out = []
     for rank in works.RANKS:
-        r = results.get("%s.%s" % (service, rank))
-        if not r:
-            continue
+        jobs = [j for j in counted if j["rank"] == rank]
+        outcomes = collections.Counter(j["outcome"] for j in jobs)
+        whole, everything = latencies(jobs, works.DEADLINE_MS[rank])
         out.append({
-            "deployment": lab.conf["name"], "policy": policy, "scenario": scenario, "seed": seed, "rank": rank,
-            "sent": r["sent"], "whole": r["whole"], "refused": r["not_run"], "unknown": r["unknown"],
-            "wrong": r["wrong"], "p50_ms": "%.1f" % (int(r["p50_us"]) / 1e3), "p99_ms": "%.1f" % (int(r["p99_us"]) / 1e3),
-            "p999_ms": "%.1f" % (int(r["p999_us"]) / 1e3), "useful_pct": "%.1f" % (100 * useful / (capacity * ended["took_s"])),
+            "deployment": lab.conf["name"], "times": args.times, "policy": policy, "scenario": scenario,
+            "seed": args.seed, "rank": rank, "sent": len(jobs), "whole": outcomes["whole"],
+            "refused": outcomes["not_run"], "unknown": outcomes["unknown"], "wrong": outcomes["wrong"],
+            "p50_ms": quantile(whole, 0.5), "p99_ms": quantile(whole, 0.99), "p999_ms": quantile(whole, 0.999),
+            "p99_all_ms": quantile(everything, 0.99), "useful_pct": "%.1f" % (100 * useful),
             "slots_busy_pct": "%.1f" % ended["slots_busy_pct"], "link_pct": "%.1f" % ended["link_pct"],
             "cpu_us_per_request": "%.0f" % (ended["cpu_us"] / total), "extra": extra})
     return out
@@ -147,31 +169,33 @@
     return "3 VMs replaced, slowest stop %.2f s" % slowest
 
 
-def measure(lab, policy, scenario, seed, seconds):
+def measure(lab, policy, scenario, args):
     service = next(iter(lab.conf["services"]))
-    load, capacity = load_of(lab, service, scenario)
-    caller = works.Caller(lab, load, seconds + WARMUP_S, seed=seed, name="%s-%s" % (policy, scenario),
-                          extra=("--warmup-ms=%d" % (WARMUP_S * 1000),))
-    probe = Probe(lab)
+    load, slots = load_of(lab, service, scenario, args.times)
+    caller = works.Caller(lab, load, args.seconds + WARMUP_S, seed=args.seed, name="%s-%s" % (policy, scenario))
     notes = []
     fault = threading.Thread(target=lambda: notes.append(during(lab, scenario)))
     fault.start()
+    time.sleep(WARMUP_S)
+    probe = Probe(lab)
+    time.sleep(args.seconds)
+    ended = probe.end(service)
     status = caller.wait(180)
     fault.join()
     del lab.procs["%s-%s" % (policy, scenario)]
-    rows = rows_of(lab, policy, scenario, seed, caller, probe, capacity,
+    rows = rows_of(lab, policy, scenario, args, caller, ended, slots,
                    "; ".join(n for n in notes if n))
     if status:
         print(caller.report()[-1500:])
     return rows, status
 
 
-def hop(lab, seed):
+def hop(lab, args):
     """Median time through our hop and without it, one request at a time, nothing else running."""
     service = next(iter(lab.conf["services"]))
     u = next(u for u in lab.upstreams if u.service == service)
     entry = next(e for e in lab.entries if e.domain == u.domain)
-    base = [os.path.join(lab.bin, "fake-caller"), "--seconds=3", "--warmup-ms=500", "--seed=%d" % seed]
+    base = [os.path.join(lab.bin, "fake-caller"), "--seconds=3", "--warmup-ms=500", "--seed=%d" % args.seed]
     work = works.work(service, "get", "urgent", closed=1, ms=0, name="hop")
     p50 = []
     for i, way in enumerate(("--direct=" + u.url(labs.UPSTREAM_PORT),
@@ -183,10 +207,11 @@
             row = next(csv.DictReader(f))
         p50.append((int(row["p50_us"]), int(row["p99_us"]), row))
     r = p50[1][2]
-    return [{"deployment": lab.conf["name"], "policy": "broker", "scenario": "hop", "seed": seed, "rank": "urgent",
+    return [{"deployment": lab.conf["name"], "times": args.times, "policy": "broker", "scenario": "hop",
+             "seed": args.seed, "rank": "urgent",
              "sent": r["sent"], "whole": r["whole"], "refused": r["not_run"], "unknown": r["unknown"],
              "wrong": r["wrong"], "p50_ms": "%.3f" % (p50[1][0] / 1e3), "p99_ms": "%.3f" % (p50[1][1] / 1e3),
-             "p999_ms": "", "useful_pct": "", "slots_busy_pct": "", "link_pct": "", "cpu_us_per_request": "",
+             "p999_ms": "", "p99_all_ms": "", "useful_pct": "", "slots_busy_pct": "", "link_pct": "", "cpu_us_per_request": "",
              "extra": "median without our hop %.3f ms, added %.3f ms" % (p50[0][0] / 1e3, (p50[1][0] - p50[0][0]) / 1e3)}]
 
 
@@ -208,14 +233,14 @@
         group = [s for s in group if policy == "broker" or s not in OWN_SCENARIOS]
         if not group:
             continue
-        with labs.Lab(conf, full=not args.small, settings=settings, vary=False) as lab:
+        with labs.Lab(conf, full=not args.small, settings=settings, vary=args.times == "mixed") as lab:
             lab.start()
             time.sleep(SETTLE_S)
             for scenario in group:
                 if scenario == "hop":
-                    rows = hop(lab, args.seed)
+                    rows = hop(lab, args)
                 else:
-                    rows, failed = measure(lab, policy, scenario, args.seed, args.seconds)
+                    rows, failed = measure(lab, policy, scenario, args)
                     status = failed or status
                 if scenario == "steady":
                     rows[0]["extra"] = "edit in force everywhere after %.2f s; %d processes, %d MiB" % (
@@ -253,14 +278,15 @@
     parser.add_argument("--policies", default=",".join(POLICIES))
     parser.add_argument("--scenarios", default=",".join(SCENARIOS))
     parser.add_argument("--seconds", type=int, default=5, help="measured time of each run")
+    parser.add_argument("--times", choices=sorted(RUN_MS), default="fixed", help="running times of the requests")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--small", action="store_true", help="6 entry VMs instead of 24")
     args = parser.parse_args()
     args.scenarios = args.scenarios.split(",")
     os.makedirs(OUT, exist_ok=True)
     path = os.path.join(OUT, "bench.csv")
-    print("run_ms=%d steady=%s flood=%dx seconds=%d seed=%d %s" % (
-        RUN_MS, STEADY, FLOOD_FACTOR, args.seconds, args.seed, "small" if args.small else "full size"))
+    print("times=%s %s steady=%s flood=%dx seconds=%d seed=%d %s" % (
+        args.times, RUN_MS[args.times], STEADY, FLOOD_FACTOR, args.seconds, args.seed, "small" if args.small else "full size"))
     print(" ".join(FIELDS))
     status = 0
     with open(path, "w", newline="") as f:
