Entry tests: a program a duty

Cause: tests/test_entry.c held stand-ins of the agents, a caller and four duties in 606 lines; a test of input would have been a fifth. Ruled out: the stand-ins in libfix.a (other programs would link them in place of the agents).

--- a/Makefile
+++ b/Makefile
@@ -85,8 +85,11 @@
 $(B)/tests/%: $(B)/tests/%.o $(B)/libfix.a $(B)/libfakes.a $(LIBS)
 	@mkdir -p $(@D)
 	@echo LD $@
-	@$(CC) $(CFLAGS) $< $(B)/libfix.a $(B)/libfakes.a $(LIBS) $(LDLIBS) \
-		$(CHECK_LIBS) -o $@
+	@$(CC) $(CFLAGS) $(filter %.o,$^) $(B)/libfix.a $(B)/libfakes.a \
+		$(LIBS) $(LDLIBS) $(CHECK_LIBS) -o $@
+
+# These replace the agents, so they stay out of libfix.a.
+$(filter $(B)/tests/test_entry%,$(TESTS)): $(B)/tests/stub_agents.o
 
 $(B)/bench/%: $(B)/bench/%.o $(B)/libfakes.a $(LIBS)
 	@mkdir -p $(@D)
--- /dev/null
+++ b/tests/test_entry_link.c
@@ -0,0 +1,79 @@
+/* The entry between regions: limits of links, and their proxy. */
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/fix_entry.h"
+#include "tests/fix_run.h"
+#include "tests/fix_upstream.h"
+#include "tests/stub_agents.h"
+
+START_TEST(small_share_of_a_link_slows_but_does_not_stop)
+{
+	struct fix_caller c;
+
+	stub_remote = 1;
+	c = fix_entry_call("GET", "/s/svc/ok", NULL, 0, false);
+	ck_assert_int_eq(c.status, 200);
+	fix_entry_wait_idle();
+	/* Every byte stub_taken was sent, or has been returned. */
+	ck_assert_uint_eq(stub_taken, 5);
+	c = fix_entry_call("GET", "/s/svc/big", NULL, 0, false);
+	ck_assert_int_eq(c.code, CURLE_OK);
+	ck_assert_uint_eq(c.bytes, FIX_BIG_BYTES);
+	fix_entry_wait_idle();
+	ck_assert_uint_eq(stub_taken, 5 + FIX_BIG_BYTES);
+	c = fix_entry_call("POST", "/s/svc/length", NULL, 500000, false);
+	ck_assert_str_eq(c.text, "500000");
+	fix_entry_wait_idle();
+	ck_assert_uint_eq(stub_taken, 5 + FIX_BIG_BYTES + 500000 + 6);
+	stub_remote = 0;
+}
+END_TEST
+
+START_TEST(link_without_room_ends_a_request_after_its_deadline)
+{
+	struct fix_caller c;
+
+	stub_remote = 1;
+	stub_link_piece = 0;
+	c = fix_entry_call("POST", "/s/svc/length", "X-Deadline-Ms: 200",
+			   500000, false);
+	stub_link_piece = 5000;
+	stub_remote = 0;
+	ck_assert_int_eq(c.status, 502);
+	ck_assert_ptr_nonnull(strstr(c.text, "\"run\":\"no\""));
+	fix_entry_wait_idle();
+}
+END_TEST
+
+START_TEST(refusal_of_the_proxy_is_told_as_not_run)
+{
+	static char text[64];
+	struct str proxy;
+	struct fix_caller c;
+
+	snprintf(text, sizeof(text), "r2=%s:%d", fix_ip().ptr,
+		 FIX_ENTRY_UPSTREAM_PORT);
+	proxy = str_from_c(text);
+	fix_entry_set.net.proxies = &proxy;
+	fix_entry_set.net.proxies_count = 1;
+	stub_remote = 1;
+	c = fix_entry_call("POST", "/s/svc/ok", "Idempotency-Key: k4", 0,
+			   false);
+	ck_assert_int_eq(c.status, 502);
+	ck_assert_ptr_nonnull(strstr(c.text, "\"run\":\"no\""));
+	fix_entry_wait_idle();
+	fix_entry_set.net.proxies_count = 0;
+	stub_remote = 0;
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("entry_link");
+
+	tcase_add_test(tc, small_share_of_a_link_slows_but_does_not_stop);
+	tcase_add_test(tc, link_without_room_ends_a_request_after_its_deadline);
+	tcase_add_test(tc, refusal_of_the_proxy_is_told_as_not_run);
+	return fix_entry_run("entry_link", tc);
+}
