A planned stop of pst-entryd alone is seen by every look-up

Cause: only an operator's drain, the platform's list or a silent pst-controld took a VM out of look-ups; a pst-entryd that got SIGTERM alone told nobody, and its VM went on being named until its port was closed.

The ctl agent of pst-entryd now says with its exchange whether it serves or leaves. The pst-controld that hears it makes a mark (a count and a flag, merged so that order and repetition do not matter), which goes one way to the relays of the VM's domain, down a tree over all domains and down each domain; the exchanges carry it as well. The corrected list shows the VM as stopping and look-ups leave it out. The next pst-entryd of the VM that has opened its port clears the mark with a higher count.

--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -32,6 +32,9 @@
 	pthread_cond_t wake;
 	bool stopping;
 	/* Guarded by lock. */
+	table_serves serves;
+	/* serves has changed since the last exchange began. */
+	bool announced;
 	struct ctl_view *view;
 	struct rev rev;
 	/* The thread's own. */
@@ -133,6 +136,17 @@
 	return 0;
 }
 
+static table_serves read_serves(struct ctl_agent *agent)
+{
+	table_serves serves;
+
+	pthread_mutex_lock(&agent->lock);
+	serves = agent->serves;
+	agent->announced = false;
+	pthread_mutex_unlock(&agent->lock);
+	return serves;
+}
+
 /* after moves on from page to page; all pages come from one process. */
 static int ask(struct ctl_agent *agent, struct rpcc *rpcc, uint64_t *after,
 	       bool *more)
@@ -141,6 +155,7 @@
 	table_ask args = {
 		.from = (char *)agent->set->vm.id.ptr,
 		.client = agent->id,
+		.serves = read_serves(agent),
 		.held = hold_in_force(&agent->hold),
 		.after = *after,
 		.list_incarnation = agent->list_incarnation,
@@ -229,6 +244,7 @@
 	table_ask args = {
 		.from = (char *)agent->set->vm.id.ptr,
 		.client = agent->id,
+		.serves = read_serves(agent),
 		.held = UINT64_MAX,
 		.after = UINT64_MAX,
 		.list_incarnation = agent->list_incarnation,
@@ -316,7 +332,7 @@
 	bool stopping;
 
 	pthread_mutex_lock(&agent->lock);
-	if (!agent->stopping)
+	if (!agent->stopping && !agent->announced)
 		pthread_cond_timedwait(&agent->wake, &agent->lock, &ts);
 	stopping = agent->stopping;
 	pthread_mutex_unlock(&agent->lock);
@@ -390,6 +406,15 @@
 	destroy(agent);
 }
 
+void ctl_agent_announce(struct ctl_agent *agent, table_serves serves)
+{
+	pthread_mutex_lock(&agent->lock);
+	agent->serves = serves;
+	agent->announced = true;
+	pthread_cond_signal(&agent->wake);
+	pthread_mutex_unlock(&agent->lock);
+}
+
 struct ctl_view *ctl_agent_view(struct ctl_agent *agent)
 {
 	struct ctl_view *view;
--- a/agent/ctl.h
+++ b/agent/ctl.h
@@ -11,6 +11,7 @@
 #include "common/settings.h"
 #include "policy/tbl.h"
 #include "policy/vml.h"
+#include "schema/gen/table.h"
 
 /* Shared by reference count; holds a reference to tbl and to vml. */
 struct ctl_view {
@@ -29,6 +30,12 @@
 		    const struct clk *clk);
 void ctl_agent_stop(struct ctl_agent *agent);
 
+/*
+ * Says what this process does for callers of the VM, from the next exchange
+ * on, which follows at once.
+ */
+void ctl_agent_announce(struct ctl_agent *agent, table_serves serves);
+
 /* Returns a new reference, or NULL before the first view. */
 struct ctl_view *ctl_agent_view(struct ctl_agent *agent);
 void ctl_view_put(struct ctl_view *view);
--- a/agent/tmsg.c
+++ b/agent/tmsg.c
@@ -33,6 +33,7 @@
 	out->id = copy_bytes(strbuf_str(&vm->id));
 	out->kind = vm->kind;
 	out->state = vm->state;
+	out->stopping = vm->stopping;
 	out->region = copy_bytes(strbuf_str(&vm->region));
 	out->domain = copy_bytes(strbuf_str(&vm->domain));
 	out->address = copy_bytes(strbuf_str(&vm->address));
@@ -50,6 +51,7 @@
 		return PST_ERR_PROTOCOL;
 	vm->kind = (enum vm_kind)from->kind;
 	vm->state = (enum vm_state)from->state;
+	vm->stopping = from->stopping;
 	vm->port = (uint16_t)from->port;
 	vm->slots = from->slots;
 	strbuf_set(&vm->id, str_from_c(from->id));
--- a/controld/main.c
+++ b/controld/main.c
@@ -13,6 +13,7 @@
 #include "controld/brk_svc.h"
 #include "agent/hold.h"
 #include "controld/list_duty.h"
+#include "controld/mark_duty.h"
 #include "controld/node.h"
 #include "controld/peer_duty.h"
 #include "controld/shr_svc.h"
@@ -36,6 +37,7 @@
 	struct list_duty *list;
 	struct peer_duty *peer;
 	struct vote_duty *vote;
+	struct mark_duty *mark;
 	struct brk_svc *broker;
 	struct shr_svc *shares;
 	bool serving;
@@ -88,11 +90,14 @@
 		err = peer_duty_start(&app->peer, set, app->clk, app->node);
 	if (!err)
 		err = vote_duty_start(&app->vote, set, app->clk, app->node);
+	if (!err)
+		err = mark_duty_start(&app->mark, set, app->clk, app->node);
 	return err;
 }
 
 static void stop(struct app *app)
 {
+	mark_duty_stop(app->mark);
 	vote_duty_stop(app->vote);
 	peer_duty_stop(app->peer);
 	store_duty_stop(app->store);
--- a/controld/node.c
+++ b/controld/node.c
@@ -81,7 +81,7 @@
 		STR_ARG(node->set->vm.failure_domain), relay);
 }
 
-static void correct(struct node *node)
+void node_correct_locked(struct node *node)
 {
 	const uint64_t next = node->members ? node->members->revision + 1 : 1;
 	struct mbr_drain *drains = NULL;
@@ -101,6 +101,7 @@
 	free(drains);
 	if (err)
 		return;
+	node_show_marks_locked(node, members);
 	if (node->members && mbr_same(node->members, members)) {
 		vml_put(members);
 		return;
@@ -148,6 +149,7 @@
 		return;
 	hold_done(&node->hold);
 	mbr_destroy(node->mbr);
+	mbr_marks_done(&node->marks);
 	lsd_destroy(node->listed);
 	vml_put(node->members);
 	pthread_cond_destroy(&node->newer);
@@ -174,7 +176,7 @@
 	if (err)
 		return err;
 	if (changed) {
-		correct(node);
+		node_correct_locked(node);
 		publish(node);
 		pthread_cond_broadcast(&node->newer);
 	}
@@ -359,7 +361,7 @@
 	node->listed_at = clk_now(node->clk);
 	if (!lsd_take(node->listed, list))
 		return;
-	correct(node);
+	node_correct_locked(node);
 	pthread_cond_broadcast(&node->newer);
 }
 
@@ -472,7 +474,8 @@
 				    node->set->vm.id,
 				    node->set->vm.failure_domain,
 				    node->relay_since, now);
-		correct(node);
+		node_forget_marks_locked(node);
+		node_correct_locked(node);
 	}
 	pthread_mutex_unlock(&node->lock);
 }
--- a/controld/node.h
+++ b/controld/node.h
@@ -7,6 +7,7 @@
 #define CONTROLD_NODE_H
 
 #include "controld/cview.h"
+#include "policy/mbr_mark.h"
 #include "policy/rev.h"
 #include "schema/gen/table.h"
 
@@ -118,6 +119,18 @@
 void node_vm_failed(struct node *node, struct str id);
 void node_merge_absents(struct node *node, const table_answer *answer);
 
+/* Takes marks of VMs that leave or have come back. */
+void node_merge_marks(struct node *node, const table_mark *marks, u_int count);
+
+/*
+ * Waits until a mark has changed after the version, at most timeout, and sets
+ * version to the present one. Copies the marks changed since, which the caller
+ * frees (free()), or NULL when there are none. Returns 0 or PST_ERR_NOMEM.
+ */
+int node_wait_marks(struct node *node, uint64_t *version,
+		    apr_interval_time_t timeout, struct mbr_mark **out,
+		    size_t *count);
+
 /*
  * Called often by one duty: detects pauses, lets confirmations lapse,
  * corrects the list again.
--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -182,6 +182,9 @@
 		err = copy_delta(node, ask->list_revision, &out->delta);
 	if (!err)
 		err = copy_reports(node, out);
+	if (!err)
+		err = node_copy_marks_locked(node, 0, &out->marks.marks_val,
+					     &out->marks.marks_len);
 	pthread_mutex_unlock(&node->lock);
 	return err;
 }
@@ -194,6 +197,7 @@
 	if (ask->client)
 		clients_note(&node->clients, ask->client, ask->held,
 			     clk_now(node->clk));
+	node_note_serves_locked(node, ask);
 	err = answer(node, ask, out);
 	out->list_incarnation = node->incarnation;
 	if (!err && node->members && !view_known(node, ask)) {
--- /dev/null
+++ b/controld/node_marks.c
@@ -0,0 +1,147 @@
+/* Marks of VMs that leave, in a node's state and in messages. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "common/err.h"
+#include "common/evt.h"
+#include "controld/node_state.h"
+
+#define LOG_MODULE "node"
+
+/* A mark that is no longer needed is kept for so many heartbeat timeouts. */
+#define KEEP_TIMEOUTS 4
+
+static void log_mark(struct str id, bool leaving, const char *source)
+{
+	evt_log(VM_MARK, "vm=%.*s leaving=%d source=%s", STR_ARG(id), leaving,
+		source);
+}
+
+static bool listed(const struct node *node, struct str id)
+{
+	const struct vml *list = lsd_list(node->listed);
+
+	return list && vml_find(list, id);
+}
+
+static bool merge(struct node *node, const table_mark *from)
+{
+	struct mbr_mark mark = {
+		.count = from->count,
+		.client = from->client,
+		.leaving = from->leaving,
+	};
+
+	if (strbuf_set(&mark.id, str_from_c(from->vm)) ||
+	    !listed(node, strbuf_str(&mark.id)) ||
+	    !mbr_marks_merge(&node->marks, &mark, clk_now(node->clk)))
+		return false;
+	log_mark(strbuf_str(&mark.id), mark.leaving, "peer");
+	return true;
+}
+
+void node_note_serves_locked(struct node *node, const table_ask *ask)
+{
+	const struct str id = str_from_c(ask->from);
+	const bool leaving = ask->serves == TABLE_SERVES_LEAVING;
+
+	if (ask->serves == TABLE_SERVES_NOTHING || !ask->client ||
+	    !mbr_marks_note(&node->marks, id, ask->client, leaving,
+			    clk_now(node->clk)))
+		return;
+	log_mark(id, leaving, "process");
+	node_correct_locked(node);
+	pthread_cond_broadcast(&node->newer);
+}
+
+int node_copy_marks_locked(const struct node *node, uint64_t after,
+			   table_mark **out, u_int *count)
+{
+	table_mark *copy = calloc(node->marks.count + 1, sizeof(*copy));
+
+	*out = copy;
+	*count = 0;
+	for (size_t i = 0; copy && i < node->marks.count; i++) {
+		const struct mbr_mark *mark = &node->marks.marks[i];
+		table_mark *to = &copy[*count];
+
+		if (mark->version <= after)
+			continue;
+		to->vm = strdup(mark->id.ptr);
+		if (!to->vm)
+			return PST_ERR_NOMEM;
+		to->count = mark->count;
+		to->client = mark->client;
+		to->leaving = mark->leaving;
+		(*count)++;
+	}
+	return copy ? 0 : PST_ERR_NOMEM;
+}
+
+void node_forget_marks_locked(struct node *node)
+{
+	const apr_interval_time_t keep =
+		KEEP_TIMEOUTS * CLK_MS(node->set->table.heartbeat_timeout_ms);
+	const struct vml *list = lsd_list(node->listed);
+
+	if (list)
+		mbr_marks_forget(&node->marks, list, keep, clk_now(node->clk));
+}
+
+void node_show_marks_locked(const struct node *node, struct vml *members)
+{
+	for (size_t i = 0; i < members->count; i++) {
+		struct vm *vm = &members->vms[i];
+
+		vm->stopping =
+			vm->kind == VM_ENTRY &&
+			mbr_marks_leaving(&node->marks, strbuf_str(&vm->id));
+	}
+}
+
+void node_merge_marks(struct node *node, const table_mark *marks, u_int count)
+{
+	bool changed = false;
+
+	pthread_mutex_lock(&node->lock);
+	for (u_int i = 0; i < count; i++)
+		changed |= merge(node, &marks[i]);
+	if (changed) {
+		node_correct_locked(node);
+		pthread_cond_broadcast(&node->newer);
+	}
+	pthread_mutex_unlock(&node->lock);
+}
+
+static int copy_changed(const struct node *node, uint64_t after,
+			struct mbr_mark **out, size_t *count)
+{
+	*out = calloc(node->marks.count + 1, sizeof(**out));
+	*count = 0;
+	for (size_t i = 0; *out && i < node->marks.count; i++) {
+		if (node->marks.marks[i].version > after)
+			(*out)[(*count)++] = node->marks.marks[i];
+	}
+	return *out ? 0 : PST_ERR_NOMEM;
+}
+
+int node_wait_marks(struct node *node, uint64_t *version,
+		    apr_interval_time_t timeout, struct mbr_mark **out,
+		    size_t *count)
+{
+	const apr_time_t until = apr_time_now() + timeout;
+	const struct timespec ts = {
+		.tv_sec = until / APR_USEC_PER_SEC,
+		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
+	};
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	if (node->marks.version <= *version)
+		pthread_cond_timedwait(&node->newer, &node->lock, &ts);
+	err = copy_changed(node, *version, out, count);
+	if (!err)
+		*version = node->marks.version;
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
--- a/controld/node_state.h
+++ b/controld/node_state.h
@@ -9,6 +9,7 @@
 #include "controld/node.h"
 #include "policy/lsd.h"
 #include "policy/mbr.h"
+#include "policy/mbr_mark.h"
 
 struct node {
 	const struct settings *set;
@@ -28,6 +29,7 @@
 	struct vml *members;
 	apr_time_t corrected_at;
 	struct mbr *mbr;
+	struct mbr_marks marks;
 	bool relay;
 	apr_time_t relay_since;
 	/* Last exchange with a relay of the own domain, or the start. */
@@ -36,4 +38,19 @@
 	struct clients clients;
 };
 
+/* Corrects the list again and publishes what has changed. */
+void node_correct_locked(struct node *node);
+
+/* What a process says of itself with its question. */
+void node_note_serves_locked(struct node *node, const table_ask *ask);
+
+void node_forget_marks_locked(struct node *node);
+
+/* Shows the marks in a corrected list that is not shared yet. */
+void node_show_marks_locked(const struct node *node, struct vml *members);
+
+/* Makes a message of the marks changed after a version. */
+int node_copy_marks_locked(const struct node *node, uint64_t after,
+			   table_mark **out, u_int *count);
+
 #endif
--- a/controld/sync.c
+++ b/controld/sync.c
@@ -42,6 +42,18 @@
 	return err;
 }
 
+static int handle_marks(void *ctx, const struct net_addr *peer, void *args,
+			void *res)
+{
+	const table_marks *marks = args;
+
+	(void)peer;
+	(void)res;
+	node_vm_heard(ctx, str_from_c(marks->from));
+	node_merge_marks(ctx, marks->marks.marks_val, marks->marks.marks_len);
+	return 0;
+}
+
 static int handle_status(void *ctx, const struct net_addr *peer, void *args,
 			 void *res)
 {
@@ -81,6 +93,13 @@
 		.res_size = sizeof(table_status),
 		.handle = handle_status,
 	},
+	{
+		.proc = TABLE_MARKS,
+		.one_way = true,
+		.xargs = (xdrproc_t)xdr_table_marks,
+		.args_size = sizeof(table_marks),
+		.handle = handle_marks,
+	},
 };
 
 static struct rpcs_program program = {
--- a/controld/xchg.c
+++ b/controld/xchg.c
@@ -120,6 +120,8 @@
 	node_merge_absents(xchg->node, answer);
 	if (answer->delta)
 		node_take_delta(xchg->node, answer->delta);
+	node_merge_marks(xchg->node, answer->marks.marks_val,
+			 answer->marks.marks_len);
 }
 
 /* after moves on from page to page; all pages come from one process. */
@@ -192,14 +194,26 @@
 		    (xdrproc_t)xdr_table_status, out);
 }
 
-int xchg_push(struct xchg *xchg, const struct vm *vm, table_change *change)
+static int send_one_way(struct xchg *xchg, const struct vm *vm, rpcproc_t proc,
+			xdrproc_t xargs, void *args)
 {
 	struct rpcc *rpcc = client_for(xchg, vm);
-	const int err = rpcc ? rpcc_send(rpcc, TABLE_PUSH,
-					 (xdrproc_t)xdr_table_change, change)
-			     : PST_ERR_CONNECT;
+	const int err =
+		rpcc ? rpcc_send(rpcc, proc, xargs, args) : PST_ERR_CONNECT;
 
 	if (err)
 		note(xchg, vm, err);
 	return err;
 }
+
+int xchg_push(struct xchg *xchg, const struct vm *vm, table_change *change)
+{
+	return send_one_way(xchg, vm, TABLE_PUSH, (xdrproc_t)xdr_table_change,
+			    change);
+}
+
+int xchg_marks(struct xchg *xchg, const struct vm *vm, table_marks *marks)
+{
+	return send_one_way(xchg, vm, TABLE_MARKS, (xdrproc_t)xdr_table_marks,
+			    marks);
+}
--- a/controld/xchg.h
+++ b/controld/xchg.h
@@ -27,4 +27,7 @@
 /* Sends a change one way. Returns 0 or an error of rpcc_send(). */
 int xchg_push(struct xchg *xchg, const struct vm *vm, table_change *change);
 
+/* Sends marks one way. Returns 0 or the call's error. */
+int xchg_marks(struct xchg *xchg, const struct vm *vm, table_marks *marks);
+
 #endif
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -109,6 +109,7 @@
 	evt_log(ENTRY_LEAVING, "in_progress=%zu grace_ms=%llu",
 		rte_in_progress(d->rte),
 		(unsigned long long)d->set->entry.leave_grace_ms);
+	ctl_agent_announce(d->parts.ctl, TABLE_SERVES_LEAVING);
 	frt_close(d->frt);
 	if (!tick_until(d, signals, began + grace, false)) {
 		rte_close(d->rte);
@@ -172,6 +173,7 @@
 			err_name(err));
 		return CLI_EXIT_UNAVAILABLE;
 	}
+	ctl_agent_announce(d->parts.ctl, TABLE_SERVES_ENTRY);
 	evt_log(PROCESS_READY, "program=pst-entryd");
 	tick_until(d, &signals, INT64_MAX, false);
 	evt_log(PROCESS_STOP, "program=pst-entryd reason=signal");
--- a/policy/lkp.c
+++ b/policy/lkp.c
@@ -94,7 +94,7 @@
 
 static bool is_live_entry(const struct vm *vm)
 {
-	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE && !vm->stopping &&
 	       is_plain(&vm->id) && is_plain(&vm->region) &&
 	       is_plain(&vm->domain) && is_plain(&vm->address);
 }
--- /dev/null
+++ b/policy/mbr_mark.c
@@ -0,0 +1,123 @@
+#include "policy/mbr_mark.h"
+
+#include <stdlib.h>
+
+#define FIRST_CAPACITY 8
+
+static struct mbr_mark *find(const struct mbr_marks *set, struct str id)
+{
+	for (size_t i = 0; i < set->count; i++) {
+		if (str_eq(strbuf_str(&set->marks[i].id), id))
+			return &set->marks[i];
+	}
+	return NULL;
+}
+
+static struct mbr_mark *add(struct mbr_marks *set, struct str id)
+{
+	struct mbr_mark *mark;
+
+	if (set->count == set->capacity) {
+		const size_t more =
+			set->capacity ? set->capacity * 2 : FIRST_CAPACITY;
+		struct mbr_mark *grown =
+			realloc(set->marks, more * sizeof(*grown));
+
+		if (!grown)
+			return NULL;
+		set->marks = grown;
+		set->capacity = more;
+	}
+	mark = &set->marks[set->count];
+	*mark = (struct mbr_mark){.count = 0};
+	if (strbuf_set(&mark->id, id))
+		return NULL;
+	set->count++;
+	return mark;
+}
+
+static void touch(struct mbr_marks *set, struct mbr_mark *mark, apr_time_t now)
+{
+	mark->version = ++set->version;
+	mark->changed_at = now;
+}
+
+void mbr_marks_done(struct mbr_marks *set)
+{
+	free(set->marks);
+	*set = (struct mbr_marks){.count = 0};
+}
+
+bool mbr_marks_note(struct mbr_marks *set, struct str id, uint64_t client,
+		    bool leaving, apr_time_t now)
+{
+	struct mbr_mark *mark = find(set, id);
+
+	if (!mark && !leaving)
+		return false;
+	if (mark && !mark->leaving && !leaving)
+		return false;
+	/* A process that leaves does not come back; the next one does. */
+	if (mark && mark->leaving && mark->client == client)
+		return false;
+	if (!mark)
+		mark = add(set, id);
+	if (!mark)
+		return false;
+	if (mark->client != client)
+		mark->count++;
+	mark->client = client;
+	mark->leaving = leaving;
+	mark->here = true;
+	touch(set, mark, now);
+	return true;
+}
+
+static bool later(const struct mbr_mark *mark, const struct mbr_mark *held)
+{
+	if (mark->count != held->count)
+		return mark->count > held->count;
+	return mark->leaving && !held->leaving;
+}
+
+bool mbr_marks_merge(struct mbr_marks *set, const struct mbr_mark *mark,
+		     apr_time_t now)
+{
+	struct mbr_mark *held = find(set, strbuf_str(&mark->id));
+
+	if (held ? !later(mark, held) : !mark->leaving)
+		return false;
+	if (!held)
+		held = add(set, strbuf_str(&mark->id));
+	if (!held)
+		return false;
+	held->count = mark->count;
+	held->client = mark->client;
+	held->leaving = mark->leaving;
+	held->here = false;
+	touch(set, held, now);
+	return true;
+}
+
+bool mbr_marks_leaving(const struct mbr_marks *set, struct str id)
+{
+	const struct mbr_mark *mark = find(set, id);
+
+	return mark && mark->leaving;
+}
+
+void mbr_marks_forget(struct mbr_marks *set, const struct vml *list,
+		      apr_interval_time_t keep, apr_time_t now)
+{
+	size_t kept = 0;
+
+	for (size_t i = 0; i < set->count; i++) {
+		const struct mbr_mark *mark = &set->marks[i];
+		const bool needed =
+			mark->leaving && vml_find(list, strbuf_str(&mark->id));
+
+		if (needed || now - mark->changed_at <= keep)
+			set->marks[kept++] = *mark;
+	}
+	set->count = kept;
+}
--- a/policy/relay.c
+++ b/policy/relay.c
@@ -1,6 +1,7 @@
 #include "policy/relay.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 
 /* The domain's live VMs in the order in which they become relays. */
 static size_t ranked(const struct vml *vml, struct str domain,
@@ -44,6 +45,66 @@
 	return count;
 }
 
+static int by_name(const void *a, const void *b)
+{
+	const struct str *one = a;
+	const struct str *two = b;
+
+	return str_cmp(*one, *two);
+}
+
+/* The domains of the entry VMs in order, owned by the caller, or NULL. */
+static struct str *domains_of(const struct vml *vml, size_t *count)
+{
+	struct str *names = calloc(vml->count + 1, sizeof(*names));
+	size_t kept = 0;
+	size_t all = 0;
+
+	for (size_t i = 0; names && i < vml->count; i++) {
+		if (vml->vms[i].kind == VM_ENTRY)
+			names[all++] = strbuf_str(&vml->vms[i].domain);
+	}
+	if (all)
+		qsort(names, all, sizeof(*names), by_name);
+	for (size_t i = 0; i < all; i++) {
+		if (!kept || !str_eq(names[kept - 1], names[i]))
+			names[kept++] = names[i];
+	}
+	*count = kept;
+	return names;
+}
+
+static size_t place_of(const struct str *names, size_t count, struct str name)
+{
+	size_t at = 0;
+
+	while (at < count && !str_eq(names[at], name))
+		at++;
+	return at;
+}
+
+size_t relay_across(const struct vml *vml, struct str root, struct str domain,
+		    const struct vm *out[RELAY_ACROSS_MAX])
+{
+	size_t count;
+	struct str *names = domains_of(vml, &count);
+	const size_t top = names ? place_of(names, count, root) : 0;
+	const size_t own = names ? place_of(names, count, domain) : 0;
+	size_t first;
+	size_t picked = 0;
+
+	if (!names || top == count || own == count) {
+		free(names);
+		return 0;
+	}
+	first = (own + count - top) % count * RELAY_FANOUT + 1;
+	for (size_t i = first; i < first + RELAY_FANOUT && i < count; i++)
+		picked +=
+			relay_pick(vml, names[(top + i) % count], &out[picked]);
+	free(names);
+	return picked;
+}
+
 bool relay_is(const struct vml *vml, struct str domain, struct str id)
 {
 	const struct vm *relays[RELAY_PER_DOMAIN];
--- a/policy/relay.h
+++ b/policy/relay.h
@@ -21,6 +21,15 @@
 size_t relay_children(const struct vml *vml, struct str domain, struct str id,
 		      const struct vm *out[RELAY_CHILDREN_MAX]);
 
+/*
+ * Writes the relays to which a relay of the domain passes on what began at the
+ * domain root: those of the domains below it in a tree over all domains with
+ * live VMs, RELAY_FANOUT wide. Returns how many, 0 for a domain without any.
+ */
+#define RELAY_ACROSS_MAX (RELAY_FANOUT * RELAY_PER_DOMAIN)
+size_t relay_across(const struct vml *vml, struct str root, struct str domain,
+		    const struct vm *out[RELAY_ACROSS_MAX]);
+
 /* Whether the VM id is a relay of the domain. */
 bool relay_is(const struct vml *vml, struct str domain, struct str id);
 
--- a/policy/vml.c
+++ b/policy/vml.c
@@ -188,8 +188,8 @@
 bool vm_same(const struct vm *a, const struct vm *b)
 {
 	return a->kind == b->kind && a->state == b->state &&
-	       a->port == b->port && a->slots == b->slots &&
-	       strbuf_eq(&a->region, &b->region) &&
+	       a->stopping == b->stopping && a->port == b->port &&
+	       a->slots == b->slots && strbuf_eq(&a->region, &b->region) &&
 	       strbuf_eq(&a->domain, &b->domain) &&
 	       strbuf_eq(&a->address, &b->address) &&
 	       strbuf_eq(&a->service, &b->service);
--- a/policy/vml.h
+++ b/policy/vml.h
@@ -6,6 +6,8 @@
 #ifndef POLICY_VML_H
 #define POLICY_VML_H
 
+#include <stdbool.h>
+
 #include "common/ref.h"
 #include "common/str.h"
 
@@ -25,6 +27,11 @@
 	struct strbuf id;
 	enum vm_kind kind;
 	enum vm_state state;
+	/*
+	 * Corrected list only: its pst-entryd is in a planned stop, so that no
+	 * look-up names it. Its pst-controld keeps its roles.
+	 */
+	bool stopping;
 	struct strbuf region;
 	struct strbuf domain;
 	struct strbuf address;
--- a/schema/gen/table.h
+++ b/schema/gen/table.h
@@ -36,6 +36,7 @@
 	pst_id id;
 	u_int kind;
 	u_int state;
+	bool_t stopping;
 	pst_id region;
 	pst_id domain;
 	pst_id address;
@@ -78,6 +79,14 @@
 };
 typedef struct table_absent table_absent;
 
+struct table_mark {
+	pst_id vm;
+	u_quad_t count;
+	u_quad_t client;
+	bool_t leaving;
+};
+typedef struct table_mark table_mark;
+
 struct table_status {
 	pst_id vm;
 	u_quad_t incarnation;
@@ -91,9 +100,17 @@
 };
 typedef struct table_status table_status;
 
+enum table_serves {
+	TABLE_SERVES_NOTHING = 0,
+	TABLE_SERVES_ENTRY = 1,
+	TABLE_SERVES_LEAVING = 2,
+};
+typedef enum table_serves table_serves;
+
 struct table_ask {
 	pst_id from;
 	u_quad_t client;
+	table_serves serves;
 	u_quad_t held;
 	u_quad_t after;
 	u_quad_t list_incarnation;
@@ -115,6 +132,10 @@
 		u_int absents_len;
 		table_absent *absents_val;
 	} absents;
+	struct {
+		u_int marks_len;
+		table_mark *marks_val;
+	} marks;
 };
 typedef struct table_answer table_answer;
 
@@ -130,6 +151,15 @@
 };
 typedef struct table_change table_change;
 
+struct table_marks {
+	pst_id from;
+	struct {
+		u_int marks_len;
+		table_mark *marks_val;
+	} marks;
+};
+typedef struct table_marks table_marks;
+
 #define TABLE_PROGRAM 0x20505305
 #define TABLE_VERSION 1
 
@@ -146,6 +176,9 @@
 #define TABLE_STATUS 4
 extern  enum clnt_stat table_status_1(table_status *, CLIENT *);
 extern  bool_t table_status_1_svc(table_status *, struct svc_req *);
+#define TABLE_MARKS 5
+extern  enum clnt_stat table_marks_1(table_marks , void *, CLIENT *);
+extern  bool_t table_marks_1_svc(table_marks , void *, struct svc_req *);
 extern int table_program_1_freeresult (SVCXPRT *, xdrproc_t, caddr_t);
 
 #else /* K&R C */
@@ -161,6 +194,9 @@
 #define TABLE_STATUS 4
 extern  enum clnt_stat table_status_1();
 extern  bool_t table_status_1_svc();
+#define TABLE_MARKS 5
+extern  enum clnt_stat table_marks_1();
+extern  bool_t table_marks_1_svc();
 extern int table_program_1_freeresult ();
 #endif /* K&R C */
 
@@ -172,10 +208,13 @@
 extern  bool_t xdr_table_list (XDR *, table_list*);
 extern  bool_t xdr_table_delta (XDR *, table_delta*);
 extern  bool_t xdr_table_absent (XDR *, table_absent*);
+extern  bool_t xdr_table_mark (XDR *, table_mark*);
 extern  bool_t xdr_table_status (XDR *, table_status*);
+extern  bool_t xdr_table_serves (XDR *, table_serves*);
 extern  bool_t xdr_table_ask (XDR *, table_ask*);
 extern  bool_t xdr_table_answer (XDR *, table_answer*);
 extern  bool_t xdr_table_change (XDR *, table_change*);
+extern  bool_t xdr_table_marks (XDR *, table_marks*);
 
 #else /* K&R C */
 extern bool_t xdr_table_part ();
@@ -183,10 +222,13 @@
 extern bool_t xdr_table_list ();
 extern bool_t xdr_table_delta ();
 extern bool_t xdr_table_absent ();
+extern bool_t xdr_table_mark ();
 extern bool_t xdr_table_status ();
+extern bool_t xdr_table_serves ();
 extern bool_t xdr_table_ask ();
 extern bool_t xdr_table_answer ();
 extern bool_t xdr_table_change ();
+extern bool_t xdr_table_marks ();
 
 #endif /* K&R C */
 
--- a/schema/gen/table_xdr.c
+++ b/schema/gen/table_xdr.c
@@ -25,12 +25,77 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_pst_id (xdrs, &objp->id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->stopping))
+				 return FALSE;
+
+		} else {
+		IXDR_PUT_U_LONG(buf, objp->kind);
+		IXDR_PUT_U_LONG(buf, objp->state);
+		IXDR_PUT_BOOL(buf, objp->stopping);
+		}
+		 if (!xdr_pst_id (xdrs, &objp->region))
+			 return FALSE;
+		 if (!xdr_pst_id (xdrs, &objp->domain))
+			 return FALSE;
+		 if (!xdr_pst_id (xdrs, &objp->address))
+			 return FALSE;
+		 if (!xdr_pst_id (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->port))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->slots))
+			 return FALSE;
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_pst_id (xdrs, &objp->id))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 3 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->state))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->stopping))
+				 return FALSE;
+
+		} else {
+		objp->kind = IXDR_GET_U_LONG(buf);
+		objp->state = IXDR_GET_U_LONG(buf);
+		objp->stopping = IXDR_GET_BOOL(buf);
+		}
+		 if (!xdr_pst_id (xdrs, &objp->region))
+			 return FALSE;
+		 if (!xdr_pst_id (xdrs, &objp->domain))
+			 return FALSE;
+		 if (!xdr_pst_id (xdrs, &objp->address))
+			 return FALSE;
+		 if (!xdr_pst_id (xdrs, &objp->service))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->port))
+			 return FALSE;
+		 if (!xdr_u_int (xdrs, &objp->slots))
+			 return FALSE;
+	 return TRUE;
+	}
+
 	 if (!xdr_pst_id (xdrs, &objp->id))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->kind))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->state))
 		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->stopping))
+		 return FALSE;
 	 if (!xdr_pst_id (xdrs, &objp->region))
 		 return FALSE;
 	 if (!xdr_pst_id (xdrs, &objp->domain))
@@ -92,6 +157,22 @@
 	return TRUE;
 }
 
+bool_t
+xdr_table_mark (XDR *xdrs, table_mark *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_pst_id (xdrs, &objp->vm))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->count))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->client))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->leaving))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_table_status (XDR *xdrs, table_status *objp)
 {
@@ -179,6 +260,16 @@
 	return TRUE;
 }
 
+bool_t
+xdr_table_serves (XDR *xdrs, table_serves *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_enum (xdrs, (enum_t *) objp))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_table_ask (XDR *xdrs, table_ask *objp)
 {
@@ -188,6 +279,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->client))
 		 return FALSE;
+	 if (!xdr_table_serves (xdrs, &objp->serves))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->held))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->after))
@@ -220,6 +313,9 @@
 	 if (!xdr_array (xdrs, (char **)&objp->absents.absents_val, (u_int *) &objp->absents.absents_len, TABLE_DOMAINS_MAX,
 		sizeof (table_absent), (xdrproc_t) xdr_table_absent))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, TABLE_VMS_MAX,
+		sizeof (table_mark), (xdrproc_t) xdr_table_mark))
+		 return FALSE;
 	return TRUE;
 }
 
@@ -241,3 +337,16 @@
 		 return FALSE;
 	return TRUE;
 }
+
+bool_t
+xdr_table_marks (XDR *xdrs, table_marks *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_pst_id (xdrs, &objp->from))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->marks.marks_val, (u_int *) &objp->marks.marks_len, TABLE_VMS_MAX,
+		sizeof (table_mark), (xdrproc_t) xdr_table_mark))
+		 return FALSE;
+	return TRUE;
+}
--- a/schema/table.x
+++ b/schema/table.x
@@ -19,6 +19,7 @@
 	pst_id id;
 	unsigned int kind;
 	unsigned int state;
+	bool stopping;
 	pst_id region;
 	pst_id domain;
 	pst_id address;
@@ -48,6 +49,14 @@
 	pst_id vms<TABLE_VMS_MAX>;
 };
 
+/* Whether a VM's pst-entryd has begun a planned stop; see policy/mbr_mark.h. */
+struct table_mark {
+	pst_id vm;
+	unsigned hyper count;
+	unsigned hyper client;
+	bool leaving;
+};
+
 /* What a pst-controld knows of the table. */
 struct table_status {
 	pst_id vm;
@@ -64,11 +73,21 @@
 	bool fresh;
 };
 
+/* What the asking process does for callers of the VM. */
+enum table_serves {
+	TABLE_SERVES_NOTHING = 0,
+	/* A pst-entryd whose port is open. */
+	TABLE_SERVES_ENTRY = 1,
+	/* A pst-entryd that has begun a planned stop. */
+	TABLE_SERVES_LEAVING = 2
+};
+
 /* Asks for the parts changed after a revision. */
 struct table_ask {
 	pst_id from;
 	/* Names the asking process in TABLE_VIEW; 0 in TABLE_SYNC. */
 	unsigned hyper client;
+	table_serves serves;
 	unsigned hyper held;
 	unsigned hyper after;
 	unsigned hyper list_incarnation;
@@ -86,6 +105,7 @@
 	/* TABLE_SYNC only: the platform's list, when the asker's is older. */
 	table_delta *delta;
 	table_absent absents<TABLE_DOMAINS_MAX>;
+	table_mark marks<TABLE_VMS_MAX>;
 };
 
 /*
@@ -101,6 +121,12 @@
 	table_delta *delta;
 };
 
+/* Marks that have changed. */
+struct table_marks {
+	pst_id from;
+	table_mark marks<TABLE_VMS_MAX>;
+};
+
 program TABLE_PROGRAM {
 	version TABLE_VERSION {
 		/* Between pst-controlds: the platform's list. */
@@ -110,5 +136,7 @@
 		/* One way. */
 		void TABLE_PUSH(table_change) = 3;
 		table_status TABLE_STATUS(void) = 4;
+		/* One way. */
+		void TABLE_MARKS(table_marks) = 5;
 	} = 1;
 } = 0x20505305;
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -5,6 +5,7 @@
 
 #include "common/clk.h"
 #include "policy/mbr.h"
+#include "policy/mbr_mark.h"
 #include "tests/fix_run.h"
 #include "tests/fix_table.h"
 
@@ -198,6 +199,80 @@
 }
 END_TEST
 
+static struct mbr_mark mark_of(uint64_t count, uint64_t client, bool leaving)
+{
+	struct mbr_mark mark = {
+		.count = count,
+		.client = client,
+		.leaving = leaving,
+	};
+
+	strbuf_set(&mark.id, STR_LIT("entry-2"));
+	return mark;
+}
+
+START_TEST(later_mark_wins_whatever_order_they_come_in)
+{
+	const struct mbr_mark marks[] = {
+		mark_of(1, 7, true), mark_of(2, 8, false), mark_of(2, 8, true),
+		mark_of(3, 9, false)};
+	struct mbr_marks set = {.count = 0};
+
+	ck_assert(!mbr_marks_merge(&set, &marks[1], now));
+	for (int i = 0; i < 4; i++)
+		ck_assert(mbr_marks_merge(&set, &marks[i], now));
+	for (int i = 0; i < 4; i++)
+		ck_assert(!mbr_marks_merge(&set, &marks[i], now));
+	ck_assert(!mbr_marks_leaving(&set, STR_LIT("entry-2")));
+	mbr_marks_done(&set);
+}
+END_TEST
+
+/* The VM's pst-controld may have forgotten or never heard of the mark. */
+START_TEST(mark_of_a_stop_is_cleared_by_the_next_process_only)
+{
+	const struct str id = STR_LIT("entry-2");
+	const struct mbr_mark old = mark_of(5, 7, true);
+	struct mbr_marks set = {.count = 0};
+
+	ck_assert(!mbr_marks_note(&set, id, 7, false, now));
+	ck_assert(mbr_marks_note(&set, id, 7, true, now));
+	ck_assert(!mbr_marks_note(&set, id, 7, false, now));
+	ck_assert(mbr_marks_leaving(&set, id));
+	ck_assert(mbr_marks_merge(&set, &old, now));
+	ck_assert(mbr_marks_note(&set, id, 8, false, now));
+	ck_assert(!mbr_marks_leaving(&set, id));
+	ck_assert(!mbr_marks_merge(&set, &old, now));
+	ck_assert(mbr_marks_note(&set, id, 8, true, now));
+	ck_assert(mbr_marks_leaving(&set, id));
+	mbr_marks_done(&set);
+}
+END_TEST
+
+START_TEST(mark_is_kept_while_the_vm_is_listed_and_leaves)
+{
+	const struct mbr_mark mark = mark_of(1, 7, true);
+	struct mbr_marks set = {.count = 0};
+	struct vml *empty;
+
+	begin();
+	ck_assert_int_eq(vml_create(&empty, 0), 0);
+	mbr_marks_merge(&set, &mark, now);
+	mbr_marks_forget(&set, list, TIMEOUT, now + 2 * TIMEOUT);
+	ck_assert_uint_eq(set.count, 1);
+	mbr_marks_forget(&set, empty, TIMEOUT, now + TIMEOUT);
+	ck_assert_uint_eq(set.count, 1);
+	mbr_marks_note(&set, STR_LIT("entry-2"), 8, false, now);
+	mbr_marks_forget(&set, list, TIMEOUT, now + TIMEOUT);
+	ck_assert_uint_eq(set.count, 1);
+	mbr_marks_forget(&set, list, TIMEOUT, now + TIMEOUT + 1);
+	ck_assert_uint_eq(set.count, 0);
+	mbr_marks_done(&set);
+	vml_put(empty);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("mbr");
@@ -211,5 +286,8 @@
 	tcase_add_test(tc, newer_report_wins_and_an_old_one_lapses);
 	tcase_add_test(tc, domain_cannot_be_judged_by_another);
 	tcase_add_test(tc, drain_mark_and_platform_are_both_obeyed);
+	tcase_add_test(tc, later_mark_wins_whatever_order_they_come_in);
+	tcase_add_test(tc, mark_of_a_stop_is_cleared_by_the_next_process_only);
+	tcase_add_test(tc, mark_is_kept_while_the_vm_is_listed_and_leaves);
 	return fix_run("mbr", tc);
 }
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 
 #include <check.h>
@@ -93,6 +94,51 @@
 }
 END_TEST
 
+/* Passes on from domain to domain; returns how many domains it reached. */
+static int reach(const struct vml *vml, const char *root)
+{
+	struct str queue[64] = {str_from_c(root)};
+	int count = 1;
+
+	for (int i = 0; i < count; i++) {
+		const struct vm *out[RELAY_ACROSS_MAX];
+		const size_t picked =
+			relay_across(vml, queue[0], queue[i], out);
+
+		for (size_t j = 0; j < picked; j++) {
+			const struct str next = strbuf_str(&out[j]->domain);
+
+			if (!str_eq(next, queue[count - 1]))
+				queue[count++] = next;
+		}
+		ck_assert_int_lt(count, 64);
+	}
+	return count;
+}
+
+START_TEST(tree_over_domains_reaches_each_once)
+{
+	struct vml *vml = fleet(4);
+	struct vml *many = NULL;
+
+	ck_assert_int_eq(reach(vml, "aktobe-1"), 6);
+	ck_assert_int_eq(reach(vml, "almaty-2"), 6);
+	vml_put(vml);
+	ck_assert_int_eq(vml_create(&many, 50), 0);
+	for (size_t i = 0; i < 50; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "d%zu", i + 10);
+		strbuf_set(&many->vms[i].id, str_from_c(name));
+		strbuf_set(&many->vms[i].domain, str_from_c(name));
+	}
+	vml_order(many);
+	ck_assert_int_eq(reach(many, "d37"), 50);
+	ck_assert_int_eq(reach(many, "d10"), 50);
+	vml_put(many);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("relay");
@@ -101,5 +147,6 @@
 	tcase_add_test(tc, next_best_follows_a_relay_that_leaves);
 	tcase_add_test(tc, small_domain_has_what_there_is);
 	tcase_add_loop_test(tc, tree_reaches_each_vm_once, 1, 100);
+	tcase_add_test(tc, tree_over_domains_reaches_each_once);
 	return fix_run("relay", tc);
 }
