--- a/agent/ticket.c
+++ b/agent/ticket.c
@@ -1,65 +1,380 @@
 #include "agent/ticket.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
 
-#include "agent/tkt_service.h"
-#include "agent/tkt_store.h"
+#include <apr_queue.h>
+
+#include "agent/tkt_call.h"
+#include "agent/tkt_claims.h"
+#include "agent/tkt_count.h"
+#include "agent/tkt_handover.h"
+#include "agent/tkt_hop.h"
+#include "agent/tkt_keeper.h"
+#include "agent/tkt_log.h"
+#include "agent/tkt_peers.h"
+#include "agent/tkt_serve.h"
 #include "common/err.h"
+#include "common/evt.h"
+#include "policy/tkt_asker.h"
+
+#define LOG_MODULE "ticket"
+
+#define TICK	   CLK_MS(5)
+/* Answers in the ring for each key that may be remembered. */
+#define ANSWERS_PER_KEY 2
 
 struct tkt_agent {
-	struct ctl_agent *ctl;
-	struct tkt_store *store;
-	struct tkt_service *service;
+	const struct settings *set;
+	const struct clk *clk;
+	struct tkt_env env;
+	void (*on_answer)(void *ctx, const struct tkt_answer *answer);
+	void *ctx;
+	uint64_t vm;
+	uint64_t incarnation;
+	apr_pool_t *pool;
+	/* Guards asker. */
+	pthread_mutex_t lock;
+	struct tkt_asker *asker;
+	struct tkt_serve serve;
+	struct tkt_keeper *keeper;
+	struct tkt_peers *peers;
+	struct tkt_claims *claims;
+	/* To the thread that answers. */
+	apr_queue_t *answers;
+	atomic_bool stopping;
+	pthread_t answerer;
+	pthread_t ticker;
+	int threads;
 };
 
+static uint64_t make_incarnation(void)
+{
+	static atomic_uint starts;
+	uint64_t random = 0;
+
+	while (getrandom(&random, sizeof(random), 0) != sizeof(random))
+		;
+	random += ++starts;
+	return random ? random : 1;
+}
+
+static void send_claim(struct tkt_agent *agent, const struct tkt_action *action)
+{
+	const struct tkt_owner self = {
+		.vm = agent->vm,
+		.incarnation = agent->incarnation,
+		.attempt = action->attempt,
+	};
+
+	tkt_claims_send(agent->claims, action->key->own, &self);
+}
+
+/* The ring has room: tkt_agent_admit() counts what may be answered. */
+static void queue_answer(struct tkt_agent *agent,
+			 const struct tkt_answer *answer)
+{
+	struct tkt_answer *copy = malloc(sizeof(*copy));
+
+	if (!copy)
+		return;
+	*copy = *answer;
+	tkt_count_verdict(answer->verdict);
+	if (apr_queue_trypush(agent->answers, copy) != APR_SUCCESS)
+		free(copy);
+}
+
+/* What cannot be sent is sent again by the asker, or given up. */
+static void act(void *ctx, const struct tkt_action *action)
+{
+	struct tkt_agent *agent = ctx;
+
+	tkt_log_action(action);
+	switch (action->kind) {
+	case TKT_ACT_ARBITRATE:
+		if (action->key->kind == TKT_KEY_OWN)
+			send_claim(agent, action);
+		else
+			tkt_call_send_op(agent->peers, action);
+		return;
+	case TKT_ACT_ASK:
+		tkt_call_send_query(agent->peers, action);
+		return;
+	case TKT_ACT_ANSWER:
+		queue_answer(agent, &action->answer);
+		return;
+	}
+}
+
 static struct vml *list(void *ctx)
 {
 	struct tkt_agent *agent = ctx;
-	struct ctl_view *view = ctl_agent_view(agent->ctl);
-	struct vml *vml;
 
-	if (!view)
-		return NULL;
-	vml = view->vml;
-	ref_get(&vml->ref);
-	ctl_view_put(view);
-	return vml;
+	return agent->env.list(agent->env.ctx);
+}
+
+static void pass_ruling(void *ctx, uint64_t attempt,
+			const struct tkt_ruling *ruling)
+{
+	struct tkt_agent *agent = ctx;
+
+	pthread_mutex_lock(&agent->lock);
+	tkt_asker_ruling(agent->asker, attempt, ruling, clk_now(agent->clk));
+	pthread_mutex_unlock(&agent->lock);
 }
 
-static struct tkt_ruling claim(void *ctx, struct str key,
-			       const struct tkt_owner *owner)
+static void on_ruled(void *ctx, const struct tkt_call *call,
+		     const struct tkt_ruling *ruling)
 {
 	struct tkt_agent *agent = ctx;
+	struct vml *vml = list(agent);
+	struct tkt_call next = *call;
+	struct tkt_ruling last = *ruling;
+	const uint64_t vm = tkt_hop_next(vml, &next, &last);
 
-	return tkt_store_claim(agent->store, key, owner);
+	if (vml)
+		ref_put(&vml->ref);
+	if (!vm || tkt_peers_send(agent->peers, vm, &next))
+		pass_ruling(agent, call->attempt, &last);
+}
+
+static void on_told(void *ctx, uint64_t attempt, enum tkt_outcome outcome,
+		    bool silent)
+{
+	struct tkt_agent *agent = ctx;
+
+	pthread_mutex_lock(&agent->lock);
+	tkt_asker_outcome(agent->asker, attempt, outcome, silent,
+			  clk_now(agent->clk));
+	pthread_mutex_unlock(&agent->lock);
+}
+
+static void on_avoid(void *ctx, uint64_t vm, int err)
+{
+	struct tkt_agent *agent = ctx;
+
+	tkt_keeper_avoid(agent->keeper, vm, err);
+}
+
+static enum tkt_outcome on_query(void *ctx, struct str text, uint64_t attempt)
+{
+	struct tkt_agent *agent = ctx;
+	enum tkt_outcome outcome;
+	struct tkt_key key;
+
+	if (tkt_key_parse(text, &key))
+		return TKT_OUTCOME_UNSEEN;
+	pthread_mutex_lock(&agent->lock);
+	outcome = tkt_asker_query(agent->asker, &key, attempt);
+	pthread_mutex_unlock(&agent->lock);
+	return outcome;
+}
+
+static void on_drained(void *ctx)
+{
+	struct tkt_agent *agent = ctx;
+	struct vml *vml = list(agent);
+
+	if (!vml)
+		return;
+	tkt_handover(&agent->serve, agent->set, vml);
+	ref_put(&vml->ref);
+}
+
+/* How many entry VMs share the write budget. */
+static uint32_t count_entries(void *ctx)
+{
+	struct tkt_agent *agent = ctx;
+	struct vml *vml = list(agent);
+	uint32_t count = 0;
+
+	if (!vml)
+		return 0;
+	for (size_t i = 0; i < vml->count; i++)
+		count += vml->vms[i].kind == VM_ENTRY;
+	ref_put(&vml->ref);
+	return count;
+}
+
+static void *run_answers(void *arg)
+{
+	struct tkt_agent *agent = arg;
+	void *answer;
+
+	while (apr_queue_pop(agent->answers, &answer) == APR_SUCCESS) {
+		agent->on_answer(agent->ctx, answer);
+		free(answer);
+	}
+	return NULL;
+}
+
+static void *run_ticks(void *arg)
+{
+	struct tkt_agent *agent = arg;
+
+	while (!agent->stopping) {
+		pthread_mutex_lock(&agent->lock);
+		tkt_asker_tick(agent->asker, clk_now(agent->clk));
+		pthread_mutex_unlock(&agent->lock);
+		apr_sleep(TICK);
+	}
+	return NULL;
+}
+
+static int create_rings(struct tkt_agent *agent)
+{
+	const unsigned answers =
+		(unsigned)agent->set->ticket.max_open * ANSWERS_PER_KEY;
+
+	if (apr_pool_create(&agent->pool, NULL) ||
+	    apr_queue_create(&agent->answers, answers, agent->pool))
+		return PST_ERR_NOMEM;
+	return 0;
+}
+
+static int create_roles(struct tkt_agent *agent)
+{
+	const struct set_ticket *set = &agent->set->ticket;
+	const struct tkt_asker_conf asker = {
+		.vm = agent->vm,
+		.incarnation = agent->incarnation,
+		.capacity = (uint32_t)set->max_open,
+		.retain = CLK_MS(set->ttl_ms),
+		.give_up = CLK_MS(set->give_up_ms),
+		/* When the call has had its time. */
+		.resend = CLK_MS(set->call_timeout_ms),
+		.resend_store = CLK_MS(agent->set->platform.call_timeout_ms),
+		.act = act,
+		.ctx = agent,
+	};
+	const struct tkt_witness_conf witness = {
+		.incarnation = agent->incarnation,
+		.ttl = CLK_MS(set->ttl_ms),
+		.max_blocks = (uint32_t)set->max_blocks,
+		.max_count = (uint32_t)set->block_tickets,
+	};
+	int err = tkt_asker_create(&agent->asker, &asker);
+
+	if (!err)
+		err = tkt_wset_create(&agent->serve.witnesses, agent->vm,
+				      &witness);
+	agent->serve.clk = agent->clk;
+	agent->serve.incarnation = agent->incarnation;
+	agent->serve.ttl = witness.ttl;
+	agent->serve.query = on_query;
+	agent->serve.ctx = agent;
+	return err;
+}
+
+static int start_clients(struct tkt_agent *agent)
+{
+	const struct tkt_keeper_conf keeper = {
+		.set = agent->set,
+		.clk = agent->clk,
+		.vm = agent->vm,
+		.incarnation = agent->incarnation,
+		.list = list,
+		.drained = on_drained,
+		.ctx = agent,
+	};
+	const struct tkt_peers_conf peers = {
+		.set = agent->set,
+		.clk = agent->clk,
+		.vm = agent->vm,
+		.incarnation = agent->incarnation,
+		.list = list,
+		.ruled = on_ruled,
+		.told = on_told,
+		.avoid = on_avoid,
+		.ctx = agent,
+	};
+	const struct tkt_claims_conf claims = {
+		.clk = agent->clk,
+		.writes_per_s = (uint32_t)agent->set->ticket.store_writes_per_s,
+		.sharers = count_entries,
+		.claim = agent->env.claim,
+		.claim_ctx = agent->env.ctx,
+		.ruled = pass_ruling,
+		.ctx = agent,
+	};
+	int err = tkt_keeper_start(&agent->keeper, &keeper);
+
+	if (!err)
+		err = tkt_peers_start(&agent->peers, &peers);
+	if (!err)
+		err = tkt_claims_start(&agent->claims, &claims);
+	return err;
+}
+
+static int start_threads(struct tkt_agent *agent)
+{
+	if (pthread_create(&agent->answerer, NULL, run_answers, agent))
+		return PST_ERR_THREAD;
+	agent->threads++;
+	if (pthread_create(&agent->ticker, NULL, run_ticks, agent))
+		return PST_ERR_THREAD;
+	agent->threads++;
+	return 0;
+}
+
+/* Ends the threads that feed the asker. */
+static void stop_feeders(struct tkt_agent *agent)
+{
+	agent->stopping = true;
+	if (agent->threads > 1)
+		pthread_join(agent->ticker, NULL);
+	tkt_claims_stop(agent->claims);
+}
+
+/* Lets every answer that was decided be told. */
+static void stop_answers(struct tkt_agent *agent)
+{
+	while (agent->threads && apr_queue_size(agent->answers))
+		apr_sleep(TICK);
+	if (agent->answers)
+		apr_queue_term(agent->answers);
+	if (agent->threads)
+		pthread_join(agent->answerer, NULL);
 }
 
 int tkt_agent_start(struct tkt_agent **out, const struct settings *set,
-		    const struct clk *clk, struct ctl_agent *ctl,
+		    const struct clk *clk, const struct tkt_env *env,
 		    void (*on_answer)(void *ctx,
 				      const struct tkt_answer *answer),
 		    void *ctx)
 {
 	struct tkt_agent *agent = calloc(1, sizeof(*agent));
-	const struct tkt_env env = {
-		.list = list,
-		.claim = claim,
-		.ctx = agent,
-	};
 	int err;
 
 	if (!agent)
 		return PST_ERR_NOMEM;
-	agent->ctl = ctl;
-	err = tkt_store_create(&agent->store, set, clk);
+	agent->set = set;
+	agent->clk = clk;
+	agent->env = *env;
+	agent->on_answer = on_answer;
+	agent->ctx = ctx;
+	agent->vm = tkt_vm_hash(set->vm.id);
+	agent->incarnation = make_incarnation();
+	pthread_mutex_init(&agent->lock, NULL);
+	pthread_mutex_init(&agent->serve.lock, NULL);
+	err = create_rings(agent);
 	if (!err)
-		err = tkt_service_start(&agent->service, set, clk, &env,
-					on_answer, ctx);
+		err = create_roles(agent);
+	if (!err)
+		err = start_clients(agent);
+	if (!err)
+		err = start_threads(agent);
+	if (!err)
+		err = tkt_serve_register(&agent->serve);
 	if (err) {
-		tkt_store_destroy(agent->store);
-		free(agent);
+		tkt_agent_stop(agent);
 		return err;
 	}
+	evt_log(TICKET_START, "vm=%.*s incarnation=%llx", STR_ARG(set->vm.id),
+		(unsigned long long)agent->incarnation);
 	*out = agent;
 	return 0;
 }
@@ -68,30 +383,88 @@
 {
 	if (!agent)
 		return;
-	tkt_store_cancel(agent->store);
-	tkt_service_stop(agent->service);
-	tkt_store_destroy(agent->store);
+	if (agent->env.cancel)
+		agent->env.cancel(agent->env.ctx);
+	stop_feeders(agent);
+	/* Seals that others should know of. */
+	if (agent->peers && agent->serve.leaving)
+		tkt_peers_flush(agent->peers,
+				CLK_MS(agent->set->ticket.call_timeout_ms));
+	tkt_peers_stop(agent->peers);
+	tkt_keeper_stop(agent->keeper);
+	stop_answers(agent);
+	tkt_asker_destroy(agent->asker);
+	tkt_wset_destroy(agent->serve.witnesses);
+	if (agent->pool)
+		apr_pool_destroy(agent->pool);
+	pthread_mutex_destroy(&agent->serve.lock);
+	pthread_mutex_destroy(&agent->lock);
 	free(agent);
 }
 
 size_t tkt_agent_issue(struct tkt_agent *agent, size_t count,
 		       char out[][TKT_KEY_MAX + 1])
 {
-	return tkt_service_issue(agent->service, count, out);
+	struct tkt_id id;
+	size_t issued = 0;
+
+	while (issued < count && tkt_keeper_issue(agent->keeper, &id))
+		tkt_id_format(&id, out[issued++]);
+	return issued;
+}
+
+static int admit(struct tkt_agent *agent, uint64_t request_id, struct str text,
+		 apr_time_t deadline)
+{
+	struct tkt_answer refused = {
+		.request_id = request_id,
+		.verdict = TKT_REFUSED,
+	};
+	struct tkt_key key;
+
+	if (apr_queue_size(agent->answers) >= agent->set->ticket.max_open)
+		return PST_ERR_FULL;
+	refused.reason = tkt_key_parse(text, &key);
+	if (!refused.reason)
+		return tkt_asker_admit(agent->asker, request_id, &key, deadline,
+				       clk_now(agent->clk));
+	queue_answer(agent, &refused);
+	return 0;
 }
 
 int tkt_agent_admit(struct tkt_agent *agent, uint64_t request_id,
 		    struct str key, apr_time_t deadline)
 {
-	return tkt_service_admit(agent->service, request_id, key, deadline);
+	int err;
+
+	pthread_mutex_lock(&agent->lock);
+	err = admit(agent, request_id, key, deadline);
+	pthread_mutex_unlock(&agent->lock);
+	return err ? PST_ERR_FULL : 0;
 }
 
 void tkt_agent_end(struct tkt_agent *agent, struct str key, enum tkt_end end)
 {
-	tkt_service_end(agent->service, key, end);
+	struct tkt_key parsed;
+
+	if (tkt_key_parse(key, &parsed))
+		return;
+	tkt_log_end(key, end);
+	pthread_mutex_lock(&agent->lock);
+	tkt_asker_end(agent->asker, &parsed, end, clk_now(agent->clk));
+	pthread_mutex_unlock(&agent->lock);
 }
 
 void tkt_agent_drain(struct tkt_agent *agent)
 {
-	tkt_service_drain(agent->service);
+	const uint32_t unused = tkt_keeper_drain(agent->keeper);
+	uint64_t doubts;
+
+	agent->serve.leaving = true;
+	pthread_mutex_lock(&agent->lock);
+	doubts = tkt_asker_stats(agent->asker).doubts;
+	tkt_asker_reseal(agent->asker, clk_now(agent->clk));
+	pthread_mutex_unlock(&agent->lock);
+	evt_log(TICKET_DRAIN, "unused=%u doubts=%llu", unused,
+		(unsigned long long)doubts);
 }
--- a/agent/ticket.h
+++ b/agent/ticket.h
@@ -2,24 +2,39 @@
  * Client and server of the at-most-once protocol in one entry process.
  *
  * Issues tickets, admits requests that carry a ticket or a caller's own key,
- * and answers for the tickets of which this process is the home. One thread
- * does the waiting; all functions are thread-safe and never block.
+ * and answers for the tickets of which this process is the home. Its threads
+ * do the waiting; all functions but start and stop are thread-safe and never
+ * block.
  */
 #ifndef AGENT_TICKET_H
 #define AGENT_TICKET_H
 
-#include "agent/ctl.h"
+#include "common/clk.h"
+#include "common/settings.h"
 #include "policy/tkt_types.h"
+#include "policy/vml.h"
+
+/* Where the VM list and the store come from; see agent/tkt_bind.h. */
+struct tkt_env {
+	/* Returns a new reference, or NULL while no list is known. */
+	struct vml *(*list)(void *ctx);
+	/* Claims an own key for owner; runs on one thread and may block. */
+	struct tkt_ruling (*claim)(void *ctx, struct str key,
+				   const struct tkt_owner *owner);
+	/* Ends a claim in progress, and all later ones; may be NULL. */
+	void (*cancel)(void *ctx);
+	void *ctx;
+};
 
 struct tkt_agent;
 
 /*
- * Registers its RPC program (before rpcs_start()) and starts the thread.
+ * Registers its RPC program (before rpcs_start()) and starts its threads.
  * on_answer runs on the agent's threads and must not block; each admission
- * is answered once. Borrows set, clk and ctl.
+ * is answered once. Borrows set and clk, copies env.
  */
 int tkt_agent_start(struct tkt_agent **out, const struct settings *set,
-		    const struct clk *clk, struct ctl_agent *ctl,
+		    const struct clk *clk, const struct tkt_env *env,
 		    void (*on_answer)(void *ctx,
 				      const struct tkt_answer *answer),
 		    void *ctx);
--- a/bench/cap_ticket.c
+++ b/bench/cap_ticket.c
@@ -6,10 +6,11 @@
 
 #include <apr_general.h>
 
-#include "agent/tkt_service.h"
+#include "agent/ticket.h"
 #include "agent/tkt_wire.h"
 #include "common/ctr.h"
 #include "common/rpcs.h"
+#include "policy/tkt_asker.h"
 #include "policy/tkt_home.h"
 
 #define ADDRESS	   "127.250.7.1"
@@ -145,7 +146,7 @@
 static struct settings set;
 static struct vm vms[2];
 static struct vml vml = {.ref.count = 1, .vms = vms, .count = 2};
-static struct tkt_service *service;
+static struct tkt_agent *service;
 static atomic_size_t answered;
 /* Keys of the requests in progress, by request modulo the size. */
 static char keys[KEYS][TKT_KEY_MAX + 1];
@@ -170,9 +171,9 @@
 {
 	(void)ctx;
 	if (answer->verdict == TKT_RUN)
-		tkt_service_end(service,
-				str_from_c(keys[answer->request_id % KEYS]),
-				TKT_END_RAN);
+		tkt_agent_end(service,
+			      str_from_c(keys[answer->request_id % KEYS]),
+			      TKT_END_RAN);
 	answered++;
 }
 
@@ -206,13 +207,13 @@
 
 	while (clk_now(clk_system()) < began + SERVE_TIME) {
 		if (admitted - (answered - answered_then) >= in_progress ||
-		    !tkt_service_issue(service, 1, &keys[admitted % KEYS])) {
+		    !tkt_agent_issue(service, 1, &keys[admitted % KEYS])) {
 			apr_sleep(20);
 			continue;
 		}
-		if (!tkt_service_admit(service, admitted,
-				       str_from_c(keys[admitted % KEYS]),
-				       clk_now(clk_system()) + CLK_SEC(5)))
+		if (!tkt_agent_admit(service, admitted,
+				     str_from_c(keys[admitted % KEYS]),
+				     clk_now(clk_system()) + CLK_SEC(5)))
 			admitted++;
 	}
 	while (answered - answered_then < admitted)
@@ -262,8 +263,8 @@
 		strbuf_set(&vms[i].domain, i ? STR_LIT("r-2") : STR_LIT("r-1"));
 		strbuf_set(&vms[i].address, set.vm.address);
 	}
-	if (tkt_service_start(&service, &set, clk_system(), &env, on_answer,
-			      NULL) ||
+	if (tkt_agent_start(&service, &set, clk_system(), &env, on_answer,
+			    NULL) ||
 	    rpcs_start(set.vm.address, PORT, gate))
 		exit(EXIT_FAILURE);
 }
@@ -283,6 +284,6 @@
 	for (size_t i = 0; i < sizeof(batch_sizes) / sizeof(*batch_sizes); i++)
 		measure_service(batch_sizes[i]);
 	rpcs_stop();
-	tkt_service_stop(service);
+	tkt_agent_stop(service);
 	return EXIT_SUCCESS;
 }
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -6,6 +6,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 
+#include "agent/tkt_bind.h"
 #include "common/admin.h"
 #include "common/cli.h"
 #include "common/err.h"
@@ -19,6 +20,7 @@
 	struct settings *set;
 	const struct clk *clk;
 	struct rte_parts parts;
+	struct tkt_bind *bind;
 	struct rte *rte;
 	struct frt *frt;
 	struct admin *admin;
@@ -40,6 +42,18 @@
 	return listed;
 }
 
+static int start_tickets(struct daemon *d)
+{
+	struct tkt_env env;
+	int err = tkt_bind_create(&d->bind, d->set, d->clk, d->parts.ctl);
+
+	if (err)
+		return err;
+	env = tkt_bind_env(d->bind);
+	return tkt_agent_start(&d->parts.ticket, d->set, d->clk, &env,
+			       rte_on_ticket, d->rte);
+}
+
 static int start_agents(struct daemon *d)
 {
 	const struct rpcs_gate gate = {.allow = allow_peer, .ctx = d};
@@ -52,8 +66,7 @@
 		err = permit_agent_start(&p->permit, d->set, d->clk, p->ctl,
 					 rte_on_permit, d->rte);
 	if (!err)
-		err = tkt_agent_start(&p->ticket, d->set, d->clk, p->ctl,
-				      rte_on_ticket, d->rte);
+		err = start_tickets(d);
 	if (!err)
 		err = rpcs_start(d->set->vm.address,
 				 (uint16_t)d->set->entry.rpc_port, gate);
@@ -126,6 +139,7 @@
 	rpcs_stop();
 	ups_stop(d->parts.ups);
 	tkt_agent_stop(d->parts.ticket);
+	tkt_bind_destroy(d->bind);
 	permit_agent_stop(d->parts.permit);
 	quota_agent_stop(d->parts.quota);
 	rte_stop(d->rte);
--- a/tests/test_tkt_service.c
+++ b/tests/test_tkt_service.c
@@ -6,10 +6,11 @@
 
 #include <apr_general.h>
 
-#include "agent/tkt_service.h"
+#include "agent/ticket.h"
 #include "common/err.h"
 #include "common/rpcs.h"
 #include "policy/tkt_claim.h"
+#include "policy/tkt_key.h"
 #include "tests/fix_run.h"
 
 #define PORT	 18411
@@ -19,7 +20,7 @@
 static struct settings set;
 static struct vm vms[2];
 static struct vml vml = {.ref.count = 1, .vms = vms, .count = 2};
-static struct tkt_service *service;
+static struct tkt_agent *service;
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct tkt_answer answers[REQUESTS];
 static unsigned answered[REQUESTS];
@@ -79,8 +80,8 @@
 
 	memset(answered, 0, sizeof(answered));
 	store_grant = TKT_GRANT_YOURS;
-	ck_assert_int_eq(tkt_service_start(&service, &set, clk_system(), &env,
-					   on_answer, NULL),
+	ck_assert_int_eq(tkt_agent_start(&service, &set, clk_system(), &env,
+					 on_answer, NULL),
 			 0);
 	ck_assert_int_eq(rpcs_start(set.vm.address, PORT,
 				    (struct rpcs_gate){.allow = allow}),
@@ -90,7 +91,7 @@
 static void stop(void)
 {
 	rpcs_stop();
-	tkt_service_stop(service);
+	tkt_agent_stop(service);
 }
 
 static void issue(size_t count, char out[][TKT_KEY_MAX + 1])
@@ -99,7 +100,7 @@
 	size_t got = 0;
 
 	while (got < count && clk_now(clk_system()) < until) {
-		got += tkt_service_issue(service, count - got, out + got);
+		got += tkt_agent_issue(service, count - got, out + got);
 		apr_sleep(CLK_MS(2));
 	}
 	ck_assert_uint_eq(got, count);
@@ -107,8 +108,8 @@
 
 static void admit(uint64_t request, const char *key)
 {
-	ck_assert_int_eq(tkt_service_admit(service, request, str_from_c(key),
-					   clk_now(clk_system()) + CLK_SEC(2)),
+	ck_assert_int_eq(tkt_agent_admit(service, request, str_from_c(key),
+					 clk_now(clk_system()) + CLK_SEC(2)),
 			 0);
 }
 
@@ -152,8 +153,8 @@
 		expect(2 * i, TKT_RUN, 0);
 		expect(2 * i + 1, TKT_UNKNOWN, PST_ERR_TKT_IN_PROGRESS);
 	}
-	tkt_service_end(service, str_from_c(keys[0]), TKT_END_RAN);
-	tkt_service_end(service, str_from_c(keys[1]), TKT_END_NOT_RUN);
+	tkt_agent_end(service, str_from_c(keys[0]), TKT_END_RAN);
+	tkt_agent_end(service, str_from_c(keys[1]), TKT_END_NOT_RUN);
 	memset(answered, 0, sizeof(answered));
 	admit(0, keys[0]);
 	admit(1, keys[1]);
@@ -229,8 +230,8 @@
 
 	start();
 	issue(1, keys);
-	tkt_service_drain(service);
-	ck_assert_uint_eq(tkt_service_issue(service, 1, keys + 0), 0);
+	tkt_agent_drain(service);
+	ck_assert_uint_eq(tkt_agent_issue(service, 1, keys + 0), 0);
 	stop();
 }
 END_TEST
