--- a/entryd/route.c
+++ b/entryd/route.c
@@ -1,6 +1,5 @@
 #include "entryd/route.h"
 
-#include <poll.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,6 +8,7 @@
 #include "common/err.h"
 #include "common/evt.h"
 #include "entryd/route_act.h"
+#include "entryd/route_watch.h"
 
 #define LOG_MODULE "entry.route"
 
@@ -17,9 +17,7 @@
 #define MESSAGES_SPARE	     64
 
 /* Ticks between two looks at the callers' connections. */
-#define GONE_TICKS  20
-
-#define NO_DEADLINE INT64_MAX
+#define GONE_TICKS 20
 
 enum msg_kind {
 	MSG_ARRIVED,
@@ -248,41 +246,6 @@
 	run(rte, req, (struct pth_event){.kind = PTH_EV_CALLER_GONE});
 }
 
-/* An upload takes as long as it takes: its deadline starts at its end. */
-static void check_deadline(struct rte *rte, struct req *req, apr_time_t now)
-{
-	bool uploading;
-
-	if (req->deadline == NO_DEADLINE)
-		return;
-	pthread_mutex_lock(&req->lock);
-	uploading =
-		req->stage == REQ_OPEN && req->body_length && !req->body.closed;
-	pthread_mutex_unlock(&req->lock);
-	if (uploading) {
-		req->deadline = now + CLK_MS(req->deadline_ms);
-		return;
-	}
-	if (now < req->deadline)
-		return;
-	req->deadline = NO_DEADLINE;
-	run(rte, req, (struct pth_event){.kind = PTH_EV_DEADLINE});
-}
-
-/* A suspended connection is not watched by the HTTP library. */
-static bool caller_lost(struct req *req)
-{
-	struct pollfd pfd = {.fd = -1, .events = POLLRDHUP};
-
-	pthread_mutex_lock(&req->lock);
-	if (req->conn && req->parked)
-		pfd.fd = req->caller_fd;
-	pthread_mutex_unlock(&req->lock);
-	if (pfd.fd < 0 || poll(&pfd, 1, 0) <= 0)
-		return false;
-	return pfd.revents & (POLLRDHUP | POLLHUP | POLLERR);
-}
-
 static void on_tick(struct rte *rte)
 {
 	const apr_time_t now = clk_now(rte->clk);
@@ -292,10 +255,11 @@
 	rte->tick_pending = false;
 	for (struct req *req = rte->active; req; req = next) {
 		next = req->next;
-		if (look && caller_lost(req))
+		if (look && rte_caller_lost(req))
 			on_gone(rte, req);
-		else
-			check_deadline(rte, req, now);
+		else if (rte_deadline_passed(req, now))
+			run(rte, req,
+			    (struct pth_event){.kind = PTH_EV_DEADLINE});
 	}
 }
 
