Entry: a refused body is read on, so that its caller is told

Cause: test_entry_input failed once: libcurl told of a failed send (55) and not of the 413. libmicrohttpd closes a refused upload with bytes unread, which resets the connection; found in the code of before as well.

--- a/entryd/front.c
+++ b/entryd/front.c
@@ -40,13 +40,14 @@
 	/* Error of a request that never entered the path, or 0. */
 	int refused;
 	bool refused_not_run;
+	/* Answered past libmicrohttpd; the body is dropped. */
+	bool dropping;
 	struct strbuf refused_id;
 };
 
-static enum MHD_Result refuse(struct MHD_Connection *conn,
-			      const struct exchange *ex)
+static struct problem refusal(const struct exchange *ex)
 {
-	const struct problem problem = {
+	return (struct problem){
 		.status = problem_input_status(ex->refused),
 		.reason = ex->refused,
 		.not_run = ex->refused_not_run,
@@ -54,10 +55,33 @@
 		.close = ex->frt->closing ||
 			 ex->refused == PST_ERR_REQ_MALFORMED,
 	};
+}
+
+static enum MHD_Result refuse(struct MHD_Connection *conn,
+			      const struct exchange *ex)
+{
+	const struct problem problem = refusal(ex);
 
 	return problem_answer(conn, &problem);
 }
 
+/* libmicrohttpd would close with the body unread, which resets the answer. */
+static void refuse_body(struct exchange *ex)
+{
+	const struct problem problem = refusal(ex);
+
+	pac_refuse(ex->frt->pac, ex->conn, &problem);
+	ex->dropping = true;
+}
+
+static enum MHD_Result drop_body(size_t *size)
+{
+	const bool more = *size > 0;
+
+	*size = 0;
+	return more ? MHD_YES : MHD_NO;
+}
+
 static int begin_request(struct MHD_Connection *conn, struct exchange *ex,
 			 const char *method)
 {
@@ -245,16 +269,8 @@
 	if (pac_body(frt->pac, ex->conn, came - *size, ended))
 		return result;
 	/* The caller was too slow; it needs time to read its answer. */
-	*size = 0;
-	return came ? MHD_YES : MHD_NO;
-}
-
-static bool is_tickets(const char *uri)
-{
-	static const char path[] = "/v1/tickets";
-	const size_t len = sizeof(path) - 1;
-
-	return !strncmp(uri, path, len) && (!uri[len] || uri[len] == '?');
+	*size = came;
+	return drop_body(size);
 }
 
 static int begin_tickets(const struct frt *frt, struct exchange *ex,
@@ -284,15 +300,17 @@
 	ex->refused = itk_check(&frt->intake, conn, ex->uri, method, version,
 				&ex->refused_not_run);
 	if (!ex->refused)
-		ex->refused = is_tickets(ex->uri)
+		ex->refused = tickets_wanted(ex->uri)
 				      ? begin_tickets(frt, ex, method)
 				      : begin_request(conn, ex, method);
 	if (!pac_head_done(frt->pac, ex->conn, has_body ? ex->req : NULL))
 		return MHD_NO;
 	if (!has_body)
 		return MHD_YES;
-	if (ex->refused)
-		return refuse(conn, ex);
+	if (ex->refused) {
+		refuse_body(ex);
+		return MHD_YES;
+	}
 	if (!ex->req)
 		return tickets_answer(conn, frt->ticket);
 	pthread_mutex_lock(&ex->req->lock);
@@ -315,6 +333,8 @@
 		return MHD_NO;
 	if (!ex->begun)
 		return begin(frt, conn, ex, method, version);
+	if (ex->dropping)
+		return drop_body(size);
 	if (ex->refused)
 		return refuse(conn, ex);
 	if (!ex->req)
--- a/entryd/pac.c
+++ b/entryd/pac.c
@@ -8,10 +8,15 @@
 
 #include "common/err.h"
 #include "common/evt.h"
-#include "entryd/problem.h"
 
 #define LOG_MODULE "entry.pace"
 
+/* Between two looks at whether a head has begun; each is a system call. */
+#define PROBE CLK_MS(500)
+
+/* Connections that are looked at before others may have the lock. */
+#define SCAN_SLICE 64
+
 enum state {
 	/* The caller owes a head. */
 	STATE_HEAD,
@@ -32,6 +37,7 @@
 	/* First byte of the head, start of the body's window, or answer. */
 	apr_time_t since;
 	apr_time_t last_byte;
+	apr_time_t probed;
 	/* Bytes of the body in this window. */
 	uint64_t moved;
 	struct req *req;
@@ -168,6 +174,24 @@
 	return in_time;
 }
 
+/* With the lock held. */
+static void send_last(struct pac *pac, struct pac_conn *conn,
+		      const struct problem *problem)
+{
+	conn->state = STATE_ANSWERED;
+	conn->since = clk_now(pac->clk);
+	problem_send(conn->fd, problem);
+}
+
+void pac_refuse(struct pac *pac, struct pac_conn *conn,
+		const struct problem *problem)
+{
+	pthread_mutex_lock(&pac->lock);
+	if (!is_over(conn))
+		send_last(pac, conn, problem);
+	pthread_mutex_unlock(&pac->lock);
+}
+
 static void answer(struct pac *pac, struct pac_conn *conn, bool not_run,
 		   struct str request_id)
 {
@@ -178,14 +202,15 @@
 		.request_id = request_id,
 	};
 
-	conn->state = STATE_ANSWERED;
-	conn->since = clk_now(pac->clk);
-	problem_send(conn->fd, &problem);
+	send_last(pac, conn, &problem);
 }
 
 static void scan_head(struct pac *pac, struct pac_conn *conn, apr_time_t now)
 {
 	if (!conn->since) {
+		if (now - conn->probed < PROBE)
+			return;
+		conn->probed = now;
 		if (received(conn->fd) > conn->received)
 			conn->since = now;
 		return;
--- a/entryd/pac.h
+++ b/entryd/pac.h
@@ -9,6 +9,7 @@
 #ifndef ENTRYD_PAC_H
 #define ENTRYD_PAC_H
 
+#include "entryd/problem.h"
 #include "entryd/req.h"
 #include "entryd/route.h"
 #include "entryd/ups.h"
@@ -43,6 +44,13 @@
  */
 bool pac_head_done(struct pac *pac, struct pac_conn *conn, struct req *req);
 
+/*
+ * Answers a request whose body is due and not wanted. What still comes of it
+ * is to be read and dropped, lest the answer be reset.
+ */
+void pac_refuse(struct pac *pac, struct pac_conn *conn,
+		const struct problem *problem);
+
 /*
  * Bytes of the body were taken, or it has ended. Returns false when the
  * caller was too slow and has been answered; what still comes is dropped.
--- a/entryd/problem.c
+++ b/entryd/problem.c
@@ -51,9 +51,17 @@
 	}
 }
 
+static const char *retry_line(const struct problem *problem)
+{
+	return problem->status == MHD_HTTP_SERVICE_UNAVAILABLE
+		       ? "Retry-After: " RETRY_AFTER_S "\r\n"
+		       : "";
+}
+
 void problem_send(int fd, const struct problem *problem)
 {
 	char *text = render(problem);
+	const bool has_id = problem->request_id.len > 0;
 	char date[APR_RFC822_DATE_LEN];
 	char *answer = NULL;
 	int len = -1;
@@ -63,11 +71,14 @@
 		len = asprintf(&answer,
 			       "HTTP/1.1 %u %s\r\nDate: %s\r\n"
 			       "Content-Type: application/problem+json\r\n"
-			       "Content-Length: %zu\r\n"
+			       "Content-Length: %zu\r\n%s%s%.*s%s"
 			       "Connection: close\r\n\r\n%s",
 			       problem->status,
 			       MHD_get_reason_phrase_for(problem->status), date,
-			       strlen(text), text);
+			       strlen(text), retry_line(problem),
+			       has_id ? "X-Request-Id: " : "",
+			       STR_ARG(problem->request_id),
+			       has_id ? "\r\n" : "", text);
 	if (len > 0)
 		send(fd, answer, (size_t)len, MSG_NOSIGNAL | MSG_DONTWAIT);
 	shutdown(fd, SHUT_WR);
--- a/entryd/tickets.c
+++ b/entryd/tickets.c
@@ -51,6 +51,14 @@
 	return text;
 }
 
+bool tickets_wanted(const char *uri)
+{
+	static const char path[] = "/v1/tickets";
+	const size_t len = sizeof(path) - 1;
+
+	return !strncmp(uri, path, len) && (!uri[len] || uri[len] == '?');
+}
+
 enum MHD_Result tickets_answer(struct MHD_Connection *conn,
 			       struct tkt_agent *agent)
 {
--- a/tests/test_entry_input.c
+++ b/tests/test_entry_input.c
@@ -196,6 +196,19 @@
 }
 END_TEST
 
+/* The caller is still sending when it is told. */
+START_TEST(oversized_body_is_always_told)
+{
+	for (int i = 0; i < 300; i++) {
+		const struct fix_caller c = fix_entry_call(
+			"POST", "/s/svc/length", NULL, 20000000, false);
+
+		ck_assert_int_eq(c.status, 413);
+		ck_assert_ptr_nonnull(strstr(c.text, "REQ_TOO_LARGE"));
+	}
+}
+END_TEST
+
 /* The upstream's own slowness is not the caller's. */
 START_TEST(body_that_the_entry_holds_up_is_not_slow)
 {
@@ -272,6 +285,7 @@
 	tcase_add_test(tc, unused_connection_is_closed_without_an_answer);
 	tcase_add_test(tc, stalled_body_is_answered);
 	tcase_add_test(tc, trickling_body_is_answered);
+	tcase_add_test(tc, oversized_body_is_always_told);
 	tcase_add_test(tc, body_that_the_entry_holds_up_is_not_slow);
 	tcase_add_test(tc, slow_heads_do_not_keep_others_out);
 	tcase_add_test(tc, malformed_requests_get_their_own_answer);
