A pst-controld started with the platform down learns from the others

Cause: without the store and the VM list a restarted pst-controld knew nobody to ask (net.peers may hold patterns only). Its agents took its empty answer for an answer, so pst-entryd became stale and refused; entries of other VMs took its broker's "no upstream" for an answer. Both went on for as long as the platform was down.

Agents that hold a table take an answer without one as none and ask another VM, and name up to 8 peers to their own pst-controld, which asks them for list, table and confirmation. A peer that net.peers lets in is asked as well, which helps a VM of which all programs were started. Until it has a list it refuses RPC of other VMs, so that they use another broker.

Ruled out: the table's confirmation (majority works once the list is there) and the stand-in's faults; waiting for net.peers alone, which need not name anyone.

--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -49,6 +49,8 @@
 	/* Another VM's, while the own does not answer; else NULL. */
 	struct rpcc *other;
 	bool fresh;
+	/* The own pst-controld, started again, has no table. */
+	bool own_empty;
 	/* A new table is in force that pst-controld does not know of yet. */
 	bool changed;
 	/* Random, to tell the processes of a VM apart. */
@@ -119,7 +121,7 @@
 	int err;
 
 	if (!status->revision)
-		return 0;
+		return agent->hold.tbl ? PST_ERR_UNAVAILABLE : 0;
 	rev_heard(&agent->hold.rev, status->revision);
 	if (status->voter)
 		rev_introduce(&agent->hold.rev);
@@ -147,11 +149,31 @@
 	return serves;
 }
 
+/* Whom a pst-controld without a list may ask; out borrows from the list. */
+static u_int pick_hints(const struct ctl_agent *agent,
+			pst_id out[TABLE_HINTS_MAX])
+{
+	const struct vm *picks[TABLE_HINTS_MAX];
+	size_t picked;
+	u_int count = 0;
+
+	if (!agent->own_empty || !agent->vml)
+		return 0;
+	picked = vml_rendezvous(agent->vml, agent->set->vm.id, STR_LIT(""),
+				picks, TABLE_HINTS_MAX);
+	for (size_t i = 0; i < picked; i++) {
+		if (!str_eq(strbuf_str(&picks[i]->id), agent->set->vm.id))
+			out[count++] = (char *)picks[i]->address.ptr;
+	}
+	return count;
+}
+
 /* after moves on from page to page; all pages come from one process. */
 static int ask(struct ctl_agent *agent, struct rpcc *rpcc, uint64_t *after,
 	       bool *more)
 {
 	const apr_time_t asked_at = clk_now(agent->clk);
+	pst_id hints[TABLE_HINTS_MAX];
 	table_ask args = {
 		.from = (char *)agent->set->vm.id.ptr,
 		.client = agent->id,
@@ -160,14 +182,21 @@
 		.after = *after,
 		.list_incarnation = agent->list_incarnation,
 		.list_revision = agent->list_revision,
+		.hints = {.hints_val = hints},
 	};
 	table_answer answer = {0};
-	int err = rpcc_call(rpcc, TABLE_VIEW, (xdrproc_t)xdr_table_ask, &args,
-			    (xdrproc_t)xdr_table_answer, &answer,
-			    CLK_MS(agent->set->net.rpc_timeout_ms));
+	int err;
+
+	if (rpcc == agent->own)
+		args.hints.hints_len = pick_hints(agent, hints);
+	err = rpcc_call(rpcc, TABLE_VIEW, (xdrproc_t)xdr_table_ask, &args,
+			(xdrproc_t)xdr_table_answer, &answer,
+			CLK_MS(agent->set->net.rpc_timeout_ms));
 
 	if (err)
 		return err;
+	if (rpcc == agent->own)
+		agent->own_empty = !answer.status.revision;
 	*more = answer.more;
 	*after = tmsg_last_revision(&answer, *after);
 	err = take_list(agent, &answer);
--- a/controld/main.c
+++ b/controld/main.c
@@ -43,13 +43,23 @@
 	bool serving;
 };
 
+/*
+ * Without a list a broker would refuse for want of upstreams, and others would
+ * take that for an answer: only the own VM's processes, which say whom to ask
+ * for the list, are let in.
+ */
 static bool allow(void *ctx, struct str ip)
 {
 	const struct app *app = ctx;
-
-	return str_eq(ip, app->set->vm.address) ||
-	       rpcs_peer_listed(app->set, ip) ||
-	       node_knows_address(app->node, ip);
+	const bool listed = rpcs_peer_listed(app->set, ip);
+
+	if (str_eq(ip, app->set->vm.address))
+		return true;
+	if (node_has_list(app->node))
+		return listed || node_knows_address(app->node, ip);
+	if (listed)
+		node_note_hint(app->node, ip);
+	return false;
 }
 
 static int start_serving(struct app *app)
--- a/controld/node.h
+++ b/controld/node.h
@@ -103,6 +103,15 @@
  */
 int node_take_delta(struct node *node, const table_delta *delta);
 
+/* Addresses of possible peers kept while no list is known. */
+#define NODE_HINTS_MAX 8
+
+/* Notes the address of a VM that may know the list, if none is held. */
+void node_note_hint(struct node *node, struct str ip);
+
+/* Copies the addresses noted; returns how many. */
+size_t node_hints(struct node *node, struct strbuf out[NODE_HINTS_MAX]);
+
 /* Revision of the platform's list held; 0 before the first. */
 uint64_t node_listed_revision(struct node *node);
 
@@ -137,6 +146,9 @@
  */
 void node_tick(struct node *node);
 
+/* Whether a VM list is held. */
+bool node_has_list(struct node *node);
+
 /* Whether an address belongs to a listed entry VM. */
 bool node_knows_address(struct node *node, struct str ip);
 
@@ -153,6 +165,7 @@
 int node_status(struct node *node, table_status *out);
 int node_answer_sync(struct node *node, const table_ask *ask,
 		     table_answer *out);
+
 int node_answer_view(struct node *node, const table_ask *ask,
 		     table_answer *out);
 
--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -198,6 +198,7 @@
 		clients_note(&node->clients, ask->client, ask->held,
 			     clk_now(node->clk));
 	node_note_serves_locked(node, ask);
+	node_note_hints_locked(node, ask);
 	err = answer(node, ask, out);
 	out->list_incarnation = node->incarnation;
 	if (!err && node->members && !view_known(node, ask)) {
--- a/controld/node_state.h
+++ b/controld/node_state.h
@@ -30,6 +30,9 @@
 	apr_time_t corrected_at;
 	struct mbr *mbr;
 	struct mbr_marks marks;
+	struct strbuf hints[NODE_HINTS_MAX];
+	size_t hint_count;
+	size_t next_hint;
 	bool relay;
 	apr_time_t relay_since;
 	/* Last exchange with a relay of the own domain, or the start. */
@@ -44,6 +47,8 @@
 /* What a process says of itself with its question. */
 void node_note_serves_locked(struct node *node, const table_ask *ask);
 
+void node_note_hints_locked(struct node *node, const table_ask *ask);
+
 void node_forget_marks_locked(struct node *node);
 
 /* Shows the marks in a corrected list that is not shared yet. */
--- a/controld/peer_duty.c
+++ b/controld/peer_duty.c
@@ -13,6 +13,9 @@
 /* Longest wait for a change before the stop flag is read. */
 #define CHANGE_WAIT CLK_MS(200)
 
+/* Wait before others are asked again while the list is not known. */
+#define UNLISTED_WAIT CLK_MS(100)
+
 struct peer_duty {
 	const struct settings *set;
 	const struct clk *clk;
@@ -40,18 +43,32 @@
 	return number;
 }
 
-/* Before the list is known: addresses of net.peers that are no patterns. */
-static void ask_configured(struct peer_duty *duty)
+static void ask_address(struct peer_duty *duty, struct str ip)
+{
+	struct vm vm = {.kind = VM_ENTRY};
+
+	if (node_has_list(duty->node) || str_eq(ip, duty->set->vm.address) ||
+	    strbuf_set(&vm.id, ip) || strbuf_set(&vm.address, ip))
+		return;
+	xchg_sync(duty->ask, &vm);
+}
+
+/*
+ * Before the list is known: whom others have named, and the addresses of
+ * net.peers that are no patterns.
+ */
+static void ask_unlisted(struct peer_duty *duty)
 {
+	struct strbuf hints[NODE_HINTS_MAX];
+	const size_t count = node_hints(duty->node, hints);
+
+	for (size_t i = 0; i < count; i++)
+		ask_address(duty, strbuf_str(&hints[i]));
 	for (size_t i = 0; i < duty->set->net.peers_count; i++) {
 		const struct str ip = duty->set->net.peers[i];
-		struct vm vm = {.kind = VM_ENTRY};
 
-		if (!ip.len || ip.ptr[ip.len - 1] == '*' ||
-		    str_eq(ip, duty->set->vm.address) ||
-		    strbuf_set(&vm.id, ip) || strbuf_set(&vm.address, ip))
-			continue;
-		xchg_sync(duty->ask, &vm);
+		if (ip.len && ip.ptr[ip.len - 1] != '*')
+			ask_address(duty, ip);
 	}
 }
 
@@ -92,12 +109,12 @@
 	struct vml *members = node_members(duty->node);
 
 	if (!members) {
-		ask_configured(duty);
-	} else {
-		ask_relays(duty, members);
-		ask_any(duty, members);
-		vml_put(members);
+		ask_unlisted(duty);
+		return duty_jitter(UNLISTED_WAIT);
 	}
+	ask_relays(duty, members);
+	ask_any(duty, members);
+	vml_put(members);
 	return duty_jitter(CLK_MS(duty->set->table.peer_interval_ms));
 }
 
--- a/schema/gen/table.h
+++ b/schema/gen/table.h
@@ -20,6 +20,7 @@
 #define TABLE_PARTS_MAX 16384
 #define TABLE_VMS_MAX 65536
 #define TABLE_DOMAINS_MAX 1024
+#define TABLE_HINTS_MAX 8
 #define TABLE_AGE_NEVER 0xffffffff
 
 struct table_part {
@@ -115,6 +116,10 @@
 	u_quad_t after;
 	u_quad_t list_incarnation;
 	u_quad_t list_revision;
+	struct {
+		u_int hints_len;
+		pst_id *hints_val;
+	} hints;
 };
 typedef struct table_ask table_ask;
 
--- a/schema/gen/table_xdr.c
+++ b/schema/gen/table_xdr.c
@@ -289,6 +289,9 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->list_revision))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->hints.hints_val, (u_int *) &objp->hints.hints_len, TABLE_HINTS_MAX,
+		sizeof (pst_id), (xdrproc_t) xdr_pst_id))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/schema/table.x
+++ b/schema/table.x
@@ -6,6 +6,7 @@
 const TABLE_PARTS_MAX = 16384;
 const TABLE_VMS_MAX = 65536;
 const TABLE_DOMAINS_MAX = 1024;
+const TABLE_HINTS_MAX = 8;
 const TABLE_AGE_NEVER = 0xffffffff;
 
 /* One value of the store. */
@@ -92,6 +93,11 @@
 	unsigned hyper after;
 	unsigned hyper list_incarnation;
 	unsigned hyper list_revision;
+	/*
+	 * TABLE_VIEW only: addresses of other entry VMs, for a pst-controld
+	 * that has no VM list.
+	 */
+	pst_id hints<TABLE_HINTS_MAX>;
 };
 
 struct table_answer {
