pstctl history shows a load once

Cause: a load is written in several swaps, services first and the manifest last, and each swap has a record of its own, which a lost reply needs; history printed every record as an edit.

The records of one load now carry its id and their number among its swaps, and history shows the last of them only. A load that ended early is shown with the number of swaps that were written.

Ruled out: a single record with the last swap (a lost reply of the others could not be found), and one swap for all (a value of 23 MB at the target).

Before: two lines, at revisions 2 and 3, for the lab's load; t_table two_operators failed on it. After: one line; two_operators passes.

--- a/pstctl/cmd_edit.c
+++ b/pstctl/cmd_edit.c
@@ -168,6 +168,58 @@
 	return text ? text : "";
 }
 
+/* The load that the record is of, or NULL; borrows from cell. */
+static const char *load_of(const json_t *cell)
+{
+	return json_string_value(json_object_get(cell, "load"));
+}
+
+/* The load of a record's first cell as a copy, or NULL. */
+static char *load_id(const struct stc_item *item)
+{
+	json_t *root = jsn_parse(item->value);
+	const json_t *cell = json_array_get(json_object_get(root, "cells"), 0);
+	const char *id = load_of(cell);
+	char *copy = id ? strdup(id) : NULL;
+
+	json_decref(root);
+	return copy;
+}
+
+/*
+ * The swaps of one load are shown as its last one. Loads of two operators may
+ * be mixed, so all later records are looked at.
+ */
+static bool *find_superseded(const struct stc_list *list)
+{
+	bool *superseded = calloc(list->count + 1, sizeof(*superseded));
+	char **loads = calloc(list->count + 1, sizeof(*loads));
+
+	for (size_t i = list->count; superseded && loads && i-- > 0;) {
+		loads[i] = load_id(&list->items[i]);
+		for (size_t j = i + 1; loads[i] && j < list->count; j++)
+			superseded[i] |=
+				loads[j] && !strcmp(loads[i], loads[j]);
+	}
+	for (size_t i = 0; loads && i < list->count; i++)
+		free(loads[i]);
+	free(loads);
+	return superseded;
+}
+
+/* Of a load that ended early, how far it came. */
+static void print_progress(const json_t *cell)
+{
+	const json_int_t batch =
+		json_integer_value(json_object_get(cell, "batch"));
+	const json_int_t batches =
+		json_integer_value(json_object_get(cell, "batches"));
+
+	if (batch < batches)
+		printf(" (%lld of %lld swaps)", (long long)batch,
+		       (long long)batches);
+}
+
 static void print_record(const struct cmd *cmd, const struct stc_item *item)
 {
 	json_t *root = jsn_parse(item->value);
@@ -183,12 +235,14 @@
 	}
 	json_array_foreach(json_object_get(root, "cells"), i, cell)
 	{
-		printf("%llu %s %s %s %s %s: %s -> %s\n",
+		printf("%llu %s %s %s %s %s: %s -> %s",
 		       (unsigned long long)item->mod_revision,
 		       text_of(root, "when"), text_of(root, "who"),
 		       text_of(cell, "service"), text_of(cell, "rank"),
 		       text_of(cell, "cell"), text_of(cell, "from"),
 		       text_of(cell, "to"));
+		print_progress(cell);
+		printf("\n");
 	}
 	json_decref(root);
 }
@@ -197,14 +251,19 @@
 {
 	struct stc_list list;
 	const int err = stc_read(cmd->stc, STR_LIT(EDIT_PREFIX), &list);
+	bool *superseded;
 
 	if (err) {
 		cmd_complain("store", err);
 		return cmd_exit(err);
 	}
 	qsort(list.items, list.count, sizeof(*list.items), compare_items);
-	for (size_t i = 0; i < list.count; i++)
-		print_record(cmd, &list.items[i]);
+	superseded = find_superseded(&list);
+	for (size_t i = 0; i < list.count; i++) {
+		if (!superseded || !superseded[i])
+			print_record(cmd, &list.items[i]);
+	}
+	free(superseded);
 	stc_list_free(&list);
 	return CLI_EXIT_OK;
 }
--- a/pstctl/cmd_table.c
+++ b/pstctl/cmd_table.c
@@ -238,13 +238,29 @@
 	return 0;
 }
 
+/* A load is several swaps, each with a record; together they are one edit. */
+struct load {
+	const char *path;
+	/* The first swap's id. */
+	char id[WRITE_ID_SIZE];
+	size_t batch;
+	size_t batches;
+};
+
+static json_t *cells_of(const struct load *load)
+{
+	return json_pack("[{s:s, s:s, s:s, s:s, s:I, s:I}]", "cell", "load",
+			 "from", "-", "to", load->path, "load", load->id,
+			 "batch", (json_int_t)load->batch, "batches",
+			 (json_int_t)load->batches);
+}
+
 static int try_batch(struct cmd *cmd, const struct write_edit *edit,
 		     const struct tbl_part *parts, size_t count,
-		     const char *path, uint64_t *revision)
+		     const struct load *load, uint64_t *revision)
 {
 	struct stc_change *changes = calloc(count, sizeof(*changes));
-	json_t *cells = json_pack("[{s:s, s:s, s:s}]", "cell", "load", "from",
-				  "-", "to", path);
+	json_t *cells = cells_of(load);
 	struct stc_list table = {0};
 	struct stc_list head = {0};
 	int err = changes && cells ? 0 : PST_ERR_NOMEM;
@@ -271,16 +287,18 @@
 
 /* A lost reply is looked for by the record; else the batch is tried again. */
 static int write_batch(struct cmd *cmd, const struct tbl_part *parts,
-		       size_t count, const char *path, uint64_t *revision)
+		       size_t count, struct load *load, uint64_t *revision)
 {
 	struct write_edit edit;
 	int err = PST_ERR_UNAVAILABLE;
 
 	write_begin(&edit, cmd->by);
+	if (!load->batch++)
+		memcpy(load->id, edit.id, sizeof(edit.id));
 	for (int i = 0; i < LOAD_TRIES; i++) {
 		bool found = false;
 
-		err = try_batch(cmd, &edit, parts, count, path, revision);
+		err = try_batch(cmd, &edit, parts, count, load, revision);
 		if (!err)
 			return 0;
 		if (!write_find(cmd, &edit, &found, revision) && found)
@@ -293,16 +311,20 @@
 static int write_file(struct cmd *cmd, const struct file_parts *file,
 		      const char *path, uint64_t *revision)
 {
+	struct load load = {
+		.path = path,
+		.batches = 1 + (file->count - 1 + LOAD_BATCH - 1) / LOAD_BATCH,
+	};
 	int err = 0;
 
 	for (size_t i = 1; !err && i < file->count; i += LOAD_BATCH) {
 		const size_t left = file->count - i;
 		const size_t count = left < LOAD_BATCH ? left : LOAD_BATCH;
 
-		err = write_batch(cmd, &file->parts[i], count, path, revision);
+		err = write_batch(cmd, &file->parts[i], count, &load, revision);
 	}
 	if (!err)
-		err = write_batch(cmd, &file->parts[0], 1, path, revision);
+		err = write_batch(cmd, &file->parts[0], 1, &load, revision);
 	return err;
 }
 
