Records of edits expire after 30 days

Cause: nothing deleted the records below /pst/edit/, and their ids were random, so that finding old ones meant reading all.

An id now begins with the second at which the edit began, so records order by age, and each edit deletes, after its own swap, all that are older than 30 days in one call. The age is judged by the earlier of the operator's clock and the one of the edit before, so one clock that runs ahead deletes nothing too soon.

--- a/agent/stc.c
+++ b/agent/stc.c
@@ -425,6 +425,20 @@
 	return ttl ? 0 : PST_ERR_NOTFOUND;
 }
 
+int stc_delete(struct stc *stc, struct str first, struct str end)
+{
+	json_t *answer = NULL;
+	const int err =
+		exchange(stc, CALL_READ, "/v3/kv/deleterange",
+			 json_pack("{s:o, s:o}", "key", stc_json_bytes(first),
+				   "range_end", stc_json_bytes(end)),
+			 &answer);
+
+	if (!err)
+		json_decref(answer);
+	return err;
+}
+
 int stc_lease_revoke(struct stc *stc, uint64_t lease)
 {
 	json_t *answer = NULL;
--- a/agent/stc.h
+++ b/agent/stc.h
@@ -76,6 +76,9 @@
 int stc_swap_all(struct stc *stc, const struct stc_change *changes,
 		 size_t count, uint64_t *revision);
 
+/* Deletes the keys from first up to but not end. Returns 0 or an error. */
+int stc_delete(struct stc *stc, struct str first, struct str end);
+
 /* Returns 0, PST_ERR_NOTFOUND (lapsed) or PST_ERR_UNAVAILABLE. */
 int stc_lease_grant(struct stc *stc, uint32_t ttl_s, uint64_t *lease);
 int stc_lease_keepalive(struct stc *stc, uint64_t lease);
--- a/policy/edit.h
+++ b/policy/edit.h
@@ -9,6 +9,7 @@
 #define POLICY_EDIT_H
 
 #include <apr_time.h>
+#include <stdbool.h>
 
 #include "policy/tbl.h"
 
@@ -83,6 +84,27 @@
 int edit_check_manifest(struct str old, struct str next,
 			struct tbl_problem *problem);
 
+/* Length of an edit's id with its NUL. */
+#define EDIT_ID_SIZE 33
+
+/* Records of edits are kept for so long, in seconds. */
+#define EDIT_KEEP_S ((uint64_t)30 * 24 * 3600)
+
+/*
+ * Makes an id that orders by the wall clock's second at which the edit began;
+ * noise tells edits of one second apart.
+ */
+void edit_id_make(char out[EDIT_ID_SIZE], uint64_t now_s,
+		  const uint64_t noise[2]);
+
+/*
+ * Writes the key before which records are older than EDIT_KEEP_S by both
+ * clocks: the own and that of the edit before (RFC 3339). One that is wrong
+ * deletes nothing too soon. Returns false when nothing is to be deleted.
+ */
+bool edit_expired_before(char out[EDIT_KEY_MAX], uint64_t now_s,
+			 struct str last_when);
+
 enum edit_step {
 	/* Read part, head and manifest. */
 	EDIT_STEP_READ,
--- a/pstctl/cmd_table.c
+++ b/pstctl/cmd_table.c
@@ -242,7 +242,7 @@
 struct load {
 	const char *path;
 	/* The first swap's id. */
-	char id[WRITE_ID_SIZE];
+	char id[EDIT_ID_SIZE];
 	size_t batch;
 	size_t batches;
 };
--- a/pstctl/write.c
+++ b/pstctl/write.c
@@ -9,6 +9,7 @@
 
 #include "common/err.h"
 #include "policy/head.h"
+#include "policy/jsn.h"
 #include "policy/tbl_frame.h"
 
 /* Wait between two tries of a store that did not answer. */
@@ -173,18 +174,29 @@
 void write_begin(struct write_edit *edit, const char *who)
 {
 	const time_t now = time(NULL);
-	uint64_t random[2] = {(uint64_t)apr_time_now(), 0};
+	uint64_t noise[2] = {(uint64_t)apr_time_now(), 0};
 	struct tm tm;
 
-	if (getrandom(random, sizeof(random), 0) < 0)
-		random[1] = (uint64_t)clk_now(clk_system());
-	snprintf(edit->id, sizeof(edit->id), "%016llx%016llx",
-		 (unsigned long long)random[0], (unsigned long long)random[1]);
+	if (getrandom(noise, sizeof(noise), 0) < 0)
+		noise[1] = (uint64_t)clk_now(clk_system());
+	edit_id_make(edit->id, (uint64_t)now, noise);
 	gmtime_r(&now, &tm);
 	strftime(edit->when, sizeof(edit->when), "%Y-%m-%dT%H:%M:%SZ", &tm);
 	edit->who = who;
 }
 
+static void delete_expired(struct cmd *cmd, const struct stc_list *head)
+{
+	json_t *root = jsn_parse(value_of(head));
+	const char *when = json_string_value(json_object_get(root, "when"));
+	char end[EDIT_KEY_MAX];
+
+	if (when &&
+	    edit_expired_before(end, (uint64_t)time(NULL), str_from_c(when)))
+		stc_delete(cmd->stc, STR_LIT(EDIT_PREFIX), str_from_c(end));
+	json_decref(root);
+}
+
 int write_commit(struct cmd *cmd, const struct write_edit *edit,
 		 const struct stc_list *head, const struct stc_change *changes,
 		 size_t count, const json_t *cells, uint64_t *revision)
@@ -222,6 +234,8 @@
 		};
 		err = stc_swap_all(cmd->stc, all, count + 2, revision);
 	}
+	if (!err)
+		delete_expired(cmd, head);
 	free((char *)next.ptr);
 	free(record);
 	free(keys);
--- a/pstctl/write.h
+++ b/pstctl/write.h
@@ -6,11 +6,8 @@
 
 #include "pstctl/cmd.h"
 
-/* Length of an edit's id with its NUL. */
-#define WRITE_ID_SIZE 33
-
 struct write_edit {
-	char id[WRITE_ID_SIZE];
+	char id[EDIT_ID_SIZE];
 	char when[32];
 	const char *who;
 };
@@ -21,7 +18,8 @@
 /*
  * Swaps the changed keys, the head and the edit's record at once. head may
  * have no item. cells is borrowed: the list of cells for the record. Returns
- * what stc_swap_all() does.
+ * what stc_swap_all() does. Afterwards expired records are deleted; a failure
+ * of that is left to the next edit.
  */
 int write_commit(struct cmd *cmd, const struct write_edit *edit,
 		 const struct stc_list *head, const struct stc_change *changes,
--- a/tests/test_edit.c
+++ b/tests/test_edit.c
@@ -361,6 +361,42 @@
 }
 END_TEST
 
+#define DAY_S UINT64_C(86400)
+#define NOW_S UINT64_C(1764849600)
+
+/* The end of what is deleted lies after an id of that age. */
+static bool deleted(const char *end, uint64_t age_s)
+{
+	const uint64_t noise[2] = {UINT64_MAX, UINT64_MAX};
+	char id[EDIT_ID_SIZE];
+	char key[EDIT_KEY_MAX];
+
+	edit_id_make(id, NOW_S - age_s, noise);
+	snprintf(key, sizeof(key), EDIT_PREFIX "%s", id);
+	return strcmp(key, end) < 0;
+}
+
+START_TEST(records_expire_by_both_clocks)
+{
+	char end[EDIT_KEY_MAX];
+
+	ck_assert(edit_expired_before(end, NOW_S,
+				      STR_LIT("2025-12-04T11:59:00Z")));
+	ck_assert(deleted(end, 31 * DAY_S));
+	ck_assert(!deleted(end, 29 * DAY_S));
+	ck_assert(!deleted(end, 0));
+	/* A clock far ahead, or the one before it. */
+	ck_assert(edit_expired_before(end, NOW_S + 400 * DAY_S,
+				      STR_LIT("2025-12-04T11:59:00Z")));
+	ck_assert(!deleted(end, 29 * DAY_S));
+	ck_assert(edit_expired_before(end, NOW_S,
+				      STR_LIT("2031-01-01T00:00:00Z")));
+	ck_assert(!deleted(end, 29 * DAY_S));
+	ck_assert(!edit_expired_before(end, NOW_S, STR_LIT("")));
+	ck_assert(!edit_expired_before(end, NOW_S, STR_LIT("yesterday")));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("edit");
@@ -371,5 +407,6 @@
 	tcase_add_test(tc, two_operators_with_faults_are_told_the_truth);
 	tcase_add_test(tc, late_swap_that_was_overwritten_is_done);
 	tcase_add_test(tc, outage_ends_in_unknown_only_after_a_lost_swap);
+	tcase_add_test(tc, records_expire_by_both_clocks);
 	return fix_run("edit", tc);
 }
