A VM list whose revision goes back is followed after a while

Cause: a list was taken only with a higher revision than the one held, so after the platform was restored from a backup its list was not followed until its revision had passed the old one; new VMs were not seen until then.

A relay that has read only older lists for 30 s takes the next of them. What is held and exchanged is the platform's revision with the number of such returns above it, so that for all peers the older list is the later one, whoever decides first. A list between them that is not older starts the time anew, and an older one without any entry VM is never taken. Event 1316 list_older tells both. The age of the list, which nothing read, is gone; node_list.c is split off.

Ruled out: following at once (a lagging copy would make all go back and forth) and telling peers of a return by a field of its own (two relays that decide at the same time would need to agree).

--- a/controld/node.c
+++ b/controld/node.c
@@ -356,35 +356,6 @@
 	return reachable;
 }
 
-static void take_list_locked(struct node *node, struct vml *list)
-{
-	node->listed_at = clk_now(node->clk);
-	if (!lsd_take(node->listed, list))
-		return;
-	node_correct_locked(node);
-	pthread_cond_broadcast(&node->newer);
-}
-
-void node_take_list(struct node *node, struct vml *list)
-{
-	pthread_mutex_lock(&node->lock);
-	take_list_locked(node, list);
-	pthread_mutex_unlock(&node->lock);
-}
-
-int node_take_delta(struct node *node, const table_delta *delta)
-{
-	struct vml *list = NULL;
-	int err;
-
-	pthread_mutex_lock(&node->lock);
-	err = tmsg_delta_patch(node->listed, delta, &list);
-	if (!err)
-		take_list_locked(node, list);
-	pthread_mutex_unlock(&node->lock);
-	return err;
-}
-
 uint64_t node_listed_revision(struct node *node)
 {
 	uint64_t revision;
@@ -395,17 +366,6 @@
 	return revision;
 }
 
-apr_interval_time_t node_list_age(struct node *node)
-{
-	apr_interval_time_t age;
-
-	pthread_mutex_lock(&node->lock);
-	age = lsd_list(node->listed) ? clk_now(node->clk) - node->listed_at
-				     : REV_NEVER;
-	pthread_mutex_unlock(&node->lock);
-	return age;
-}
-
 struct vml *node_members(struct node *node)
 {
 	struct vml *members;
@@ -479,14 +439,3 @@
 	}
 	pthread_mutex_unlock(&node->lock);
 }
-
-bool node_knows_address(struct node *node, struct str ip)
-{
-	bool known;
-
-	pthread_mutex_lock(&node->lock);
-	known = lsd_list(node->listed) &&
-		vml_has_entry_address(lsd_list(node->listed), ip);
-	pthread_mutex_unlock(&node->lock);
-	return known;
-}
--- a/controld/node.h
+++ b/controld/node.h
@@ -94,8 +94,8 @@
 
 bool node_store_reachable(struct node *node);
 
-/* Takes over the reference to a list from the platform or a peer. */
-void node_take_list(struct node *node, struct vml *list);
+/* Takes over the reference to a list read from the platform; see lsd_read(). */
+void node_read_list(struct node *node, struct vml *list);
 
 /*
  * Takes a change of the list. Returns 0, PST_ERR_STALE when it does not fit
@@ -115,9 +115,6 @@
 /* Revision of the platform's list held; 0 before the first. */
 uint64_t node_listed_revision(struct node *node);
 
-/* Age of the list, or REV_NEVER. */
-apr_interval_time_t node_list_age(struct node *node);
-
 /* The corrected list as a new reference, or NULL before the first. */
 struct vml *node_members(struct node *node);
 
--- a/controld/node_hints.c
+++ b/controld/node_hints.c
@@ -45,13 +45,3 @@
 	pthread_mutex_unlock(&node->lock);
 	return count;
 }
-
-bool node_has_list(struct node *node)
-{
-	bool has;
-
-	pthread_mutex_lock(&node->lock);
-	has = node->members;
-	pthread_mutex_unlock(&node->lock);
-	return has;
-}
--- /dev/null
+++ b/controld/node_list.c
@@ -0,0 +1,65 @@
+/* The platform's VM list in a node's state. */
+#include "agent/tmsg.h"
+#include "common/evt.h"
+#include "controld/node_state.h"
+
+#define LOG_MODULE "node"
+
+static void follow_list(struct node *node)
+{
+	node_correct_locked(node);
+	pthread_cond_broadcast(&node->newer);
+}
+
+void node_read_list(struct node *node, struct vml *list)
+{
+	const unsigned long long offered = list->revision;
+	const struct vml *listed;
+	unsigned long long held;
+	enum lsd_read result;
+
+	pthread_mutex_lock(&node->lock);
+	listed = lsd_list(node->listed);
+	held = listed ? listed->revision : 0;
+	result = lsd_read(node->listed, list, clk_now(node->clk));
+	if (result == LSD_READ_OLDER || result == LSD_READ_BACK)
+		evt_log(LIST_OLDER, "held=%llu offered=%llu taken=%d", held,
+			offered, result == LSD_READ_BACK);
+	if (result == LSD_READ_NEWER || result == LSD_READ_BACK)
+		follow_list(node);
+	pthread_mutex_unlock(&node->lock);
+}
+
+int node_take_delta(struct node *node, const table_delta *delta)
+{
+	struct vml *list = NULL;
+	int err;
+
+	pthread_mutex_lock(&node->lock);
+	err = tmsg_delta_patch(node->listed, delta, &list);
+	if (!err && lsd_take(node->listed, list))
+		follow_list(node);
+	pthread_mutex_unlock(&node->lock);
+	return err;
+}
+
+bool node_has_list(struct node *node)
+{
+	bool has;
+
+	pthread_mutex_lock(&node->lock);
+	has = node->members;
+	pthread_mutex_unlock(&node->lock);
+	return has;
+}
+
+bool node_knows_address(struct node *node, struct str ip)
+{
+	bool known;
+
+	pthread_mutex_lock(&node->lock);
+	known = lsd_list(node->listed) &&
+		vml_has_entry_address(lsd_list(node->listed), ip);
+	pthread_mutex_unlock(&node->lock);
+	return known;
+}
--- a/controld/node_state.h
+++ b/controld/node_state.h
@@ -24,7 +24,6 @@
 	bool store_reachable;
 	/* The platform's list. */
 	struct lsd *listed;
-	apr_time_t listed_at;
 	/* The corrected list; its revision counts the corrections. */
 	struct vml *members;
 	apr_time_t corrected_at;
--- a/policy/lsd.c
+++ b/policy/lsd.c
@@ -22,6 +22,9 @@
 	/* Latest revisions held. */
 	uint64_t held[LSD_MAX_HELD];
 	size_t held_count;
+	/* Older lists read without a newer one between: the first, the last. */
+	apr_time_t older_since;
+	apr_time_t older_at;
 };
 
 static void note_gone(struct lsd *lsd, const struct strbuf *id,
@@ -144,6 +147,61 @@
 	return true;
 }
 
+static uint64_t back_count(const struct lsd *lsd)
+{
+	return lsd->list ? lsd->list->revision >> LSD_BACK_SHIFT : 0;
+}
+
+static bool names_entry(const struct vml *list)
+{
+	for (size_t i = 0; i < list->count; i++) {
+		if (list->vms[i].kind == VM_ENTRY)
+			return true;
+	}
+	return false;
+}
+
+/* Whether an older list is to be taken now. */
+static enum lsd_read judge_older(struct lsd *lsd, apr_time_t now)
+{
+	const bool first =
+		!lsd->older_at || now - lsd->older_at > LSD_BACK_SETTLE / 3;
+
+	lsd->older_at = now;
+	if (first) {
+		lsd->older_since = now;
+		return LSD_READ_OLDER;
+	}
+	return now - lsd->older_since < LSD_BACK_SETTLE ? LSD_READ_WAITING
+							: LSD_READ_BACK;
+}
+
+enum lsd_read lsd_read(struct lsd *lsd, struct vml *list, apr_time_t now)
+{
+	const uint64_t plain = ((uint64_t)1 << LSD_BACK_SHIFT) - 1;
+	const uint64_t held = lsd->list ? lsd->list->revision & plain : 0;
+	uint64_t backs = back_count(lsd);
+	enum lsd_read result = LSD_READ_NEWER;
+
+	if (list->revision > plain) {
+		vml_put(list);
+		return LSD_READ_SAME;
+	}
+	if (list->revision < held) {
+		result = judge_older(lsd, now);
+		if (result == LSD_READ_BACK && !names_entry(list))
+			result = LSD_READ_WAITING;
+		if (result != LSD_READ_BACK) {
+			vml_put(list);
+			return result;
+		}
+		backs++;
+	}
+	lsd->older_at = 0;
+	list->revision |= backs << LSD_BACK_SHIFT;
+	return lsd_take(lsd, list) ? result : LSD_READ_SAME;
+}
+
 int lsd_since(const struct lsd *lsd, uint64_t revision, struct lsd_delta *out)
 {
 	memset(out, 0, sizeof(*out));
--- a/policy/lsd.h
+++ b/policy/lsd.h
@@ -9,6 +9,8 @@
 #ifndef POLICY_LSD_H
 #define POLICY_LSD_H
 
+#include <apr_time.h>
+
 #include "policy/vml.h"
 
 /* VMs that are gone and remembered. */
@@ -44,6 +46,35 @@
  */
 bool lsd_take(struct lsd *lsd, struct vml *list);
 
+/*
+ * A platform that was restored from a backup numbers its lists anew. The
+ * revisions held and exchanged are the platform's with the number of such
+ * returns above its lowest LSD_BACK_SHIFT bits.
+ */
+#define LSD_BACK_SHIFT 48
+
+/* Time for which only older lists must be read before one is taken. */
+#define LSD_BACK_SETTLE APR_TIME_C(30000000)
+
+enum lsd_read {
+	LSD_READ_SAME,
+	LSD_READ_NEWER,
+	/* The first older one since a list that was not. */
+	LSD_READ_OLDER,
+	/* Not taken yet. */
+	LSD_READ_WAITING,
+	/* Taken although it is older. */
+	LSD_READ_BACK,
+};
+
+/*
+ * Takes over the reference to a list read from the platform, whose revision
+ * is the platform's, if it is newer or only older ones have been read for
+ * LSD_BACK_SETTLE, at most LSD_BACK_SETTLE / 3 apart; an older one without any
+ * entry VM is never taken. now is monotonic.
+ */
+enum lsd_read lsd_read(struct lsd *lsd, struct vml *list, apr_time_t now);
+
 /*
  * Finds what changed after a revision. Returns 0, PST_ERR_AGAIN when nothing
  * did, or PST_ERR_NOMEM. Freed with lsd_delta_free(), valid until the next
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -56,7 +56,7 @@
 	ck_assert_int_eq(sync_register(node), 0);
 	ck_assert_int_eq(rpcs_start(fix_ip(), PORT, gate), 0);
 	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
-	node_take_list(node, list);
+	node_read_list(node, list);
 	free(text);
 }
 
--- a/tests/test_node_vm.c
+++ b/tests/test_node_vm.c
@@ -58,7 +58,7 @@
 
 	begin_empty();
 	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
-	node_take_list(node, list);
+	node_read_list(node, list);
 	free(text);
 }
 
--- a/tests/test_tbl_golden.c
+++ b/tests/test_tbl_golden.c
@@ -58,7 +58,7 @@
 		((struct vm *)vml_find(list, str_from_c(leaving)))->state =
 			VM_LEAVING;
 	}
-	node_take_list(node, list);
+	node_read_list(node, list);
 	free(text);
 }
 
--- a/tests/test_vml.c
+++ b/tests/test_vml.c
@@ -263,6 +263,54 @@
 }
 END_TEST
 
+static struct vml *numbered(uint64_t revision)
+{
+	struct vml *list = NULL;
+
+	ck_assert_int_eq(vml_create(&list, revision % 3), 0);
+	for (size_t i = 0; i < list->count; i++)
+		strbuf_set(&list->vms[i].id, i ? STR_LIT("b") : STR_LIT("a"));
+	list->revision = revision;
+	return list;
+}
+
+START_TEST(list_of_a_restored_platform_is_followed_after_a_while)
+{
+	const apr_time_t step = LSD_BACK_SETTLE / 10;
+	struct lsd *reader;
+	struct lsd *peer;
+	apr_time_t now = 1;
+
+	ck_assert_int_eq(lsd_create(&reader), 0);
+	ck_assert_int_eq(lsd_create(&peer), 0);
+	ck_assert_int_eq(lsd_read(reader, numbered(8), now), LSD_READ_NEWER);
+	ck_assert_uint_eq(follow(peer, reader), 2);
+	/* Older answers between newer ones are a lagging copy's. */
+	for (int i = 0; i < 30; i++, now += step)
+		ck_assert_int_eq(lsd_read(reader, numbered(i % 3 ? 4 : 8), now),
+				 i % 3 == 0   ? LSD_READ_SAME
+				 : i % 3 == 1 ? LSD_READ_OLDER
+					      : LSD_READ_WAITING);
+	ck_assert_int_eq(lsd_read(reader, numbered(8), now), LSD_READ_SAME);
+	for (int i = 0; i < 10; i++, now += step)
+		ck_assert_int_eq(lsd_read(reader, numbered(4), now),
+				 i ? LSD_READ_WAITING : LSD_READ_OLDER);
+	ck_assert_int_eq(lsd_read(reader, numbered(3), now), LSD_READ_WAITING);
+	ck_assert_int_eq(lsd_read(reader, numbered(4), now), LSD_READ_BACK);
+	ck_assert_int_eq(lsd_read(reader, numbered(4), now), LSD_READ_SAME);
+	ck_assert_uint_eq(lsd_list(reader)->count, 1);
+	/* One VM is gone, none has changed. */
+	ck_assert_uint_eq(follow(peer, reader), 0);
+	ck_assert_uint_eq(lsd_list(peer)->count, 1);
+	/* Both count on from there. */
+	ck_assert_int_eq(lsd_read(peer, numbered(5), now), LSD_READ_NEWER);
+	ck_assert_uint_gt(follow(reader, peer), 0);
+	ck_assert_uint_eq(lsd_list(reader)->count, 2);
+	lsd_destroy(reader);
+	lsd_destroy(peer);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("vml");
@@ -275,5 +323,7 @@
 	tcase_add_loop_test(tc, deltas_lead_to_the_same_list, 0, 20);
 	tcase_add_test(tc,
 		       delta_is_small_refused_when_old_and_whole_when_too_far);
+	tcase_add_test(tc,
+		       list_of_a_restored_platform_is_followed_after_a_while);
 	return fix_run("vml", tc);
 }
