The agent of pst-controld runs as a duty; one wait for news

Cause: agent/ctl.c had a thread with lock, condition, stop flag and timed wait of its own, the same as controld/duty.c has; node_wait_newer() and node_wait_marks() computed the same deadline.

duty moves to agent/, where ctl.c can use it: its announcement is a poke, its stop is duty_stop(). The two waits share node_wait_locked().

Ruled out: joining the starts of peer_duty, store_duty, vote_duty and mark_duty (they have the allocation and three lines in common, and differ in what they own), and the paging of ctl.c and xchg.c (one keeps into a hold of its own, the other into a node under its lock).

--- a/agent/ctl.c
+++ b/agent/ctl.c
@@ -6,6 +6,7 @@
 
 #include <sys/random.h>
 
+#include "agent/duty.h"
 #include "agent/hold.h"
 #include "agent/tmsg.h"
 #include "common/err.h"
@@ -27,14 +28,10 @@
 struct ctl_agent {
 	const struct settings *set;
 	const struct clk *clk;
-	pthread_t thread;
+	struct duty duty;
 	pthread_mutex_t lock;
-	pthread_cond_t wake;
-	bool stopping;
 	/* Guarded by lock. */
 	table_serves serves;
-	/* serves has changed since the last exchange began. */
-	bool announced;
 	struct ctl_view *view;
 	struct rev rev;
 	/* The thread's own. */
@@ -144,7 +141,6 @@
 
 	pthread_mutex_lock(&agent->lock);
 	serves = agent->serves;
-	agent->announced = false;
 	pthread_mutex_unlock(&agent->lock);
 	return serves;
 }
@@ -348,38 +344,15 @@
 	pthread_mutex_unlock(&agent->lock);
 }
 
-/* Returns false when the agent stops. */
-static bool wait_interval(struct ctl_agent *agent)
+static apr_interval_time_t run(void *ctx)
 {
-	const apr_interval_time_t wait =
-		CLK_MS(agent->set->control.sync_interval_ms);
-	const apr_time_t until = apr_time_now() + wait;
-	const struct timespec ts = {
-		.tv_sec = until / APR_USEC_PER_SEC,
-		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
-	};
-	bool stopping;
-
-	pthread_mutex_lock(&agent->lock);
-	if (!agent->stopping && !agent->announced)
-		pthread_cond_timedwait(&agent->wake, &agent->lock, &ts);
-	stopping = agent->stopping;
-	pthread_mutex_unlock(&agent->lock);
-	return !stopping;
-}
+	struct ctl_agent *agent = ctx;
 
-static void *run(void *arg)
-{
-	struct ctl_agent *agent = arg;
-
-	do {
-		agent->fresh = hold_tick(&agent->hold, agent->fresh);
-		share_rev(agent);
-		run_once(agent);
-		share_rev(agent);
-	} while (wait_interval(agent));
-	take_leave(agent, agent->other ? agent->other : agent->own);
-	return NULL;
+	agent->fresh = hold_tick(&agent->hold, agent->fresh);
+	share_rev(agent);
+	run_once(agent);
+	share_rev(agent);
+	return CLK_MS(agent->set->control.sync_interval_ms);
 }
 
 static void destroy(struct ctl_agent *agent)
@@ -389,7 +362,6 @@
 	hold_done(&agent->hold);
 	vml_put(agent->vml);
 	ctl_view_put(agent->view);
-	pthread_cond_destroy(&agent->wake);
 	pthread_mutex_destroy(&agent->lock);
 	free(agent);
 }
@@ -407,15 +379,14 @@
 	if (getrandom(&agent->id, sizeof(agent->id), 0) < 0)
 		agent->id = (uint64_t)apr_time_now();
 	pthread_mutex_init(&agent->lock, NULL);
-	pthread_cond_init(&agent->wake, NULL);
 	err = hold_init(&agent->hold, set, clk, hold_wall_clock());
 	agent->rev = agent->hold.rev;
 	agent->hold.lean = true;
 	if (!err)
 		err = open_client(agent, set->vm.region, set->vm.address,
 				  &agent->own);
-	if (!err && pthread_create(&agent->thread, NULL, run, agent))
-		err = PST_ERR_THREAD;
+	if (!err)
+		err = duty_start(&agent->duty, run, agent);
 	if (err)
 		destroy(agent);
 	else
@@ -427,11 +398,8 @@
 {
 	if (!agent)
 		return;
-	pthread_mutex_lock(&agent->lock);
-	agent->stopping = true;
-	pthread_cond_signal(&agent->wake);
-	pthread_mutex_unlock(&agent->lock);
-	pthread_join(agent->thread, NULL);
+	duty_stop(&agent->duty);
+	take_leave(agent, agent->other ? agent->other : agent->own);
 	destroy(agent);
 }
 
@@ -439,9 +407,8 @@
 {
 	pthread_mutex_lock(&agent->lock);
 	agent->serves = serves;
-	agent->announced = true;
-	pthread_cond_signal(&agent->wake);
 	pthread_mutex_unlock(&agent->lock);
+	duty_poke(&agent->duty);
 }
 
 struct ctl_view *ctl_agent_view(struct ctl_agent *agent)
--- a/controld/duty.c
+++ b/agent/duty.c
@@ -1,4 +1,4 @@
-#include "controld/duty.h"
+#include "agent/duty.h"
 
 #include <sys/random.h>
 
--- a/controld/duty.h
+++ b/agent/duty.h
@@ -1,6 +1,6 @@
 /* A thread that repeats one duty at an interval until it is stopped. */
-#ifndef CONTROLD_DUTY_H
-#define CONTROLD_DUTY_H
+#ifndef AGENT_DUTY_H
+#define AGENT_DUTY_H
 
 #include <pthread.h>
 
--- a/controld/list_duty.c
+++ b/controld/list_duty.c
@@ -5,7 +5,7 @@
 #include "agent/lst.h"
 #include "common/err.h"
 #include "common/evt.h"
-#include "controld/duty.h"
+#include "agent/duty.h"
 
 #define LOG_MODULE "list"
 
--- a/controld/mark_duty.c
+++ b/controld/mark_duty.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 
 #include "common/err.h"
-#include "controld/duty.h"
+#include "agent/duty.h"
 #include "controld/xchg.h"
 #include "policy/relay.h"
 
--- a/controld/node.c
+++ b/controld/node.c
@@ -309,8 +309,7 @@
 	return listed ? listed->revision : 0;
 }
 
-void node_wait_newer(struct node *node, struct node_held *held,
-		     apr_interval_time_t timeout)
+void node_wait_locked(struct node *node, apr_interval_time_t timeout)
 {
 	const apr_time_t until = apr_time_now() + timeout;
 	const struct timespec ts = {
@@ -318,10 +317,16 @@
 		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
 	};
 
+	pthread_cond_timedwait(&node->newer, &node->lock, &ts);
+}
+
+void node_wait_newer(struct node *node, struct node_held *held,
+		     apr_interval_time_t timeout)
+{
 	pthread_mutex_lock(&node->lock);
 	if (node->hold.rev.revision <= held->table &&
 	    listed_revision(node) <= held->list)
-		pthread_cond_timedwait(&node->newer, &node->lock, &ts);
+		node_wait_locked(node, timeout);
 	held->table = node->hold.rev.revision;
 	held->list = listed_revision(node);
 	pthread_mutex_unlock(&node->lock);
--- a/controld/node_marks.c
+++ b/controld/node_marks.c
@@ -129,16 +129,11 @@
 		    apr_interval_time_t timeout, struct mbr_mark **out,
 		    size_t *count)
 {
-	const apr_time_t until = apr_time_now() + timeout;
-	const struct timespec ts = {
-		.tv_sec = until / APR_USEC_PER_SEC,
-		.tv_nsec = until % APR_USEC_PER_SEC * 1000,
-	};
 	int err;
 
 	pthread_mutex_lock(&node->lock);
 	if (node->marks.version <= *version)
-		pthread_cond_timedwait(&node->newer, &node->lock, &ts);
+		node_wait_locked(node, timeout);
 	err = copy_changed(node, *version, out, count);
 	if (!err)
 		*version = node->marks.version;
--- a/controld/node_state.h
+++ b/controld/node_state.h
@@ -40,6 +40,9 @@
 	struct clients clients;
 };
 
+/* Waits for news of the table, the list or the marks, at most timeout. */
+void node_wait_locked(struct node *node, apr_interval_time_t timeout);
+
 /* Corrects the list again and publishes what has changed. */
 void node_correct_locked(struct node *node);
 
--- a/controld/peer_duty.c
+++ b/controld/peer_duty.c
@@ -6,7 +6,7 @@
 #include <sys/random.h>
 
 #include "common/err.h"
-#include "controld/duty.h"
+#include "agent/duty.h"
 #include "controld/xchg.h"
 #include "policy/relay.h"
 
--- a/controld/store_duty.c
+++ b/controld/store_duty.c
@@ -8,7 +8,7 @@
 #include "common/err.h"
 #include "common/evt.h"
 #include "controld/drains.h"
-#include "controld/duty.h"
+#include "agent/duty.h"
 #include "policy/head.h"
 
 #define LOG_MODULE "store"
--- a/controld/vote_duty.c
+++ b/controld/vote_duty.c
@@ -5,7 +5,7 @@
 #include <stdlib.h>
 
 #include "common/err.h"
-#include "controld/duty.h"
+#include "agent/duty.h"
 #include "controld/xchg.h"
 
 /* Rounds between two tries of a domain of which no VM answers. */
