--- a/controld/node_state.h
+++ b/controld/node_state.h
@@ -24,12 +24,14 @@
 	bool store_reachable;
 	/* The platform's list. */
 	struct lsd *listed;
-	apr_time_t listed_at;
 	/* The corrected list; its revision counts the corrections. */
 	struct vml *members;
 	apr_time_t corrected_at;
 	struct mbr *mbr;
 	struct mbr_marks marks;
+	struct strbuf hints[NODE_HINTS_MAX];
+	size_t hint_count;
+	size_t next_hint;
 	bool relay;
 	apr_time_t relay_since;
 	/* Last exchange with a relay of the own domain, or the start. */
@@ -38,12 +40,17 @@
 	struct clients clients;
 };
 
+/* Waits for news of the table, the list or the marks, at most timeout. */
+void node_wait_locked(struct node *node, apr_interval_time_t timeout);
+
 /* Corrects the list again and publishes what has changed. */
 void node_correct_locked(struct node *node);
 
 /* What a process says of itself with its question. */
 void node_note_serves_locked(struct node *node, const table_ask *ask);
 
+void node_note_hints_locked(struct node *node, const table_ask *ask);
+
 void node_forget_marks_locked(struct node *node);
 
 /* Shows the marks in a corrected list that is not shared yet. */
