Bytes of RPC, store and list are counted; bench scenario "idle"

Counted: TCP payload of each RPC connection, client and server, by program and by whether both ends are one VM's (TCP_INFO, one call of the system a message), and heads and bodies of HTTP to the store and for the list. Ruled out: adding up encoded sizes (a second walk over each message, and no heads); counting in the links (not inside a region).

--- a/agent/lst.c
+++ b/agent/lst.c
@@ -7,6 +7,7 @@
 
 #include "agent/hbuf.h"
 #include "common/err.h"
+#include "common/wire.h"
 
 /* Largest list accepted, in bytes. */
 #define MAX_LIST ((size_t)32 * 1024 * 1024)
@@ -32,6 +33,7 @@
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
 	if (curl_easy_perform(easy) != CURLE_OK)
 		return PST_ERR_UNAVAILABLE;
+	wire_count_http("list", easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
 	return *status == HTTP_OK ? 0 : PST_ERR_UNAVAILABLE;
 }
--- a/agent/stc.c
+++ b/agent/stc.c
@@ -14,6 +14,7 @@
 #include "common/ctr.h"
 #include "common/err.h"
 #include "common/evt.h"
+#include "common/wire.h"
 
 #define LOG_MODULE "store"
 
@@ -174,6 +175,7 @@
 	curl_easy_setopt(stc->easy, CURLOPT_WRITEFUNCTION, call->on_data);
 	curl_easy_setopt(stc->easy, CURLOPT_WRITEDATA, call->ctx);
 	code = curl_easy_perform(stc->easy);
+	wire_count_http("store", stc->easy);
 	err = judge(stc, call, code);
 	free(text);
 	return err;
--- a/common/rpcc.c
+++ b/common/rpcc.c
@@ -6,6 +6,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "common/wire.h"
 
 #define LOG_MODULE "rpc.client"
 
@@ -39,6 +40,8 @@
 	int fd;
 	apr_time_t retry_at;
 	apr_interval_time_t backoff;
+	struct wire wire;
+	struct wire_seen seen;
 };
 
 static bool_t decode_nothing(XDR *xdrs, ...)
@@ -51,6 +54,7 @@
 {
 	if (!c->client)
 		return;
+	wire_count(&c->wire, c->fd, &c->seen);
 	clnt_destroy(c->client);
 	close(c->fd);
 	c->client = NULL;
@@ -90,6 +94,7 @@
 		return connect_failed(c, PST_ERR_IO);
 	}
 	c->fd = fd;
+	c->seen = (struct wire_seen){0};
 	c->backoff = BACKOFF_MIN;
 	return 0;
 }
@@ -111,6 +116,8 @@
 	c->prog = prog;
 	c->vers = vers;
 	c->backoff = BACKOFF_MIN;
+	wire_open_rpc(&c->wire, (uint32_t)prog, "client",
+		      str_eq(strbuf_str(&c->peer_ip), set->vm.address));
 	*out = c;
 	return 0;
 }
@@ -136,8 +143,10 @@
 	if (err)
 		return err;
 	stat = clnt_call(c->client, proc, xargs, args, xres, res, tv);
-	if (stat == RPC_SUCCESS)
+	if (stat == RPC_SUCCESS) {
+		wire_count(&c->wire, c->fd, &c->seen);
 		return 0;
+	}
 	err = stat == RPC_TIMEDOUT ? PST_ERR_TIMEOUT : PST_ERR_IO;
 	evt_log(RPC_CALL_FAILED, "peer=%s:%u proc=%u err=%s", c->peer_ip.ptr,
 		net_addr_port(&c->peer), (unsigned)proc, err_name(err));
@@ -157,8 +166,10 @@
 		return err;
 	stat = clnt_call(c->client, proc, xargs, args, decode_nothing, NULL,
 			 none);
-	if (stat == RPC_SUCCESS || stat == RPC_TIMEDOUT)
+	if (stat == RPC_SUCCESS || stat == RPC_TIMEDOUT) {
+		wire_count(&c->wire, c->fd, &c->seen);
 		return 0;
+	}
 	evt_log(RPC_CALL_FAILED, "peer=%s:%u proc=%u err=IO", c->peer_ip.ptr,
 		net_addr_port(&c->peer), (unsigned)proc);
 	disconnect(c);
--- a/common/rpcs.c
+++ b/common/rpcs.c
@@ -10,6 +10,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "common/wire.h"
 
 #define LOG_MODULE	"rpc.server"
 
@@ -19,7 +20,17 @@
 /* Longest wait for a message before the stop flag is read, in ms. */
 #define POLL_MS 100
 
+/* What was counted of the connection on each descriptor. */
+struct counted {
+	in_port_t port;
+	struct wire_seen seen;
+};
+
 static const struct rpcs_program *programs[MAX_PROGRAMS];
+/* From this VM, and from others. */
+static struct wire wires[MAX_PROGRAMS][2];
+static struct counted counted[MAX_DESCRIPTORS];
+static struct strbuf own_ip;
 static size_t program_count;
 static struct rpcs_gate gate_in_use;
 static pthread_t thread;
@@ -65,6 +76,25 @@
 	return false;
 }
 
+/* A connection's answer to its last message is counted with the next one. */
+static void count_bytes(int fd, rpcprog_t prog, const struct net_addr *peer)
+{
+	const in_port_t port = net_addr_port(peer);
+	struct strbuf ip;
+	bool own;
+
+	if (fd < 0 || fd >= MAX_DESCRIPTORS)
+		return;
+	net_addr_ip(peer, &ip);
+	own = strbuf_eq(&ip, &own_ip);
+	if (counted[fd].port != port)
+		counted[fd] = (struct counted){.port = port};
+	for (size_t i = 0; i < program_count; i++) {
+		if (programs[i]->prog == prog)
+			wire_count(&wires[i][own], fd, &counted[fd].seen);
+	}
+}
+
 static void run_proc(const struct rpcs_proc *proc, void *ctx,
 		     const struct net_addr *peer, SVCXPRT *xprt, void *args,
 		     void *res)
@@ -105,6 +135,7 @@
 		svcerr_decode(xprt);
 	else
 		run_proc(proc, ctx, &peer, xprt, args, res);
+	count_bytes(xprt->xp_fd, req->rq_prog, &peer);
 	if (args)
 		svc_freeargs(xprt, proc->xargs, args);
 	free(args);
@@ -139,6 +170,10 @@
 		if (programs[i]->prog == program->prog)
 			return PST_ERR_EXISTS;
 	}
+	wire_open_rpc(&wires[program_count][false], (uint32_t)program->prog,
+		      "server", false);
+	wire_open_rpc(&wires[program_count][true], (uint32_t)program->prog,
+		      "server", true);
 	programs[program_count++] = program;
 	return 0;
 }
@@ -168,6 +203,7 @@
 	if (fd < 0)
 		return fd;
 	gate_in_use = gate;
+	strbuf_set(&own_ip, ip);
 	stopping = false;
 	err = open_listener(fd);
 	if (err) {
--- a/lab/bench.py
+++ b/lab/bench.py
@@ -16,6 +16,9 @@
 # Only for our own policy: what the baselines have no part in.
 OWN_SCENARIOS = ("hop", "region_lost", "drain", "rolling", "store_outage")
 SCENARIOS = ("steady", "flood_bulk", "flood_urgent") + OWN_SCENARIOS
+# By name only: nothing is asked of the deployment.
+IDLE = "idle"
+IDLE_SECONDS = 10
 
 # Running time asked of the upstreams; it sets the capacity that one machine can load tenfold.
 RUN_MS = 250
@@ -197,6 +200,65 @@
     return time.monotonic() - began
 
 
+def cpu_s(process):
+    with open("/proc/%d/stat" % process.pid) as f:
+        fields = f.read().rsplit(")", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / HZ
+
+
+def resident_mb(process):
+    with open("/proc/%d/statm" % process.pid) as f:
+        return int(f.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+
+
+def wire_bytes(lab, vm, port):
+    """(use, side, direction) to bytes that left or reached the VM."""
+    out = {}
+    for line in lab.admin(vm, port, "/metrics").splitlines():
+        if not line.startswith("pst_wire_") or 'scope="net"' not in line:
+            continue
+        name, _, rest = line.partition("{")
+        labels = dict(x.split("=", 1) for x in rest.split("}")[0].split(","))
+        key = (labels["use"].strip('"'), labels["side"].strip('"'), name.split("_")[2])
+        out[key] = out.get(key, 0) + float(line.rsplit(" ", 1)[1])
+    return out
+
+
+def spread(values):
+    return "%.2f %.2f %.2f" % (min(values), sum(values) / len(values), max(values))
+
+
+def idle(lab, seconds):
+    """Bytes, processor time and memory of each daemon while nothing is asked of it."""
+    ports = {"entryd": labs.ENTRY_ADMIN_PORT, "controld": labs.CONTROL_ADMIN_PORT, "lookupd": labs.LOOKUP_ADMIN_PORT}
+    print("daemon quantity least mean most (of %d VMs, %d s)" % (len(lab.entries), seconds))
+    nodes = {vm.id: {"cpu_pct": 0, "mb": 0, "sent_kb_per_s": 0, "received_kb_per_s": 0} for vm in lab.entries}
+    before = {(vm.id, d): (time.monotonic(), cpu_s(lab.procs["%s.%s" % (vm.id, d)]), wire_bytes(lab, vm, p))
+              for vm in lab.entries for d, p in ports.items()}
+    time.sleep(seconds)
+    for daemon, port in ports.items():
+        figures, uses = {"cpu_pct": [], "mb": []}, {}
+        for vm in lab.entries:
+            process = lab.procs["%s.%s" % (vm.id, daemon)]
+            at, cpu, wire = before[vm.id, daemon]
+            took = time.monotonic() - at
+            figures["cpu_pct"].append(100 * (cpu_s(process) - cpu) / took)
+            figures["mb"].append(resident_mb(process))
+            for key, value in wire_bytes(lab, vm, port).items():
+                rate = (value - wire.get(key, 0)) / took / 1000
+                uses.setdefault(key, []).append(rate)
+                nodes[vm.id][key[2] + "_kb_per_s"] += rate
+            for name in figures:
+                nodes[vm.id][name] += figures[name][-1]
+        for name, values in figures.items():
+            print(daemon, name, spread(values))
+        for key, values in sorted(uses.items()):
+            if max(values) > 0:
+                print(daemon, "%s_%s_%s_kb_per_s" % key, spread(values))
+    for name in next(iter(nodes.values())):
+        print("node", name, spread([n[name] for n in nodes.values()]), flush=True)
+
+
 def run(args, conf, policy, out):
     status = 0
     settings = {"entry": {"policy": policy, "leave_grace_ms": 1500}, "lookup": {"ttl_ms": 1000},
@@ -212,6 +274,9 @@
             lab.start()
             time.sleep(SETTLE_S)
             for scenario in group:
+                if scenario == IDLE:
+                    idle(lab, IDLE_SECONDS)
+                    continue
                 if scenario == "hop":
                     rows = hop(lab, args.seed)
                 else:
--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -1,7 +1,9 @@
 #include <check.h>
 #include <stdatomic.h>
+#include <stdio.h>
 #include <unistd.h>
 
+#include "common/ctr.h"
 #include "common/err.h"
 #include "common/rpcc.h"
 #include "common/rpcs.h"
@@ -113,6 +115,56 @@
 }
 END_TEST
 
+#define CALLS 10UL
+
+/* Record mark, call head and argument; record mark, answer head and result. */
+#define CALL_BYTES   (4 + 40 + 4)
+#define ANSWER_BYTES (4 + 24 + 4)
+
+static uint64_t counted(const char *name, const char *side)
+{
+	char labels[64];
+
+	snprintf(labels, sizeof(labels),
+		 "use=\"20505399\",side=\"%s\",scope=\"vm\"", side);
+	return ctr_value(ctr_get(name, labels, ""));
+}
+
+START_TEST(bytes_of_both_sides_are_counted)
+{
+	const char *sent = "pst_wire_sent_bytes";
+	const char *received = "pst_wire_received_bytes";
+	const uint64_t out = counted(sent, "client");
+	const uint64_t in = counted(received, "client");
+	const uint64_t arrived = counted(received, "server");
+	const uint64_t answered = counted(sent, "server");
+	struct rpcc *c;
+	u_int arg = 21;
+	u_int res = 0;
+
+	start_server();
+	c = open_client();
+	for (size_t i = 0; i < CALLS; i++)
+		ck_assert_int_eq(rpcc_call(c, PROC_DOUBLE, (xdrproc_t)xdr_u_int,
+					   &arg, (xdrproc_t)xdr_u_int, &res,
+					   CLK_MS(500)),
+				 0);
+	ck_assert_uint_eq(counted(sent, "client") - out, CALLS * CALL_BYTES);
+	ck_assert_uint_eq(counted(received, "client") - in,
+			  CALLS * ANSWER_BYTES);
+	rpcc_destroy(c);
+	rpcs_stop();
+	/* The system counts the end of a connection as one byte. */
+	ck_assert_uint_ge(counted(received, "server") - arrived,
+			  CALLS * CALL_BYTES);
+	ck_assert_uint_le(counted(received, "server") - arrived,
+			  CALLS * CALL_BYTES + 1);
+	/* The last answer may not have been seen to leave. */
+	ck_assert_uint_ge(counted(sent, "server") - answered,
+			  (CALLS - 1) * ANSWER_BYTES);
+}
+END_TEST
+
 START_TEST(peer_that_is_not_allowed_gets_an_error)
 {
 	struct rpcc *c;
@@ -149,6 +201,7 @@
 	TCase *tc = tcase_create("rpc");
 
 	tcase_add_test(tc, calls_and_one_way_messages_arrive);
+	tcase_add_test(tc, bytes_of_both_sides_are_counted);
 	tcase_add_test(tc, peer_that_is_not_allowed_gets_an_error);
 	tcase_add_test(tc, absent_peer_is_a_connect_error);
 	return fix_run("rpc", tc);
