Exchanges leave out reports of nobody

Ruled out: never sending them (whoever holds an older report that names a VM must hear of its return); a round number of reports in the question (a change of the message). They are sent until the last report that named somebody has lapsed everywhere, four timeouts. Failed first: an_exchange_without_news_has_no_reports, 2,156 bytes for 128. After: 84 and the VM's name.

--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -79,15 +79,20 @@
 	const apr_time_t now = clk_now(node->clk);
 	size_t count;
 	const struct mbr_report *reports = mbr_reports(node->mbr, &count);
+	size_t len = 0;
 	int err = 0;
 
 	out->absents.absents_val = calloc(count + 1, sizeof(table_absent));
 	if (!out->absents.absents_val)
 		return PST_ERR_NOMEM;
-	out->absents.absents_len = (u_int)count;
-	for (size_t i = 0; !err && i < count; i++)
+	for (size_t i = 0; !err && i < count; i++) {
+		if (!mbr_report_tells(node->mbr, &reports[i], now))
+			continue;
 		err = copy_report(&reports[i], now,
-				  &out->absents.absents_val[i]);
+				  &out->absents.absents_val[len]);
+		len++;
+	}
+	out->absents.absents_len = (u_int)len;
 	return err;
 }
 
--- a/policy/mbr.c
+++ b/policy/mbr.c
@@ -106,7 +106,10 @@
 		  &mbr->report_capacity, sizeof(*mbr->reports)))
 		return NULL;
 	report = &mbr->reports[mbr->report_count++];
-	*report = (struct mbr_report){.observed_at = INT64_MIN};
+	*report = (struct mbr_report){
+		.observed_at = INT64_MIN,
+		.absent_at = INT64_MIN,
+	};
 	strbuf_set(&report->domain, domain);
 	return report;
 }
@@ -258,7 +261,11 @@
 	struct mbr_report *report = need_report(mbr, domain);
 	struct strbuf *copy;
 
-	if (!report || report->observed_at >= observed_at)
+	if (!report)
+		return;
+	if (count && report->absent_at < observed_at)
+		report->absent_at = observed_at;
+	if (report->observed_at >= observed_at)
 		return;
 	copy = calloc(count + 1, sizeof(*copy));
 	if (!copy)
@@ -277,6 +284,14 @@
 	return mbr->reports;
 }
 
+bool mbr_report_tells(const struct mbr *mbr, const struct mbr_report *report,
+		      apr_time_t now)
+{
+	return report->count ||
+	       (report->absent_at != INT64_MIN &&
+		now - report->absent_at <= LAPSE_TIMEOUTS * mbr->timeout);
+}
+
 int mbr_correct(const struct mbr *mbr, const struct vml *list, struct str self,
 		const struct mbr_drain *drains, size_t drain_count,
 		uint64_t revision, apr_time_t now, struct vml **out)
--- a/policy/mbr.h
+++ b/policy/mbr.h
@@ -21,6 +21,8 @@
 	apr_time_t observed_at;
 	struct strbuf *absent;
 	size_t count;
+	/* Newest time at which somebody was reported absent. */
+	apr_time_t absent_at;
 };
 
 /* timeout: without a sign of life for so long a VM is absent. */
@@ -52,6 +54,13 @@
 /* The reports held; valid until the next call. */
 const struct mbr_report *mbr_reports(const struct mbr *mbr, size_t *count);
 
+/*
+ * Whether a report may change what its receiver holds. One that names nobody
+ * does so only until the last one that did has lapsed everywhere.
+ */
+bool mbr_report_tells(const struct mbr *mbr, const struct mbr_report *report,
+		      apr_time_t now);
+
 /* An operator's mark on a VM: it gets no new work. */
 struct mbr_drain {
 	struct str id;
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -172,6 +172,32 @@
 }
 END_TEST
 
+/* Whoever holds the report that named somebody must hear of the return. */
+START_TEST(report_of_nobody_is_told_until_the_last_absence_lapsed)
+{
+	const struct str absent[] = {STR_LIT("entry-9")};
+	const struct mbr_report *report;
+	size_t count;
+
+	begin();
+	mbr_merge(mbr, STR_LIT("astana-1"), NULL, 0, now);
+	report = mbr_reports(mbr, &count);
+	ck_assert_uint_eq(count, 1);
+	ck_assert(!mbr_report_tells(mbr, report, now));
+	mbr_merge(mbr, STR_LIT("astana-1"), absent, 1, now + 1);
+	ck_assert(mbr_report_tells(mbr, report, now + 1));
+	mbr_merge(mbr, STR_LIT("astana-1"), NULL, 0, now + 2);
+	ck_assert(mbr_report_tells(mbr, report, now + 1 + 4 * TIMEOUT));
+	ck_assert(!mbr_report_tells(mbr, report, now + 2 + 4 * TIMEOUT));
+	/* One that comes late counts, too. */
+	now += 10 * TIMEOUT;
+	mbr_merge(mbr, STR_LIT("astana-1"), NULL, 0, now + 2);
+	mbr_merge(mbr, STR_LIT("astana-1"), absent, 1, now);
+	ck_assert(mbr_report_tells(mbr, report, now + 4 * TIMEOUT));
+	end();
+}
+END_TEST
+
 START_TEST(domain_cannot_be_judged_by_another)
 {
 	const struct str absent[] = {STR_LIT("entry-9")};
@@ -209,6 +235,8 @@
 	tcase_add_test(tc, relay_that_hears_nobody_reports_nobody);
 	tcase_add_test(tc, own_evidence_goes_before_a_report);
 	tcase_add_test(tc, newer_report_wins_and_an_old_one_lapses);
+	tcase_add_test(tc,
+		       report_of_nobody_is_told_until_the_last_absence_lapsed);
 	tcase_add_test(tc, domain_cannot_be_judged_by_another);
 	tcase_add_test(tc, drain_mark_and_platform_are_both_obeyed);
 	return fix_run("mbr", tc);
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -1,4 +1,5 @@
 /* A pst-controld's state behind its RPC server, and the agent that asks it. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -133,6 +134,33 @@
 	}
 }
 
+#define DOMAINS 88
+
+/* What a relay at the size answers while nobody is absent. */
+START_TEST(an_exchange_without_news_has_no_reports)
+{
+	table_absent reports[DOMAINS] = {0};
+	table_answer heard = {.absents = {DOMAINS, reports}};
+	table_answer answer = {0};
+	table_ask ask = {.from = (char *)"entry-2"};
+	char names[DOMAINS][16];
+
+	begin();
+	for (int i = 0; i < DOMAINS; i++) {
+		snprintf(names[i], sizeof(names[i]), "region-%d", i);
+		reports[i].domain = names[i];
+	}
+	node_merge_absents(node, &heard);
+	ask.list_revision = node_listed_revision(node);
+	ck_assert_int_eq(node_answer_sync(node, &ask, &answer), 0);
+	ck_assert_uint_eq(answer.absents.absents_len, 0);
+	ck_assert_uint_le(xdr_sizeof((xdrproc_t)xdr_table_answer, &answer),
+			  128);
+	xdr_free((xdrproc_t)xdr_table_answer, &answer);
+	end();
+}
+END_TEST
+
 START_TEST(agent_follows_edits_and_a_new_manifest)
 {
 	struct ctl_agent *agent = NULL;
@@ -431,6 +459,7 @@
 {
 	TCase *tc = tcase_create("node");
 
+	tcase_add_test(tc, an_exchange_without_news_has_no_reports);
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, agent_follows_edits_and_a_new_manifest);
 	tcase_add_test(tc, stopped_agent_is_not_waited_for);
