--- a/lab/bench.py
+++ b/lab/bench.py
@@ -207,8 +207,11 @@
 
 
 def resident_mb(process):
+    """All of it, and without pages of files, which the programs share."""
     with open("/proc/%d/statm" % process.pid) as f:
-        return int(f.read().split()[1]) * os.sysconf("SC_PAGESIZE") / 1e6
+        fields = f.read().split()
+    page = os.sysconf("SC_PAGESIZE") / 1e6
+    return int(fields[1]) * page, (int(fields[1]) - int(fields[2])) * page
 
 
 def wire_bytes(lab, vm, port):
@@ -232,18 +235,20 @@
     """Bytes, processor time and memory of each daemon while nothing is asked of it."""
     ports = {"entryd": labs.ENTRY_ADMIN_PORT, "controld": labs.CONTROL_ADMIN_PORT, "lookupd": labs.LOOKUP_ADMIN_PORT}
     print("daemon quantity least mean most (of %d VMs, %d s)" % (len(lab.entries), seconds))
-    nodes = {vm.id: {"cpu_pct": 0, "mb": 0, "sent_kb_per_s": 0, "received_kb_per_s": 0} for vm in lab.entries}
+    nodes = {vm.id: {"cpu_pct": 0, "mb": 0, "own_mb": 0, "sent_kb_per_s": 0, "received_kb_per_s": 0} for vm in lab.entries}
     before = {(vm.id, d): (time.monotonic(), cpu_s(lab.procs["%s.%s" % (vm.id, d)]), wire_bytes(lab, vm, p))
               for vm in lab.entries for d, p in ports.items()}
     time.sleep(seconds)
     for daemon, port in ports.items():
-        figures, uses = {"cpu_pct": [], "mb": []}, {}
+        figures, uses = {"cpu_pct": [], "mb": [], "own_mb": []}, {}
         for vm in lab.entries:
             process = lab.procs["%s.%s" % (vm.id, daemon)]
             at, cpu, wire = before[vm.id, daemon]
             took = time.monotonic() - at
             figures["cpu_pct"].append(100 * (cpu_s(process) - cpu) / took)
-            figures["mb"].append(resident_mb(process))
+            whole, own = resident_mb(process)
+            figures["mb"].append(whole)
+            figures["own_mb"].append(own)
             for key, value in wire_bytes(lab, vm, port).items():
                 rate = (value - wire.get(key, 0)) / took / 1000
                 uses.setdefault(key, []).append(rate)
