--- a/controld/node_answer.c
+++ b/controld/node_answer.c
@@ -9,36 +9,20 @@
 /* Bytes of values in one page of an answer. */
 #define PAGE_BYTES ((size_t)1024 * 1024)
 
-/* Whole groups of one revision; a page is never cut inside one. */
-static size_t page_size(const struct tbl_part *parts, size_t count)
-{
-	size_t bytes = 0;
-
-	for (size_t i = 0; i < count; i++) {
-		if (i && bytes > PAGE_BYTES &&
-		    parts[i].mod_revision != parts[i - 1].mod_revision)
-			return i;
-		bytes += parts[i].value.len;
-	}
-	return count;
-}
-
 static int copy_parts(const struct node *node, uint64_t after, table_part **out,
 		      u_int *out_count, bool *more)
 {
 	struct tbl_part *parts;
 	size_t count;
-	size_t page;
-	int err = pts_since(node->hold.pts, after, &parts, &count);
+	int err = pts_since(node->hold.pts, after, PAGE_BYTES, &parts, &count,
+			    more);
 
 	if (err)
 		return err;
-	page = page_size(parts, count);
-	*more = page < count;
-	*out = tmsg_parts_copy(parts, page);
-	*out_count = *out ? (u_int)page : 0;
-	free(parts);
-	return page && !*out ? PST_ERR_NOMEM : 0;
+	*out = tmsg_parts_copy(parts, count);
+	*out_count = *out ? (u_int)count : 0;
+	pts_free(parts, count);
+	return count && !*out ? PST_ERR_NOMEM : 0;
 }
 
 static int copy_delta(const struct node *node, uint64_t after,
@@ -95,15 +79,20 @@
 	const apr_time_t now = clk_now(node->clk);
 	size_t count;
 	const struct mbr_report *reports = mbr_reports(node->mbr, &count);
+	size_t len = 0;
 	int err = 0;
 
 	out->absents.absents_val = calloc(count + 1, sizeof(table_absent));
 	if (!out->absents.absents_val)
 		return PST_ERR_NOMEM;
-	out->absents.absents_len = (u_int)count;
-	for (size_t i = 0; !err && i < count; i++)
+	for (size_t i = 0; !err && i < count; i++) {
+		if (!mbr_report_tells(node->mbr, &reports[i], now))
+			continue;
 		err = copy_report(&reports[i], now,
-				  &out->absents.absents_val[i]);
+				  &out->absents.absents_val[len]);
+		len++;
+	}
+	out->absents.absents_len = (u_int)len;
 	return err;
 }
 
