Entry VMs aim at their own failure domain first

Cause: a slot idles up to four messages between two requests, and half of the work went to the other failure domain of the region, where each takes 1.5 ms at the Guild. The split kept work local by region only.

The same rule now holds one level down: with f the domain's part of its region's weights and d its part of the region's live entry VMs, an entry VM keeps min(1, f/d) in its own domain. The sums by domain stay the weights'. A new entry VM asks peers of its own domain for the split in force first. Beside a silent broker the domain's own entry VMs share its slots, as the others send little there.

The model draws domains with policy/shf_goal itself in place of a copy of the former rule. It is as strict: the bounds stay, weights and demand by domain are those of the list, and the hops tests also run with one entry VM of four gone in a domain of each region, so that work crosses domains. Work from other regions is still drawn across (cross_domain), and exp_ranks prints the floods with domains drawn by weight alone too.

Ruled out: passing slots on between entry VMs; not needed for the targets. test_brk_flood: the test across regions sets cross_domain, so that half of its work stays remote; nothing else in it changed.

--- a/agent/permit_local.c
+++ b/agent/permit_local.c
@@ -57,24 +57,52 @@
 	return brk_hello(local->brk, strbuf_str(&local->entry_name), 1, now);
 }
 
-/* This VM's place among the live entry VMs, and how many there are. */
+static bool live_entry(const struct vm *vm)
+{
+	return vm->kind == VM_ENTRY && vm->state == VM_LIVE;
+}
+
+/* Whether the upstreams' failure domain has a live entry VM. */
+static bool domain_has_entry(const struct permit_local *local,
+			     const struct vml *vml)
+{
+	for (size_t i = 0; i < vml->count; i++) {
+		if (live_entry(&vml->vms[i]) &&
+		    strbuf_eq(&vml->vms[i].domain, &local->domain))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * This VM's place among the holders, and how many there are: all live entry
+ * VMs, or beside a broker those of the upstreams' failure domain if it has
+ * any, as most of its work comes from them. The place of a VM that is no
+ * holder is their number.
+ */
 static uint32_t place_of(const struct permit_local *local,
 			 const struct vml *vml, uint32_t *holders)
 {
+	const bool near =
+		local->policy == PICK_BROKER && domain_has_entry(local, vml);
 	uint32_t place = 0;
+	bool member = false;
 
 	*holders = 0;
 	for (size_t i = 0; i < vml->count; i++) {
 		const struct vm *vm = &vml->vms[i];
+		int order;
 
-		if (vm->kind != VM_ENTRY || vm->state != VM_LIVE)
+		if (!live_entry(vm) ||
+		    (near && !strbuf_eq(&vm->domain, &local->domain)))
 			continue;
 		++*holders;
-		if (str_cmp(strbuf_str(&vm->id),
-			    strbuf_str(&local->entry_name)) < 0)
-			place++;
+		order = str_cmp(strbuf_str(&vm->id),
+				strbuf_str(&local->entry_name));
+		member |= order == 0;
+		place += order < 0;
 	}
-	return place;
+	return member ? place : *holders;
 }
 
 /* Cuts the slots to this VM's share, which is at least one slot. */
@@ -90,7 +118,9 @@
 	for (size_t i = 0; i < count; i++) {
 		const uint32_t slots = vms[i].slots;
 
-		vms[i].slots = pick_share(first, slots, holders, place);
+		vms[i].slots = place < holders ? pick_share(first, slots,
+							    holders, place)
+					       : 0;
 		first += slots;
 		sum += vms[i].slots;
 	}
--- a/agent/quota.c
+++ b/agent/quota.c
@@ -48,6 +48,8 @@
 		err = ql_create(&agent->ql, agent->started_at + BKT_WINDOW);
 	if (!err)
 		err = qs_create(&agent->qs, agent->set->vm.region);
+	if (!err)
+		err = qs_set_domain(agent->qs, agent->set->vm.failure_domain);
 	return err;
 }
 
--- a/agent/quota_duty.c
+++ b/agent/quota_duty.c
@@ -132,36 +132,46 @@
 }
 
 static bool may_know_splits(const struct quota_agent *agent,
-			    const struct vm *vm)
+			    const struct vm *vm, bool own_domain)
 {
 	return vm->kind == VM_ENTRY && vm->state == VM_LIVE &&
 	       str_eq(strbuf_str(&vm->region), agent->set->vm.region) &&
+	       str_eq(strbuf_str(&vm->domain), agent->set->vm.failure_domain) ==
+		       own_domain &&
 	       !str_eq(strbuf_str(&vm->id), agent->set->vm.id);
 }
 
-/* Peers of the own region: splits differ between regions. */
-static void learn_splits(struct quota_agent *agent)
+/* Asks peers of the own region, in or outside the own domain. */
+static bool learn_from(struct quota_agent *agent, const struct vml *vml,
+		       apr_time_t began, bool own_domain)
 {
-	struct ctl_view *view = ctl_agent_view(agent->ctl);
-	const apr_time_t began = clk_now(agent->clk);
+	const size_t first = (size_t)agent->incarnation;
 	size_t asked = 0;
-	size_t first;
 
-	if (!view)
-		return;
-	first = (size_t)agent->incarnation;
-	for (size_t i = 0; i < view->vml->count && asked < SPLIT_PEERS; i++) {
-		const size_t at = (first + i) % view->vml->count;
-		const struct vm *vm = &view->vml->vms[at];
+	for (size_t i = 0; i < vml->count && asked < SPLIT_PEERS; i++) {
+		const struct vm *vm = &vml->vms[(first + i) % vml->count];
 
 		if (clk_now(agent->clk) - began > SPLIT_TIMEOUT)
-			break;
-		if (!may_know_splits(agent, vm))
+			return false;
+		if (!may_know_splits(agent, vm, own_domain))
 			continue;
 		asked++;
 		if (fetch_splits(agent, vm))
-			break;
+			return true;
 	}
+	return false;
+}
+
+/* Splits differ between regions, and between the domains of a region. */
+static void learn_splits(struct quota_agent *agent)
+{
+	struct ctl_view *view = ctl_agent_view(agent->ctl);
+	const apr_time_t began = clk_now(agent->clk);
+
+	if (!view)
+		return;
+	if (!learn_from(agent, view->vml, began, true))
+		learn_from(agent, view->vml, began, false);
 	ctl_view_put(view);
 	pthread_mutex_lock(&agent->lock);
 	agent->splits_known = true;
--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent/quota_demand.h"
 #include "common/err.h"
 #include "common/evt.h"
 #include "policy/shf_goal.h"
@@ -26,13 +27,17 @@
 	const struct tbl *tbl;
 	/* This VM's region; the count of regions when it is not known. */
 	size_t own;
+	/* This VM's failure domain; the count of domains if not known. */
+	size_t own_domain;
 	double *demand;
+	double *domain_demand;
 	bool *serving;
 	struct shf_place *places;
 };
 
 struct qs {
 	struct strbuf region;
+	struct strbuf domain;
 	/* Of the goals in force. */
 	struct basis basis;
 	struct tbl *tbl;
@@ -47,6 +52,11 @@
 	return *out ? strbuf_set(&(*out)->region, region) : PST_ERR_NOMEM;
 }
 
+int qs_set_domain(struct qs *qs, struct str domain)
+{
+	return strbuf_set(&qs->domain, domain);
+}
+
 static void free_rows(struct row *rows, size_t count)
 {
 	for (size_t i = 0; i < count; i++) {
@@ -59,6 +69,7 @@
 static void free_basis(struct basis *basis)
 {
 	free(basis->demand);
+	free(basis->domain_demand);
 	free(basis->serving);
 	free(basis->places);
 }
@@ -131,29 +142,6 @@
 	return serving;
 }
 
-/* Part of the live entry VMs of each region; all 0 when there are none. */
-static double *demand_by_region(const struct tbl *tbl, const struct vml *vml)
-{
-	double *demand = calloc(tbl->region_count + 1, sizeof(*demand));
-	double total = 0;
-
-	for (size_t i = 0; demand && i < vml->count; i++) {
-		const struct vm *vm = &vml->vms[i];
-		int region;
-
-		if (vm->kind != VM_ENTRY || vm->state != VM_LIVE)
-			continue;
-		region = tbl_region_find(tbl, strbuf_str(&vm->region));
-		if (region < 0)
-			continue;
-		demand[region] += 1;
-		total += 1;
-	}
-	for (size_t i = 0; demand && total > 0 && i < tbl->region_count; i++)
-		demand[i] /= total;
-	return demand;
-}
-
 /* Only domains that serve count; all of them when none does. */
 static int set_goal(struct basis *basis, const struct tbl_row *row,
 		    double *goal)
@@ -161,6 +149,7 @@
 	const struct tbl *tbl = basis->tbl;
 	const size_t first = row->service * tbl->domain_count;
 	double sum = 0;
+	int err;
 
 	for (size_t i = 0; i < tbl->domain_count; i++) {
 		basis->places[i].region = tbl->domains[i].region;
@@ -170,8 +159,12 @@
 	}
 	for (size_t i = 0; sum <= 0 && i < tbl->domain_count; i++)
 		basis->places[i].weight = row->weights[i];
-	return shf_goal(basis->places, tbl->domain_count, basis->demand,
-			tbl->region_count, basis->own, goal);
+	err = shf_goal(basis->places, tbl->domain_count, basis->demand,
+		       tbl->region_count, basis->own, goal);
+	if (err)
+		return err;
+	return shf_goal_domain(basis->places, tbl->domain_count,
+			       basis->domain_demand, basis->own_domain, goal);
 }
 
 static const struct row *find_row(const struct qs *qs, struct str service,
@@ -230,15 +223,18 @@
 		      const struct vml *vml, struct basis *out)
 {
 	const int own = tbl_region_find(tbl, strbuf_str(&qs->region));
+	const int domain = tbl_domain_find(tbl, strbuf_str(&qs->domain));
 
 	*out = (struct basis){
 		.tbl = tbl,
 		.own = own < 0 ? tbl->region_count : (size_t)own,
+		.own_domain = domain < 0 ? tbl->domain_count : (size_t)domain,
 	};
-	out->demand = demand_by_region(tbl, vml);
+	out->demand = qd_by_region(tbl, vml);
+	out->domain_demand = qd_by_domain(tbl, vml);
 	out->serving = serving_domains(tbl, vml);
 	out->places = calloc(tbl->domain_count + 1, sizeof(*out->places));
-	if (out->demand && out->serving && out->places)
+	if (out->demand && out->domain_demand && out->serving && out->places)
 		return 0;
 	free_basis(out);
 	return PST_ERR_NOMEM;
@@ -251,6 +247,8 @@
 	return a->tbl == tbl &&
 	       !memcmp(a->demand, b->demand,
 		       tbl->region_count * sizeof(*a->demand)) &&
+	       !memcmp(a->domain_demand, b->domain_demand,
+		       tbl->domain_count * sizeof(*a->domain_demand)) &&
 	       !memcmp(a->serving, b->serving,
 		       tbl->service_count * tbl->domain_count *
 			       sizeof(*a->serving));
--- a/agent/quota_split.h
+++ b/agent/quota_split.h
@@ -16,12 +16,18 @@
 int qs_create(struct qs **out, struct str region);
 void qs_destroy(struct qs *qs);
 
+/*
+ * Names this VM's failure domain, before the first view; without it goals do
+ * not prefer a domain within the region. Returns 0 or PST_ERR_NOMEM.
+ */
+int qs_set_domain(struct qs *qs, struct str domain);
+
 /*
  * Puts a table and a list of VMs in force. Goals (see policy/shf_goal.h, with
- * demand in proportion to the regions' entry VMs) follow at once, splits by
- * qs_step(). A row seen for the first time starts at its goal, or at what
- * qs_adopt() gave. Takes references. Returns 0 or PST_ERR_NOMEM, upon which
- * the former view stays.
+ * demand in proportion to the entry VMs of regions and domains) follow at once,
+ * splits by qs_step(). A row seen for the first time starts at its goal, or at
+ * what qs_adopt() gave. Takes references. Returns 0 or PST_ERR_NOMEM, upon
+ * which the former view stays.
  */
 int qs_set_view(struct qs *qs, apr_time_t now, struct tbl *tbl,
 		struct vml *vml);
--- a/bench/exp_ranks.c
+++ b/bench/exp_ranks.c
@@ -61,6 +61,32 @@
 	set_loads(cfg, FLOOD_LOAD, 0.35, 0.25);
 }
 
+/* One domain of each region has an entry VM less. */
+static void uneven_bulk_flood(struct slot_model_cfg *cfg)
+{
+	bulk_flood(cfg);
+	cfg->entries_lost = 1;
+}
+
+static void uneven_urgent_flood(struct slot_model_cfg *cfg)
+{
+	urgent_flood(cfg);
+	cfg->entries_lost = 1;
+}
+
+/* Half of the work crosses failure domains. */
+static void cross_bulk_flood(struct slot_model_cfg *cfg)
+{
+	bulk_flood(cfg);
+	cfg->cross_domain = true;
+}
+
+static void cross_urgent_flood(struct slot_model_cfg *cfg)
+{
+	urgent_flood(cfg);
+	cfg->cross_domain = true;
+}
+
 static void liar(struct slot_model_cfg *cfg)
 {
 	cfg->liar = 7;
@@ -84,6 +110,7 @@
 static void cross_region(struct slot_model_cfg *cfg)
 {
 	cfg->hop_far = cfg->region_hop;
+	cfg->cross_domain = true;
 	set_loads(cfg, 0.08, 0.08, 0.08);
 }
 
@@ -98,6 +125,10 @@
 	{"bulk_flood", bulk_flood},
 	{"long_bulk_flood", long_bulk_flood},
 	{"urgent_flood", urgent_flood},
+	{"uneven_bulk", uneven_bulk_flood},
+	{"uneven_urgent", uneven_urgent_flood},
+	{"cross_bulk", cross_bulk_flood},
+	{"cross_urgent", cross_urgent_flood},
 	{"liar", liar},
 	{"slow", slow},
 	{"slow_at_times", slow_at_times},
--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -1,11 +1,11 @@
 #include "fakes/slot_model.h"
 
-#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 
 #include "common/clk.h"
 #include "common/err.h"
+#include "fakes/slot_draw.h"
 
 /* Requests queued at an upstream before it sheds, by slot. */
 #define QUEUE_PER_SLOT 2
@@ -97,7 +97,7 @@
 	struct slot_model_cfg cfg;
 	struct slot_model_results *out;
 	apr_time_t now;
-	uint64_t random;
+	struct slot_draw draw;
 	struct event *heap;
 	size_t event_count;
 	size_t event_room;
@@ -115,21 +115,6 @@
 	bool failed;
 };
 
-static uint64_t next_random(struct model *m)
-{
-	m->random ^= m->random << 13;
-	m->random ^= m->random >> 7;
-	m->random ^= m->random << 17;
-	return m->random * 0x2545f4914f6cdd1du;
-}
-
-static double exponential(struct model *m, double mean)
-{
-	const double u = (double)(next_random(m) >> 11) / 9007199254740992.0;
-
-	return -mean * log(1 - u);
-}
-
 static bool before(const struct event *a, const struct event *b)
 {
 	return a->at != b->at ? a->at < b->at : a->order < b->order;
@@ -191,20 +176,10 @@
 	return first;
 }
 
-static int region_of_domain(int domain)
-{
-	return domain / (SLOT_MODEL_DOMAINS / SLOT_MODEL_REGIONS);
-}
-
-static int domain_of_entry(int entry)
-{
-	return entry / (SLOT_MODEL_ENTRIES / SLOT_MODEL_DOMAINS);
-}
-
 static apr_interval_time_t hop(const struct model *m, const struct request *r)
 {
-	return domain_of_entry(r->entry) == r->domain ? m->cfg.hop_near
-						      : m->cfg.hop_far;
+	return slot_draw_domain_of(r->entry) == r->domain ? m->cfg.hop_near
+							  : m->cfg.hop_far;
 }
 
 static void post_request(struct model *m, apr_interval_time_t after,
@@ -403,7 +378,7 @@
 			.load_permille = m->ups[i].reported,
 		};
 	at = pick_target(m->cfg.policy, targets, SLOT_MODEL_UPSTREAMS,
-			 next_random(m));
+			 slot_draw_random(&m->draw));
 	send_to(m, id, at);
 }
 
@@ -495,52 +470,15 @@
 	brk_release(g->brk, self(m, g, r), e->permit, e->outcome, m->now);
 }
 
-static uint16_t pick_domain(struct model *m, int entry)
-{
-	const int region = region_of_domain(domain_of_entry(entry));
-	uint32_t slots = 0;
-	uint64_t at;
-
-	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
-		if (region_of_domain(m->ups[i].domain) == region)
-			slots += m->ups[i].slots;
-	}
-	at = next_random(m) % slots;
-	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
-		if (region_of_domain(m->ups[i].domain) != region)
-			continue;
-		if (at < m->ups[i].slots)
-			return m->ups[i].domain;
-		at -= m->ups[i].slots;
-	}
-	return 0;
-}
-
-/* Entries of a region get the region's part of the load. */
-static uint16_t pick_entry(struct model *m)
-{
-	const int per_region = SLOT_MODEL_ENTRIES / SLOT_MODEL_REGIONS;
-	uint64_t at = next_random(m) % m->slots;
-
-	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
-		if (at < m->ups[i].slots) {
-			const int region = region_of_domain(m->ups[i].domain);
-
-			return (uint16_t)(region * per_region +
-					  (int)(next_random(m) % per_region));
-		}
-		at -= m->ups[i].slots;
-	}
-	return 0;
-}
-
 static void post_arrival(struct model *m, enum rank rank)
 {
 	const struct slot_model_rank *r = &m->cfg.rank[rank];
 	const double rate = r->load * m->slots / r->service;
 
 	if (rate > 0)
-		post_request(m, (apr_interval_time_t)exponential(m, 1 / rate),
+		post_request(m,
+			     (apr_interval_time_t)slot_draw_exponential(
+				     &m->draw, 1 / rate),
 			     ARRIVE, (uint32_t)rank);
 }
 
@@ -559,13 +497,12 @@
 	r = &m->requests[m->request_count++];
 	*r = (struct request){
 		.rank = rank,
-		.entry = pick_entry(m),
+		.entry = slot_draw_entry(&m->draw),
 		.arrived = m->now,
-		.service =
-			1 + (apr_interval_time_t)exponential(m, cfg->service),
+		.service = slot_draw_service(&m->draw, cfg->service),
 		.measured = m->now >= m->cfg.warmup,
 	};
-	r->domain = pick_domain(m, r->entry);
+	r->domain = slot_draw_domain(&m->draw, r->entry);
 	m->out->rank[rank].offered += r->measured;
 	post_request(m, cfg->deadline, GIVEN_UP, id);
 	ask(m, id);
@@ -638,8 +575,10 @@
 	}
 }
 
-static void make_upstreams(struct model *m)
+static int make_upstreams(struct model *m)
 {
+	uint32_t slots[SLOT_MODEL_DOMAINS] = {0};
+
 	for (int i = 0; i < SLOT_MODEL_UPSTREAMS; i++) {
 		struct upstream *up = &m->ups[i];
 		char name[16];
@@ -649,6 +588,7 @@
 		up->domain = (uint16_t)(i % SLOT_MODEL_DOMAINS);
 		up->slots = m->cfg.slots_low + (m->cfg.slots_vary && i % 2);
 		m->slots += up->slots;
+		slots[up->domain] += up->slots;
 	}
 	for (int i = 0; i < SLOT_MODEL_ENTRIES; i++) {
 		char name[16];
@@ -656,6 +596,7 @@
 		snprintf(name, sizeof(name), "entry-%d", i);
 		strbuf_set(&m->entries[i], str_from_c(name));
 	}
+	return slot_draw_init(&m->draw, &m->cfg, slots);
 }
 
 /* holders is 1 for a broker; else the slots are split among so many. */
@@ -705,14 +646,15 @@
 
 static int make_givers(struct model *m)
 {
-	const int per_region = SLOT_MODEL_ENTRIES / SLOT_MODEL_REGIONS;
+	const int per_region = SLOT_MODEL_PER_REGION;
 	int err = 0;
 
 	for (int d = 0; d < SLOT_MODEL_DOMAINS && !err; d++) {
 		if (m->cfg.policy == PICK_BROKER)
 			err = make_giver(m, &m->brokers[d], d, 1, 0);
 		for (int e = 0; e < per_region && !err; e++) {
-			const int entry = region_of_domain(d) * per_region + e;
+			const int entry =
+				slot_draw_region_of(d) * per_region + e;
 			struct giver *g = &m->locals[entry][d];
 
 			g->local = true;
@@ -827,9 +769,9 @@
 	*out = (struct slot_model_results){0};
 	m->cfg = *cfg;
 	m->out = out;
-	m->random = cfg->seed * 0x9e3779b97f4a7c15u | 1;
-	make_upstreams(m);
-	err = make_givers(m);
+	err = make_upstreams(m);
+	if (!err)
+		err = make_givers(m);
 	for (int r = 0; r < RANK_COUNT; r++)
 		post_arrival(m, (enum rank)r);
 	post_request(m, 0, REPORT, 0);
--- a/fakes/slot_model.h
+++ b/fakes/slot_model.h
@@ -2,9 +2,10 @@
  * An event-driven model of entry VMs, brokers and upstreams on a clock of its
  * own, to measure how slots are given out. It drives the code of policy/.
  *
- * Each entry VM sends to the failure domains of its own region, by their
- * slots. Upstreams run one request a slot, queue a few more in order of
- * arrival and shed the rest. Work that has begun cannot be interrupted.
+ * Each entry VM sends to the failure domains of its own region, by the split
+ * of policy/shf_goal with slots as weights. Upstreams run one request a slot,
+ * queue a few more in order of arrival and shed the rest. Work that has begun
+ * cannot be interrupted.
  */
 #ifndef FAKES_SLOT_MODEL_H
 #define FAKES_SLOT_MODEL_H
@@ -54,6 +55,12 @@
 	double slow_factor;
 	apr_interval_time_t slow_time;
 	apr_interval_time_t slow_period;
+	/* Entry VMs that the first domain of each region is short of. */
+	uint32_t entries_lost;
+	/* Domains of the region are drawn by weight, wherever the entry is. */
+	bool cross_domain;
+	/* Each request takes the mean time of its rank. */
+	bool fixed_times;
 	/* For brk_up_cfg. */
 	bool ignore_pace;
 };
--- a/policy/shf_goal.c
+++ b/policy/shf_goal.c
@@ -27,21 +27,24 @@
 	return parts;
 }
 
-/* Turns the parts of the weights into this entry's parts by region. */
-static void keep_local(double *parts, const double *demand, size_t region_count,
+/*
+ * Turns the parts of the weights, by region or by domain, into this entry's
+ * parts.
+ */
+static void keep_local(double *parts, const double *demand, size_t count,
 		       size_t own)
 {
 	double spare = 0;
 	double kept;
 
-	if (own >= region_count || demand[own] <= ROUNDING)
+	if (own >= count || demand[own] <= ROUNDING)
 		return;
 	kept = parts[own] < demand[own] ? parts[own] / demand[own] : 1;
-	for (size_t i = 0; i < region_count; i++) {
+	for (size_t i = 0; i < count; i++) {
 		if (parts[i] > demand[i])
 			spare += parts[i] - demand[i];
 	}
-	for (size_t i = 0; i < region_count; i++) {
+	for (size_t i = 0; i < count; i++) {
 		const double over = parts[i] - demand[i];
 
 		if (i == own)
@@ -53,6 +56,26 @@
 	}
 }
 
+/* What each domain of the region is of the region's sum; 0 elsewhere. */
+static double *parts_of_region(const struct shf_place *places,
+			       const double *values, size_t count,
+			       uint32_t region)
+{
+	double *parts = calloc(count + 1, sizeof(*parts));
+	double sum = 0;
+
+	for (size_t i = 0; i < count; i++) {
+		if (places[i].region == region)
+			sum += values ? values[i] : places[i].weight;
+	}
+	for (size_t i = 0; parts && sum > 0 && i < count; i++) {
+		if (places[i].region == region)
+			parts[i] =
+				(values ? values[i] : places[i].weight) / sum;
+	}
+	return parts;
+}
+
 int shf_goal(const struct shf_place *places, size_t count, const double *demand,
 	     size_t region_count, size_t own, double *out)
 {
@@ -83,3 +106,35 @@
 	free(wanted);
 	return 0;
 }
+
+int shf_goal_domain(const struct shf_place *places, size_t count,
+		    const double *demand, size_t own, double *goal)
+{
+	double *wanted;
+	double *arriving;
+	double stays = 0;
+	uint32_t region;
+
+	if (own >= count)
+		return 0;
+	region = places[own].region;
+	wanted = parts_of_region(places, NULL, count, region);
+	arriving = parts_of_region(places, demand, count, region);
+	if (!wanted || !arriving) {
+		free(wanted);
+		free(arriving);
+		return PST_ERR_NOMEM;
+	}
+	keep_local(wanted, arriving, count, own);
+	for (size_t i = 0; i < count; i++) {
+		if (places[i].region == region)
+			stays += goal[i];
+	}
+	for (size_t i = 0; i < count; i++) {
+		if (places[i].region == region)
+			goal[i] = stays * wanted[i];
+	}
+	free(wanted);
+	free(arriving);
+	return 0;
+}
--- a/policy/shf_goal.h
+++ b/policy/shf_goal.h
@@ -1,6 +1,6 @@
 /*
- * The split that an entry VM aims at: its own region's failure domains
- * first, as far as the fleet-wide split by the table's weights allows.
+ * The split that an entry VM aims at: its own failure domain first, then its
+ * own region, as far as the fleet-wide split by the table's weights allows.
  */
 #ifndef POLICY_SHF_GOAL_H
 #define POLICY_SHF_GOAL_H
@@ -30,4 +30,14 @@
 int shf_goal(const struct shf_place *places, size_t count, const double *demand,
 	     size_t region_count, size_t own, double *out);
 
+/*
+ * Applies the same rule within the region of failure domain own (count: none)
+ * to what shf_goal() wrote: with f and d as parts of the region, an entry
+ * keeps min(1, f / d) of what stays in its region in its own domain. demand:
+ * part of the fleet's requests that arrives in each domain. The sum over the
+ * entries of a region stays the same. Returns 0 or PST_ERR_NOMEM.
+ */
+int shf_goal_domain(const struct shf_place *places, size_t count,
+		    const double *demand, size_t own, double *goal);
+
 #endif
--- a/tests/test_brk_flood.c
+++ b/tests/test_brk_flood.c
@@ -159,6 +159,7 @@
 
 	slot_model_fund(&cfg);
 	cfg.hop_far = cfg.region_hop;
+	cfg.cross_domain = true;
 	cfg.seed = SEED;
 	broker = run_far(&cfg, &quarter);
 	cfg.policy = PICK_TWO_CHOICES;
--- a/tests/test_brk_hops.c
+++ b/tests/test_brk_hops.c
@@ -1,7 +1,8 @@
 /*
  * The targets for floods where messages between failure domains take 1.5 ms,
  * as at the Guild, as parts of all slot time. A slot is idle while the end of
- * one request and the permit for the next are under way.
+ * one request and the permit for the next are under way. Each also with one
+ * domain of every region short of an entry VM, so that work crosses domains.
  */
 #include <check.h>
 #include <stdio.h>
@@ -15,21 +16,27 @@
 /* Ten times the capacity. */
 #define FLOOD 10.0
 
+/* Entry VMs that a domain of each region is short of, of four. */
+#define LOST_MOST 1
+
 /* The stated targets. */
 #define USEFUL_WORK  0.95
 #define RESERVE_KEPT 0.95
 
-static struct slot_model_results run(double urgent, double normal, double bulk)
+static struct slot_model_results run(uint32_t entries_lost, double urgent,
+				     double normal, double bulk)
 {
 	struct slot_model_cfg cfg;
 	struct slot_model_results results;
 
 	slot_model_guild(&cfg);
 	cfg.seed = SEED;
+	cfg.entries_lost = entries_lost;
 	cfg.rank[RANK_URGENT].load = urgent;
 	cfg.rank[RANK_NORMAL].load = normal;
 	cfg.rank[RANK_BULK].load = bulk;
-	printf("seed %d\n", SEED);
+	printf("seed %d, %u entry VMs less in a domain of each region\n", SEED,
+	       entries_lost);
 	ck_assert_int_eq(slot_model_run(&cfg, &results), 0);
 	return results;
 }
@@ -45,7 +52,7 @@
 
 START_TEST(slots_do_useful_work_in_a_bulk_flood)
 {
-	const struct slot_model_results r = run(0.2, 0.2, FLOOD);
+	const struct slot_model_results r = run((uint32_t)_i, 0.2, 0.2, FLOOD);
 
 	ck_assert_double_ge(useful(&r), USEFUL_WORK);
 }
@@ -53,7 +60,8 @@
 
 START_TEST(slots_do_useful_work_in_an_urgent_flood)
 {
-	const struct slot_model_results r = run(FLOOD, 0.35, 0.25);
+	const struct slot_model_results r =
+		run((uint32_t)_i, FLOOD, 0.35, 0.25);
 
 	ck_assert_double_ge(useful(&r), USEFUL_WORK);
 }
@@ -61,7 +69,8 @@
 
 START_TEST(other_ranks_keep_their_reserve_in_an_urgent_flood)
 {
-	const struct slot_model_results r = run(FLOOD, 0.35, 0.25);
+	const struct slot_model_results r =
+		run((uint32_t)_i, FLOOD, 0.35, 0.25);
 
 	ck_assert_double_ge(r.rank[RANK_NORMAL].useful / r.capacity,
 			    RESERVE_KEPT * 0.30);
@@ -75,8 +84,12 @@
 	TCase *tc = tcase_create("brk_hops");
 
 	tcase_set_timeout(tc, 60);
-	tcase_add_test(tc, slots_do_useful_work_in_a_bulk_flood);
-	tcase_add_test(tc, slots_do_useful_work_in_an_urgent_flood);
-	tcase_add_test(tc, other_ranks_keep_their_reserve_in_an_urgent_flood);
+	tcase_add_loop_test(tc, slots_do_useful_work_in_a_bulk_flood, 0,
+			    LOST_MOST + 1);
+	tcase_add_loop_test(tc, slots_do_useful_work_in_an_urgent_flood, 0,
+			    LOST_MOST + 1);
+	tcase_add_loop_test(tc,
+			    other_ranks_keep_their_reserve_in_an_urgent_flood,
+			    0, LOST_MOST + 1);
 	return fix_run("brk_hops", tc);
 }
