Brokers spread the starts of work whose times are alike

Cause: requests of one fixed running time that start together end together. With all ranks at 250 ms an urgent request just after such a wave waited up to a whole running time, as what is kept free for urgent work supposes that slots come free evenly.

Starts of a rank below urgent now keep 0.8 of its mean time over the number of slots apart, at most half of an urgent request's time, and less the more its times vary, so that exponential times are not held back.

The model's tick is 10 ms, as that of the product.

--- a/fakes/slot_draw.c
+++ b/fakes/slot_draw.c
@@ -102,13 +102,15 @@
 		total += slots[d];
 	for (int d = 0; d < SLOT_MODEL_DOMAINS; d++) {
 		const int region = slot_draw_region_of(d);
+		int entries;
 
 		places[d] = (struct shf_place){
 			.region = (uint32_t)region,
 			.weight = slots[d],
 		};
 		draw->region[region] += slots[d] / total;
-		demand[d] = SLOT_MODEL_PER_DOMAIN - lost_of(draw, d);
+		entries = SLOT_MODEL_PER_DOMAIN - lost_of(draw, d);
+		demand[d] = entries;
 	}
 	for (int d = 0; d < SLOT_MODEL_DOMAINS && !err; d++) {
 		const size_t region = (size_t)slot_draw_region_of(d);
--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -14,7 +14,7 @@
 /* Upstreams tried before a request is refused. */
 #define TRIES_MAX 3
 
-#define TICK	  CLK_MS(20)
+#define TICK	  CLK_MS(10)
 
 /* Time after the end in which everything in progress ends. */
 #define SETTLE CLK_SEC(120)
--- a/policy/brk_line.c
+++ b/policy/brk_line.c
@@ -30,6 +30,21 @@
 #define GUARD_PART 8.0
 #define GUARD_MOST 0.6
 
+/* Part of the even distance between starts that is kept. */
+#define SPREAD_PART 0.8
+
+/* Samples of a rank after which its deviation tells how alike times are. */
+#define SPREAD_SAMPLES_MIN 8
+
+/* Longest distance kept, in times of a request of urgent work. */
+#define SPREAD_MOST 0.5
+
+/* Starts this late are made up for, in microseconds: many slots, short gaps. */
+#define SPREAD_SLACK 1e3
+
+/* Mean deviations that make up the mean where nothing is to be spread. */
+#define SPREAD_DEVIATIONS 2.0
+
 /* Time after the last ask of a rank for which slots are kept free. */
 #define GUARD_TIME APR_TIME_C(10000000)
 
@@ -38,6 +53,11 @@
 	return a < b ? a : b;
 }
 
+static double most(double a, double b)
+{
+	return a > b ? a : b;
+}
+
 static double clamp(double x, double low, double high)
 {
 	return x < low ? low : least(x, high);
@@ -71,6 +91,13 @@
 	return rate > 0 ? 1 / rate : HELD_DEFAULT;
 }
 
+static bool recently_asked(const struct brk_line *line, enum rank rank)
+{
+	const struct brk_use *use = &line->use[rank];
+
+	return use->last_ask && line->at - use->last_ask <= GUARD_TIME;
+}
+
 /* Slots to be left free for the rank; fewer when slots come free soon. */
 static double guard(const struct brk_line *line, enum rank rank)
 {
@@ -79,7 +106,7 @@
 	const double part = least(GUARD_MOST, soon / (GUARD_PART * use->mean));
 	double wanted = use->demand + GUARD_ROOTS * sqrt(use->demand);
 
-	if (!use->last_ask || line->at - use->last_ask > GUARD_TIME)
+	if (!recently_asked(line, rank))
 		return 0;
 	wanted = least(wanted, use->reserved) - use->held;
 	return wanted > 0 ? part * wanted : 0;
@@ -104,6 +131,28 @@
 	return slots > 0.1 ? slots : 0.1;
 }
 
+/*
+ * Requests that take the same time and start together end together, and then
+ * no slot comes free for long. So starts are spread over that time while more
+ * urgent work may come; times that vary spread the ends by themselves.
+ */
+static double start_gap(const struct brk_line *line, enum rank rank)
+{
+	const struct brk_use *use = &line->use[rank];
+	const double alike = 1 - SPREAD_DEVIATIONS * use->deviation / use->mean;
+
+	if (rank == RANK_URGENT || !recently_asked(line, RANK_URGENT) ||
+	    use->samples < SPREAD_SAMPLES_MIN || alike <= 0 || !line->capacity)
+		return 0;
+	return alike * least(SPREAD_PART * use->mean / line->capacity,
+			     SPREAD_MOST * line->use[RANK_URGENT].mean);
+}
+
+static bool too_soon(const struct brk_line *line, enum rank rank)
+{
+	return (double)line->at < line->use[rank].next_start;
+}
+
 void brk_line_init(struct brk_line *line, apr_time_t now)
 {
 	*line = (struct brk_line){.at = now};
@@ -161,7 +210,8 @@
 	}
 	*reserve = false;
 	for (int r = (int)first; r < RANK_COUNT; r++) {
-		if (line->use[r].waiting && free >= 0.5 + guarded)
+		if (line->use[r].waiting && free >= 0.5 + guarded &&
+		    !too_soon(line, (enum rank)r))
 			return r;
 		guarded += guard(line, (enum rank)r);
 	}
@@ -170,7 +220,12 @@
 
 void brk_line_granted(struct brk_line *line, enum rank rank)
 {
-	line->use[rank].rate += 1 / DEMAND_TIME;
+	struct brk_use *use = &line->use[rank];
+
+	use->rate += 1 / DEMAND_TIME;
+	use->next_start =
+		start_gap(line, rank) +
+		most(use->next_start, (double)line->at - SPREAD_SLACK);
 }
 
 void brk_line_sample(struct brk_line *line, enum rank rank,
--- a/policy/brk_line.h
+++ b/policy/brk_line.h
@@ -36,6 +36,8 @@
 	double deviation;
 	uint32_t samples;
 	apr_time_t last_ask;
+	/* Earliest start of the next request, where starts are spread. */
+	double next_start;
 };
 
 struct brk_line {
