A request whose own domain cannot take it finds another

Cause: since entry VMs keep to their own failure domain, a split may have a single part, and a redraw chooses only among domains with a part. So what the own domain could not take was refused though the region's other domain could take it. test_shf_goal shows it (-1 for a redraw before this change).

0.1% of what stays in the region is now split by weight again, which leaves every domain of the region a part; the sums by domain stay the weights'. Ruled out: redraws by the table's weights in policy/shf, which would need the weights there and leave the shift cap's account aside.

--- a/policy/shf_goal.c
+++ b/policy/shf_goal.c
@@ -7,6 +7,12 @@
 /* Parts smaller than this are rounding. */
 #define ROUNDING 1e-12
 
+/*
+ * Part that stays split by weight in the region, so that a request which its
+ * own domain cannot take has another to go to.
+ */
+#define BY_WEIGHT 1e-3
+
 static double total_weight(const struct shf_place *places, size_t count)
 {
 	double sum = 0;
@@ -132,7 +138,8 @@
 	}
 	for (size_t i = 0; i < count; i++) {
 		if (places[i].region == region)
-			goal[i] = stays * wanted[i];
+			goal[i] = BY_WEIGHT * goal[i] +
+				  (1 - BY_WEIGHT) * stays * wanted[i];
 	}
 	free(wanted);
 	free(arriving);
--- a/policy/shf_goal.h
+++ b/policy/shf_goal.h
@@ -33,7 +33,8 @@
 /*
  * Applies the same rule within the region of failure domain own (count: none)
  * to what shf_goal() wrote: with f and d as parts of the region, an entry
- * keeps min(1, f / d) of what stays in its region in its own domain. demand:
+ * keeps min(1, f / d) of what stays in its region in its own domain, but for
+ * 0.1% that stay split by weight: a redraw needs a domain with a part. demand:
  * part of the fleet's requests that arrives in each domain. The sum over the
  * entries of a region stays the same. Returns 0 or PST_ERR_NOMEM.
  */
