--- a/agent/quota_basis.c
+++ b/agent/quota_basis.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "agent/quota_demand.h"
 #include "common/err.h"
 
 /* Below this part of the demand no bound is worked out. */
@@ -60,32 +61,10 @@
 	return lost;
 }
 
-/* Part of the live entry VMs of each region; all 0 when there are none. */
-static double *demand_by_region(const struct tbl *tbl, const struct vml *vml)
-{
-	double *demand = calloc(tbl->region_count + 1, sizeof(*demand));
-	double total = 0;
-
-	for (size_t i = 0; demand && i < vml->count; i++) {
-		const struct vm *vm = &vml->vms[i];
-		int region;
-
-		if (vm->kind != VM_ENTRY || vm->state != VM_LIVE)
-			continue;
-		region = tbl_region_find(tbl, strbuf_str(&vm->region));
-		if (region < 0)
-			continue;
-		demand[region] += 1;
-		total += 1;
-	}
-	for (size_t i = 0; demand && total > 0 && i < tbl->region_count; i++)
-		demand[i] /= total;
-	return demand;
-}
-
 static void drop(struct qb_epoch *epoch)
 {
 	free(epoch->demand);
+	free(epoch->domain_demand);
 	free(epoch->lost);
 	*epoch = (struct qb_epoch){0};
 }
@@ -95,9 +74,11 @@
 {
 	*out = (struct qb){.epochs[0].from = from};
 	out->serving = serving_domains(tbl, vml);
-	out->epochs[0].demand = demand_by_region(tbl, vml);
+	out->epochs[0].demand = qd_by_region(tbl, vml);
+	out->epochs[0].domain_demand = qd_by_domain(tbl, vml);
 	out->epochs[0].lost = lost_domains(tbl, vml);
-	if (out->serving && out->epochs[0].demand && out->epochs[0].lost)
+	if (out->serving && out->epochs[0].demand &&
+	    out->epochs[0].domain_demand && out->epochs[0].lost)
 		return 0;
 	qb_done(out);
 	return PST_ERR_NOMEM;
@@ -124,38 +105,81 @@
 
 	return !memcmp(x->demand, y->demand,
 		       tbl->region_count * sizeof(*x->demand)) &&
+	       !memcmp(x->domain_demand, y->domain_demand,
+		       tbl->domain_count * sizeof(*x->domain_demand)) &&
 	       !memcmp(x->lost, y->lost, tbl->domain_count * sizeof(*x->lost));
 }
 
 /*
- * With k what an entry keeps in its region and d the demand there, k changes
- * by at most the change of d over d, and the rest, 1 - k of the whole, by the
- * change of all demand over what the other regions can take, which is at
- * least (1 - k) * d.
+ * With k what an entry keeps in its own place and d the demand there, k
+ * changes by at most the change of d over d, and the rest, 1 - k of the whole,
+ * by the change of all demand over what the other places can take, which is
+ * at least (1 - k) * d.
  */
-static double far_apart(const struct qb_epoch *a, const struct qb_epoch *b,
-			const struct tbl *tbl, size_t own)
+static double far_by_demand(const double *a, const double *b, size_t count,
+			    size_t own)
 {
+	const double least = a[own] < b[own] ? a[own] : b[own];
 	double all = 0;
-	double least;
-	double far;
 
-	if (memcmp(a->lost, b->lost, tbl->domain_count * sizeof(*a->lost)) != 0)
-		return 1;
-	if (own >= tbl->region_count)
-		return 0;
-	least = a->demand[own] < b->demand[own] ? a->demand[own]
-						: b->demand[own];
 	if (least < DEMAND_MIN)
 		return 1;
-	for (size_t i = 0; i < tbl->region_count; i++)
-		all += fabs(a->demand[i] - b->demand[i]);
-	far = (fabs(a->demand[own] - b->demand[own]) + all) / least;
+	for (size_t i = 0; i < count; i++)
+		all += fabs(a[i] - b[i]);
+	return (fabs(a[own] - b[own]) + all) / least;
+}
+
+/* Writes the domains' demand as parts of the region's; all 0 without any. */
+static void parts_of_region(const double *demand, const struct tbl *tbl,
+			    uint32_t region, double *out)
+{
+	double sum = 0;
+
+	for (size_t i = 0; i < tbl->domain_count; i++) {
+		out[i] = tbl->domains[i].region == region ? demand[i] : 0;
+		sum += out[i];
+	}
+	for (size_t i = 0; sum > 0 && i < tbl->domain_count; i++)
+		out[i] /= sum;
+}
+
+/* How far apart the goals are by how a region's work is split. */
+static double far_in_region(const struct qb_epoch *a, const struct qb_epoch *b,
+			    const struct tbl *tbl, size_t own_domain)
+{
+	const uint32_t region = tbl->domains[own_domain].region;
+	double *parts = calloc(2 * tbl->domain_count, sizeof(*parts));
+	double far = 1;
+
+	if (parts) {
+		double *other = parts + tbl->domain_count;
+
+		parts_of_region(a->domain_demand, tbl, region, parts);
+		parts_of_region(b->domain_demand, tbl, region, other);
+		far = far_by_demand(parts, other, tbl->domain_count,
+				    own_domain);
+	}
+	free(parts);
+	return far;
+}
+
+static double far_apart(const struct qb_epoch *a, const struct qb_epoch *b,
+			const struct tbl *tbl, size_t own, size_t own_domain)
+{
+	double far = 0;
+
+	if (memcmp(a->lost, b->lost, tbl->domain_count * sizeof(*a->lost)) != 0)
+		return 1;
+	if (own < tbl->region_count)
+		far += far_by_demand(a->demand, b->demand, tbl->region_count,
+				     own);
+	if (own_domain < tbl->domain_count)
+		far += far_in_region(a, b, tbl, own_domain);
 	return far < 1 ? far : 1;
 }
 
 void qb_follow(struct qb *qb, struct qb *next, const struct tbl *tbl,
-	       size_t own)
+	       size_t own, size_t own_domain)
 {
 	struct qb_epoch *at;
 
@@ -169,7 +193,8 @@
 		at = &qb->epochs[qb->newest % QB_EPOCHS_MAX];
 		drop(at);
 		*at = next->epochs[0];
-		at->far = far_apart(qb_epoch(qb, qb->newest - 1), at, tbl, own);
+		at->far = far_apart(qb_epoch(qb, qb->newest - 1), at, tbl, own,
+				    own_domain);
 		next->epochs[0] = (struct qb_epoch){0};
 	}
 	qb_done(next);
--- a/agent/quota_basis.h
+++ b/agent/quota_basis.h
@@ -1,7 +1,7 @@
 /*
  * What the goals of the splits are worked out from, besides the weights:
  * services' failure domains with upstreams that take work, and, by epochs,
- * the regions' demand and the domains that are lost.
+ * the demand of regions and domains and the domains that are lost.
  *
  * Not thread-safe.
  */
@@ -19,6 +19,8 @@
 	apr_interval_time_t from;
 	/* Part of the fleet's requests of each region. Owned. */
 	double *demand;
+	/* Part of the fleet's requests of each domain. Owned. */
+	double *domain_demand;
 	/* Domains of which no entry VM is heard. Owned. */
 	bool *lost;
 	/* No goal is further from the former epoch's; at most 1. */
@@ -48,9 +50,9 @@
 /*
  * Takes over next's services and, when it differs, its epoch, and ends next.
  * The oldest epoch is dropped when there is no room. own: this VM's region,
- * or region_count.
+ * or region_count; own_domain: its failure domain, or domain_count.
  */
 void qb_follow(struct qb *qb, struct qb *next, const struct tbl *tbl,
-	       size_t own);
+	       size_t own, size_t own_domain);
 
 #endif
--- a/agent/quota_row.c
+++ b/agent/quota_row.c
@@ -17,8 +17,10 @@
 int qr_make_rows(struct qs *qs)
 {
 	const int own = tbl_region_find(qs->tbl, strbuf_str(&qs->region));
+	const int domain = tbl_domain_find(qs->tbl, strbuf_str(&qs->domain));
 
 	qs->own = own < 0 ? qs->tbl->region_count : (size_t)own;
+	qs->own_domain = domain < 0 ? qs->tbl->domain_count : (size_t)domain;
 	qs->rows = calloc(qs->row_count + 1, sizeof(*qs->rows));
 	qs->live = calloc(qs->row_count + 1, sizeof(*qs->live));
 	qs->places = calloc(qs->tbl->domain_count + 1, sizeof(*qs->places));
@@ -63,6 +65,7 @@
 		&qs->basis.serving[row->service * tbl->domain_count];
 	struct shf_place *places = qs->places;
 	double sum = 0;
+	int err;
 
 	for (size_t i = 0; i < tbl->domain_count; i++) {
 		places[i].region = tbl->domains[i].region;
@@ -72,8 +75,12 @@
 	}
 	for (size_t i = 0; sum <= 0 && i < tbl->domain_count; i++)
 		places[i].weight = row->weights[i];
-	return shf_goal(places, tbl->domain_count, at->demand,
-			tbl->region_count, qs->own, goal);
+	err = shf_goal(places, tbl->domain_count, at->demand, tbl->region_count,
+		       qs->own, goal);
+	if (err)
+		return err;
+	return shf_goal_domain(places, tbl->domain_count, at->domain_demand,
+			       qs->own_domain, goal);
 }
 
 /* Running time at which an epoch ended; now for the one in force. */
--- a/agent/quota_row.h
+++ b/agent/quota_row.h
@@ -34,6 +34,7 @@
 
 struct qs {
 	struct strbuf region;
+	struct strbuf domain;
 	struct tbl *tbl;
 	struct vml *vml;
 	struct qb basis;
@@ -48,6 +49,8 @@
 	struct shf_place *places;
 	/* This VM's region in tbl, or the count of regions. */
 	size_t own;
+	/* This VM's failure domain in tbl, or the count of domains. */
+	size_t own_domain;
 };
 
 /* Makes row_count resting rows at their goals. Returns 0, PST_ERR_NOMEM. */
--- a/agent/quota_split.c
+++ b/agent/quota_split.c
@@ -16,6 +16,11 @@
 	return *out ? strbuf_set(&(*out)->region, region) : PST_ERR_NOMEM;
 }
 
+int qs_set_domain(struct qs *qs, struct str domain)
+{
+	return strbuf_set(&qs->domain, domain);
+}
+
 void qs_destroy(struct qs *qs)
 {
 	if (!qs)
@@ -111,6 +116,7 @@
 {
 	struct qs next = {
 		.region = qs->region,
+		.domain = qs->domain,
 		.run = qs->run,
 		.stepped_at = qs->stepped_at,
 		.row_count = tbl->service_count * RANK_COUNT,
@@ -230,7 +236,7 @@
 	}
 	if (changed)
 		set_goals_due(qs);
-	qb_follow(&qs->basis, next, tbl, qs->own);
+	qb_follow(&qs->basis, next, tbl, qs->own, qs->own_domain);
 	put_view(qs, tbl, vml);
 	return 0;
 }
--- a/tests/test_quota_split.c
+++ b/tests/test_quota_split.c
@@ -121,6 +121,11 @@
 	make_views(edits);
 	qs_create(&used, STR_LIT("r0"));
 	qs_create(&rested, STR_LIT("r0"));
+	/* Every other seed prefers a domain within the region. */
+	if (seed % 2) {
+		qs_set_domain(used, strbuf_str(&lists[0]->vms[0].domain));
+		qs_set_domain(rested, strbuf_str(&lists[0]->vms[0].domain));
+	}
 	qs_set_view(used, 0, tables[0], lists[0]);
 	qs_set_view(rested, 0, tables[0], lists[0]);
 	for (apr_time_t now = 0; now < RUN; now += STEP) {
