Limits: wants follow the use of a grant; idle VMs hold a smaller spare

Cause, measured by logging rate, taken and offered at each exchange while t_limit_use ran: a VM with work takes 0.95 of its grant, all the window leaves, so neither pace nor rank reserve is what is missing. A VM whose uploads leave pauses kept half of a link and used half of that, as each refusal by the pace counted as want. At a start idle VMs held half of the limit as spare, which rests for a loan and a window: 4 s and more. Ruled out: the 8 MB ramp, the 16 KiB prepaid, and refusals of the lender. Change: beyond its use a VM asks for a doubling only while it takes 7/8 of what its rate offers; spare is at most three times the want, and a 16th of what is left for those that ask for nothing. Failed first: test_quota, uploads with pauses asked for 2520480 of 1000000; they now ask for at most 3/4. A small grant still grows 1000 times in 1 s.

--- a/agent/quota_limits.c
+++ b/agent/quota_limits.c
@@ -1,5 +1,6 @@
 #include "agent/quota_limits.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,7 +10,19 @@
 #define INDEX_SIZE ((size_t)2 * QL_LIMITS_MAX)
 
 /* Asked for beyond the recent demand: a divisor. */
-#define GROWTH_PART 4
+#define GROWTH_PART 6
+
+/* Part of what was offered that is taken when the rate is what limits. */
+#define BINDING_PART 0.875
+
+/* Time over which use is measured, in seconds. */
+#define MEASURED_S 1.0
+
+/* Time without use after which what was measured is forgotten. */
+#define MEASURE_KEPT (5 * APR_USEC_PER_SEC)
+
+/* Least weight of what was measured for it to count, in seconds. */
+#define KNOWN_S 0.6
 
 /* Part of a rate that lower ranks leave to higher ones: a divisor. */
 #define RESERVE_PART 64
@@ -139,6 +152,7 @@
 	kept = kept_for_higher(limit, now, rank);
 	rate = limit->rate > kept ? limit->rate - kept : 0;
 	got = bkt_take(&limit->taken, now, rate, burst_of(limit, rank), want);
+	limit->fresh += got;
 	/* A repeated request replaces the one refused before. */
 	note_refused(limit, now, rank, want - got);
 	return got;
@@ -147,10 +161,45 @@
 void ql_return(struct ql_limit *limit, apr_time_t now, apr_time_t taken_at,
 	       uint64_t amount)
 {
+	limit->fresh -= amount < limit->fresh ? amount : limit->fresh;
 	bkt_return(&limit->taken, now, taken_at, amount);
 	bkt_return(&limit->wanted, now, taken_at, amount);
 }
 
+static void measure(struct ql_limit *limit, apr_time_t now)
+{
+	const double passed =
+		limit->measured_at
+			? (double)(now - limit->measured_at) / APR_USEC_PER_SEC
+			: 0;
+	const double kept = passed < MEASURED_S ? 1 - passed / MEASURED_S : 0;
+	const double rate = now < limit->expires ? (double)limit->rate : 0;
+
+	limit->used = limit->used * kept + (double)limit->fresh;
+	limit->offered = limit->offered * kept + rate * passed;
+	limit->lasted = limit->lasted * kept + passed;
+	limit->fresh = 0;
+	limit->measured_at = now;
+}
+
+/* A time without demand says nothing about the rate. */
+static void forget_measured(struct ql_limit *limit)
+{
+	limit->used = 0;
+	limit->offered = 0;
+	limit->lasted = 0;
+}
+
+/*
+ * Work that comes in bursts is refused while one lasts, though its VM leaves
+ * a part of the rate unused; it gets what it takes in the long run.
+ */
+static bool is_binding(const struct ql_limit *limit)
+{
+	return !limit->rate || limit->lasted < KNOWN_S ||
+	       limit->used >= BINDING_PART * limit->offered;
+}
+
 /*
  * Requests refused and repeated within a window count each time, so demand
  * beyond the rate is bounded to a doubling.
@@ -162,11 +211,16 @@
 	uint64_t most = 2 * (taken > limit->rate ? taken : limit->rate);
 	uint64_t largest = 0;
 
+	measure(limit, now);
+	if (limit->used_at + MEASURE_KEPT <= now)
+		forget_measured(limit);
 	for (int i = 0; i < RANK_COUNT; i++) {
 		if (limit->refused_at[i] + BKT_WINDOW > now &&
 		    limit->refused[i] > largest)
 			largest = limit->refused[i];
 	}
+	if (!is_binding(limit))
+		most = (uint64_t)ceil(limit->used / limit->lasted);
 	most += largest;
 	return wanted < most ? wanted : most;
 }
--- a/agent/quota_limits.h
+++ b/agent/quota_limits.h
@@ -26,6 +26,15 @@
 	/* Refused to a rank lately, and when that was. */
 	uint64_t refused[RANK_COUNT];
 	apr_time_t refused_at[RANK_COUNT];
+	/*
+	 * Taken since measured_at, and recent sums in which what is older
+	 * counts less: taken, what the rate allowed, and the time in seconds.
+	 */
+	uint64_t fresh;
+	apr_time_t measured_at;
+	double used;
+	double offered;
+	double lasted;
 	/* Largest recent demand, falling over time. */
 	uint64_t demand;
 	apr_time_t demand_at;
--- a/policy/shr_book.c
+++ b/policy/shr_book.c
@@ -8,6 +8,15 @@
 /* Part kept at hand for children that ask for nothing: a divisor. */
 #define IDLE_PART 64
 
+/*
+ * Of what nobody wants a child gets a part for its growth, at most this many
+ * times what it wants, and at least a smaller part: divisors. What it gets
+ * takes a loan and a window to come back.
+ */
+#define SPARE_PART   2
+#define SPARE_GROWTH 3
+#define REST_PART    16
+
 /* Rounds of the search for the fair level. */
 #define FAIR_ROUNDS 8
 
@@ -169,6 +178,15 @@
 	return sum;
 }
 
+static uint64_t spare_of(uint64_t want, uint64_t left, uint64_t idle)
+{
+	uint64_t spare = min_u64(left / SPARE_PART, SPARE_GROWTH * want);
+
+	if (spare < left / REST_PART)
+		spare = left / REST_PART;
+	return spare > idle ? spare : idle;
+}
+
 /* What fairness gives a child: its want up to the cut, and some spare. */
 static uint64_t child_amount(const struct shr_book *book, apr_time_t now,
 			     const struct shr_request *request, uint64_t pool)
@@ -181,9 +199,8 @@
 	uint64_t cut;
 
 	if (wants <= pool) {
-		const uint64_t spare = (pool - wants) / (2 * children);
-
-		return request->want + (spare > idle ? spare : idle);
+		return request->want +
+		       spare_of(request->want, (pool - wants) / children, idle);
 	}
 	cut = fair_level(book, now, request->loan, SHR_CHILD, pool);
 	/* A remainder smaller than the children goes to those who ask first. */
--- a/tests/test_quota.c
+++ b/tests/test_quota.c
@@ -104,6 +104,55 @@
 }
 END_TEST
 
+/* Uploads that leave pauses, each as fast as it may go. */
+#define BURST_BYTES    (RATE / 2)
+#define BURST_INTERVAL CLK_MS(1300)
+
+START_TEST(bursts_do_not_ask_for_more_than_they_use)
+{
+	struct shr_ask ask[SHR_ASKS_MAX];
+	uint64_t left = 0;
+	uint64_t largest = 0;
+
+	open_limit(0);
+	grant(0, RATE, CLK_SEC(60));
+	for (apr_time_t now = CLK_MS(1); now < CLK_SEC(20); now += CLK_MS(1)) {
+		if (now % BURST_INTERVAL == 0)
+			left = BURST_BYTES;
+		if (left)
+			left -= ql_take(ql, limit, now, RANK_NORMAL,
+					left < CHUNK ? left : CHUNK);
+		if (now % CLK_MS(250))
+			continue;
+		ql_plan(ql, now, ask);
+		if (now > CLK_SEC(8) && ask[0].want > largest)
+			largest = ask[0].want;
+	}
+	ck_assert_uint_ge(largest, BURST_BYTES * 10 / 13);
+	ck_assert_uint_le(largest, RATE * 3 / 4);
+	ql_destroy(ql);
+}
+END_TEST
+
+START_TEST(thirst_grows_fast_from_a_small_grant)
+{
+	struct shr_ask ask[SHR_ASKS_MAX];
+	apr_time_t now = CLK_MS(1);
+
+	open_limit(0);
+	grant(0, RATE / 1000, CLK_SEC(60));
+	for (; limit->rate < RATE && now < CLK_SEC(2); now += CLK_MS(1)) {
+		ql_take(ql, limit, now, RANK_NORMAL, CHUNK);
+		if (now % CLK_MS(25))
+			continue;
+		ql_plan(ql, now, ask);
+		grant(now, ask[0].want, CLK_SEC(60));
+	}
+	ck_assert_int_le(now, CLK_SEC(1));
+	ql_destroy(ql);
+}
+END_TEST
+
 /* Every region's entries by their demand add up to the weights. */
 START_TEST(goals_add_up_to_the_weights)
 {
@@ -277,6 +326,8 @@
 	tcase_add_test(tc, urgent_bytes_come_first);
 	tcase_add_test(tc, bulk_alone_gets_nearly_all);
 	tcase_add_test(tc, demand_is_reported_with_room_to_grow);
+	tcase_add_test(tc, bursts_do_not_ask_for_more_than_they_use);
+	tcase_add_test(tc, thirst_grows_fast_from_a_small_grant);
 	tcase_add_test(tc, goals_add_up_to_the_weights);
 	tcase_add_test(tc, without_known_demand_the_weights_hold);
 	tcase_add_test(tc,
