Capacity of the table: bytes and calls after the marks and the expiry

Cause: questions and answers between pst-controlds and processes carry marks, hints and what the asker serves, a VM of a list whether it is stopping, and an edit makes one more call, which deletes expired records.

--- a/bench/cap_table.c
+++ b/bench/cap_table.c
@@ -401,8 +401,8 @@
 	      "calls_per_min");
 	/* Head and one part at each relay, and the watch anew. */
 	print("store_calls_of_a_change", relays, 3 * n, "calls");
-	/* Three reads, one swap, one read of the manifest by pstctl. */
-	print("store_calls_of_an_edit", relays, 5, "calls");
+	/* Four reads, one swap, one deletion of expired records by pstctl. */
+	print("store_calls_of_an_edit", relays, 6, "calls");
 	print("store_tries_in_an_outage", relays,
 	      n * MS_PER_MINUTE / (double)set->table.backoff_max_ms,
 	      "calls_per_min");
