Broker host finds entry VMs by hash

Cause: brk_client_find() walked the list of entry VMs for each batch and each answer, so that a host's cost grew with the fleet.

The list stays for the order of flushes and ticks; the names are also in a policy/brk_map, as the brokers' own entries are.

Ruled out: a map alone, as flush and tick visit all and drop some on the way. Left: brk_host_flush() still visits every entry VM at each wake-up.

--- a/controld/brk_client.c
+++ b/controld/brk_client.c
@@ -1,5 +1,6 @@
 #include "controld/brk_client.h"
 
+#include <stddef.h>
 #include <stdlib.h>
 
 /* Time after which unconfirmed answers are sent on a new connection. */
@@ -8,6 +9,13 @@
 /* Time of quiet after which connecting to an entry VM may be slow. */
 #define QUIET_TIMEOUT CLK_MS(2000)
 
+/* Seed of the hash of names. */
+#define NAME_SEED 0x636c69656e7473u
+
+#define FROM_NODE(node)                                                   \
+	((struct brk_client *)((char *)(node)-offsetof(struct brk_client, \
+						       by_name)))
+
 static void drop_answers(struct brk_client *c)
 {
 	if (c->answers)
@@ -16,14 +24,29 @@
 	c->answers = NULL;
 }
 
-struct brk_client *brk_client_find(struct brk_client *first, struct str entry)
+int brk_clients_init(struct brk_clients *clients)
+{
+	clients->first = NULL;
+	return brk_map_init(&clients->by_name);
+}
+
+void brk_clients_done(struct brk_clients *clients)
 {
-	while (first && !str_eq(strbuf_str(&first->entry), entry))
-		first = first->next;
-	return first;
+	while (clients->first)
+		brk_client_drop(clients, &clients->first);
+	brk_map_done(&clients->by_name);
+}
+
+struct brk_client *brk_client_find(const struct brk_clients *clients,
+				   struct str entry)
+{
+	struct brk_node *node = brk_map_find(
+		&clients->by_name, str_hash(entry, NAME_SEED), entry.len);
+
+	return node ? FROM_NODE(node) : NULL;
 }
 
-struct brk_client *brk_client_add(struct brk_client **first, struct str entry,
+struct brk_client *brk_client_add(struct brk_clients *clients, struct str entry,
 				  apr_time_t now)
 {
 	struct brk_client *c = calloc(1, sizeof(*c));
@@ -33,29 +56,32 @@
 		return NULL;
 	}
 	c->heard_at = now;
-	c->next = *first;
-	*first = c;
+	c->next = clients->first;
+	clients->first = c;
+	brk_map_add(&clients->by_name, &c->by_name, str_hash(entry, NAME_SEED),
+		    entry.len);
 	return c;
 }
 
-void brk_client_drop(struct brk_client **link)
+void brk_client_drop(struct brk_clients *clients, struct brk_client **link)
 {
 	struct brk_client *c = *link;
 
 	*link = c->next;
+	brk_map_remove(&clients->by_name, &c->by_name);
 	drop_answers(c);
 	free(c);
 }
 
-struct brk_client *brk_client_for(struct brk_client **first,
+struct brk_client *brk_client_for(struct brk_clients *clients,
 				  const pmt_batch *batch,
 				  const struct strbuf *address, apr_time_t now)
 {
 	const struct str entry = str_from_c(batch->entry);
-	struct brk_client *c = brk_client_find(*first, entry);
+	struct brk_client *c = brk_client_find(clients, entry);
 
 	if (!c)
-		c = brk_client_add(first, entry, now);
+		c = brk_client_add(clients, entry, now);
 	if (!c)
 		return NULL;
 	if (c->incarnation != batch->incarnation) {
--- a/controld/brk_client.h
+++ b/controld/brk_client.h
@@ -6,10 +6,12 @@
 #define CONTROLD_BRK_CLIENT_H
 
 #include "agent/permit_out.h"
+#include "policy/brk_map.h"
 #include "schema/gen/permit.h"
 
 struct brk_client {
 	struct brk_client *next;
+	struct brk_node by_name;
 	struct strbuf entry;
 	struct strbuf region;
 	struct strbuf address;
@@ -32,19 +34,31 @@
 	pmt_answers *answers;
 };
 
+struct brk_clients {
+	struct brk_client *first;
+	struct brk_map by_name;
+};
+
+/* Returns 0 or PST_ERR_NOMEM. */
+int brk_clients_init(struct brk_clients *clients);
+/* Drops them all. */
+void brk_clients_done(struct brk_clients *clients);
+
 /* NULL when there is none. */
-struct brk_client *brk_client_find(struct brk_client *first, struct str entry);
+struct brk_client *brk_client_find(const struct brk_clients *clients,
+				   struct str entry);
 
-/* NULL when memory is out. */
-struct brk_client *brk_client_add(struct brk_client **first, struct str entry,
+/* It must not be there yet. NULL when memory is out. */
+struct brk_client *brk_client_add(struct brk_clients *clients, struct str entry,
 				  apr_time_t now);
-void brk_client_drop(struct brk_client **link);
+/* Drops the one that link, the list's start or a next, leads to. */
+void brk_client_drop(struct brk_clients *clients, struct brk_client **link);
 
 /*
  * The sender of a batch, added if it is new; a new incarnation forgets what
  * was collected for the old one. NULL when memory is out.
  */
-struct brk_client *brk_client_for(struct brk_client **first,
+struct brk_client *brk_client_for(struct brk_clients *clients,
 				  const pmt_batch *batch,
 				  const struct strbuf *address, apr_time_t now);
 
--- a/controld/brk_host.c
+++ b/controld/brk_host.c
@@ -34,7 +34,7 @@
 	struct brk_host_io io;
 	struct ctl_view *view;
 	struct role *roles;
-	struct brk_client *clients;
+	struct brk_clients clients;
 	bool targets_changed;
 	uint32_t epochs;
 	apr_time_t now;
@@ -75,7 +75,7 @@
 {
 	struct role *role = ctx;
 	struct brk_client *c =
-		brk_client_find(role->host->clients, strbuf_str(a->entry));
+		brk_client_find(&role->host->clients, strbuf_str(a->entry));
 	pmt_answers *answers = c ? answers_for(role->host, c) : NULL;
 	const pmt_answer answer = {
 		.ask = a->ask,
@@ -142,7 +142,7 @@
 	for (size_t i = 0; vml && i < vml->count; i++) {
 		const struct vm *vm = &vml->vms[i];
 		struct brk_client *c =
-			brk_client_find(host->clients, strbuf_str(&vm->id));
+			brk_client_find(&host->clients, strbuf_str(&vm->id));
 
 		if (!is_near(host, vm))
 			continue;
@@ -369,7 +369,8 @@
 		evt_log(PAUSE_DETECTED, "gap_ms=%lld", (long long)gap / 1000);
 		while (host->roles)
 			drop_role(&host->roles, "paused");
-		for (struct brk_client *c = host->clients; c; c = c->next) {
+		for (struct brk_client *c = host->clients.first; c;
+		     c = c->next) {
 			c->resync = true;
 			c->wanted = true;
 			c->heard_at = now;
@@ -406,8 +407,10 @@
 {
 	struct brk_host *host = calloc(1, sizeof(*host));
 
-	if (!host)
+	if (!host || brk_clients_init(&host->clients)) {
+		free(host);
 		return PST_ERR_NOMEM;
+	}
 	host->set = set;
 	host->incarnation = incarnation;
 	host->io = io;
@@ -421,8 +424,7 @@
 		return;
 	while (host->roles)
 		drop_role(&host->roles, "exit");
-	while (host->clients)
-		brk_client_drop(&host->clients);
+	brk_clients_done(&host->clients);
 	if (host->view)
 		ctl_view_put(host->view);
 	free(host);
@@ -473,7 +475,7 @@
 void brk_host_tick(struct brk_host *host, apr_time_t now)
 {
 	struct role **link = &host->roles;
-	struct brk_client **client = &host->clients;
+	struct brk_client **client = &host->clients.first;
 
 	move_to(host, now);
 	while (*link) {
@@ -486,7 +488,7 @@
 	}
 	while (*client) {
 		if (now - (*client)->heard_at > BROKER_IDLE)
-			brk_client_drop(client);
+			brk_client_drop(&host->clients, client);
 		else
 			client = &(*client)->next;
 	}
@@ -495,7 +497,7 @@
 void brk_host_flush(struct brk_host *host, apr_time_t now)
 {
 	host->now = now;
-	for (struct brk_client *c = host->clients; c; c = c->next) {
+	for (struct brk_client *c = host->clients.first; c; c = c->next) {
 		if (c->wanted)
 			answers_for(host, c);
 		if (c->answers)
