--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -6,6 +6,7 @@
 #include "common/clk.h"
 #include "common/err.h"
 #include "fakes/slot_draw.h"
+#include "fakes/slot_events.h"
 
 /* Requests queued at an upstream before it sheds, by slot. */
 #define QUEUE_PER_SLOT 2
@@ -19,29 +20,6 @@
 /* Time after the end in which everything in progress ends. */
 #define SETTLE CLK_SEC(120)
 
-enum kind {
-	ARRIVE,
-	AT_BROKER,
-	ANSWERED,
-	AT_UPSTREAM,
-	RAN,
-	AT_ENTRY,
-	RELEASED,
-	CANCELLED,
-	GIVEN_UP,
-	REPORT,
-	TICKED,
-};
-
-struct event {
-	apr_time_t at;
-	uint64_t order;
-	enum kind kind;
-	uint32_t request;
-	uint64_t permit;
-	enum permit_outcome outcome;
-};
-
 enum stage {
 	WAITING,
 	GRANTED,
@@ -98,10 +76,7 @@
 	struct slot_model_results *out;
 	apr_time_t now;
 	struct slot_draw draw;
-	struct event *heap;
-	size_t event_count;
-	size_t event_room;
-	uint64_t order;
+	struct slot_events events;
 	struct request *requests;
 	size_t request_count;
 	size_t request_room;
@@ -115,11 +90,6 @@
 	bool failed;
 };
 
-static bool before(const struct event *a, const struct event *b)
-{
-	return a->at != b->at ? a->at < b->at : a->order < b->order;
-}
-
 static bool room_for(struct model *m, void **items, size_t count, size_t *room,
 		     size_t size)
 {
@@ -137,43 +107,10 @@
 	return true;
 }
 
-static void post(struct model *m, struct event e)
-{
-	size_t at = m->event_count;
-
-	if (!room_for(m, (void **)&m->heap, at, &m->event_room,
-		      sizeof(*m->heap)))
-		return;
-	e.order = m->order++;
-	m->event_count++;
-	while (at > 0 && before(&e, &m->heap[(at - 1) / 2])) {
-		m->heap[at] = m->heap[(at - 1) / 2];
-		at = (at - 1) / 2;
-	}
-	m->heap[at] = e;
-}
-
-static struct event take_event(struct model *m)
+static void post(struct model *m, struct slot_event e)
 {
-	const struct event first = m->heap[0];
-	const struct event last = m->heap[--m->event_count];
-	size_t at = 0;
-
-	for (;;) {
-		size_t child = 2 * at + 1;
-
-		if (child >= m->event_count)
-			break;
-		if (child + 1 < m->event_count &&
-		    before(&m->heap[child + 1], &m->heap[child]))
-			child++;
-		if (!before(&m->heap[child], &last))
-			break;
-		m->heap[at] = m->heap[child];
-		at = child;
-	}
-	m->heap[at] = last;
-	return first;
+	if (slot_events_post(&m->events, e))
+		m->failed = true;
 }
 
 static apr_interval_time_t hop(const struct model *m, const struct request *r)
@@ -183,10 +120,10 @@
 }
 
 static void post_request(struct model *m, apr_interval_time_t after,
-			 enum kind kind, uint32_t id)
+			 enum slot_event_kind kind, uint32_t id)
 {
-	post(m,
-	     (struct event){.at = m->now + after, .kind = kind, .request = id});
+	post(m, (struct slot_event){
+			.at = m->now + after, .kind = kind, .request = id});
 }
 
 static void add_sample(struct model *m, enum rank rank, uint64_t us)
@@ -244,7 +181,7 @@
 	r->stage = RUNNING;
 	r->took = (apr_interval_time_t)(r->service * slowness(m, r->upstream));
 	m->ups[r->upstream].running++;
-	post_request(m, r->took, RAN, id);
+	post_request(m, r->took, SLOT_RAN, id);
 }
 
 static void at_upstream(struct model *m, uint32_t id)
@@ -260,7 +197,7 @@
 	} else {
 		r->shed = true;
 		m->out->sheds++;
-		post_request(m, hop(m, r), AT_ENTRY, id);
+		post_request(m, hop(m, r), SLOT_AT_ENTRY, id);
 	}
 }
 
@@ -273,7 +210,7 @@
 	up->running--;
 	if (m->now >= m->cfg.warmup && m->now < m->cfg.end)
 		m->out->rank[r->rank].ran += r->took;
-	post_request(m, hop(m, r), AT_ENTRY, id);
+	post_request(m, hop(m, r), SLOT_AT_ENTRY, id);
 	while (up->queued && up->running < up->slots) {
 		const uint32_t next = up->queue[0];
 
@@ -281,7 +218,7 @@
 		for (uint32_t i = 0; i < up->queued; i++)
 			up->queue[i] = up->queue[i + 1];
 		if (m->requests[next].answered)
-			post_request(m, 0, AT_ENTRY, next);
+			post_request(m, 0, SLOT_AT_ENTRY, next);
 		else
 			start(m, next);
 	}
@@ -295,7 +232,7 @@
 	r->stage = GRANTED;
 	r->shed = false;
 	m->outstanding[r->entry][upstream]++;
-	post_request(m, hop(m, r), AT_UPSTREAM, id);
+	post_request(m, hop(m, r), SLOT_AT_UPSTREAM, id);
 }
 
 static int find_upstream(const struct model *m, const struct strbuf *name)
@@ -313,9 +250,9 @@
 	struct model *m = g->m;
 	const uint32_t id = (uint32_t)answer->ask;
 	struct request *r = &m->requests[id];
-	struct event e = {
+	struct slot_event e = {
 		.at = m->now + (g->local ? 0 : hop(m, r)),
-		.kind = ANSWERED,
+		.kind = SLOT_ANSWERED,
 		.request = id,
 		.permit = answer->permit,
 	};
@@ -388,7 +325,7 @@
 
 	r->stage = WAITING;
 	if (m->cfg.policy == PICK_BROKER)
-		post_request(m, hop(m, r), AT_BROKER, id);
+		post_request(m, hop(m, r), SLOT_AT_BROKER, id);
 	else if (m->cfg.policy == PICK_STATIC_SPLIT)
 		at_broker(m, id);
 	else
@@ -402,15 +339,15 @@
 
 	if (!r->permit)
 		return;
-	post(m, (struct event){.at = m->now + (far ? hop(m, r) : 0),
-			       .kind = RELEASED,
-			       .request = (uint32_t)(r - m->requests),
-			       .permit = r->permit,
-			       .outcome = outcome});
+	post(m, (struct slot_event){.at = m->now + (far ? hop(m, r) : 0),
+				    .kind = SLOT_RELEASED,
+				    .request = (uint32_t)(r - m->requests),
+				    .permit = r->permit,
+				    .outcome = outcome});
 	r->permit = 0;
 }
 
-static void answered(struct model *m, const struct event *e)
+static void answered(struct model *m, const struct slot_event *e)
 {
 	struct request *r = &m->requests[e->request];
 
@@ -450,7 +387,7 @@
 		return;
 	end_for_caller(m, r, false);
 	if (r->stage == WAITING)
-		post_request(m, far ? hop(m, r) : 0, CANCELLED, id);
+		post_request(m, far ? hop(m, r) : 0, SLOT_CANCELLED, id);
 }
 
 static void cancelled(struct model *m, uint32_t id)
@@ -462,7 +399,7 @@
 		brk_cancel(g->brk, self(m, g, r), id, m->now);
 }
 
-static void released(struct model *m, const struct event *e)
+static void released(struct model *m, const struct slot_event *e)
 {
 	struct request *r = &m->requests[e->request];
 	const struct giver *g = giver_of(m, r);
@@ -479,7 +416,7 @@
 		post_request(m,
 			     (apr_interval_time_t)slot_draw_exponential(
 				     &m->draw, 1 / rate),
-			     ARRIVE, (uint32_t)rank);
+			     SLOT_ARRIVE, (uint32_t)rank);
 }
 
 static void arrive(struct model *m, enum rank rank)
@@ -504,7 +441,7 @@
 	};
 	r->domain = slot_draw_domain(&m->draw, r->entry);
 	m->out->rank[rank].offered += r->measured;
-	post_request(m, cfg->deadline, GIVEN_UP, id);
+	post_request(m, cfg->deadline, SLOT_GIVEN_UP, id);
 	ask(m, id);
 }
 
@@ -519,7 +456,7 @@
 				: 1000 * (up->running + up->queued) / up->slots;
 	}
 	if (m->now < m->cfg.end)
-		post_request(m, m->cfg.report_interval, REPORT, 0);
+		post_request(m, m->cfg.report_interval, SLOT_REPORT, 0);
 }
 
 static void tick(struct model *m)
@@ -532,44 +469,44 @@
 				brk_tick(m->locals[e][i].brk, m->now);
 		}
 	}
-	if (m->event_count)
-		post_request(m, TICK, TICKED, 0);
+	if (m->events.count)
+		post_request(m, TICK, SLOT_TICKED, 0);
 }
 
-static void run_event(struct model *m, const struct event *e)
+static void run_event(struct model *m, const struct slot_event *e)
 {
 	switch (e->kind) {
-	case ARRIVE:
+	case SLOT_ARRIVE:
 		arrive(m, (enum rank)e->request);
 		break;
-	case AT_BROKER:
+	case SLOT_AT_BROKER:
 		at_broker(m, e->request);
 		break;
-	case ANSWERED:
+	case SLOT_ANSWERED:
 		answered(m, e);
 		break;
-	case AT_UPSTREAM:
+	case SLOT_AT_UPSTREAM:
 		at_upstream(m, e->request);
 		break;
-	case RAN:
+	case SLOT_RAN:
 		ran(m, e->request);
 		break;
-	case AT_ENTRY:
+	case SLOT_AT_ENTRY:
 		at_entry(m, e->request);
 		break;
-	case RELEASED:
+	case SLOT_RELEASED:
 		released(m, e);
 		break;
-	case CANCELLED:
+	case SLOT_CANCELLED:
 		cancelled(m, e->request);
 		break;
-	case GIVEN_UP:
+	case SLOT_GIVEN_UP:
 		given_up(m, e->request);
 		break;
-	case REPORT:
+	case SLOT_REPORT:
 		report(m);
 		break;
-	case TICKED:
+	case SLOT_TICKED:
 		tick(m);
 		break;
 	}
@@ -711,7 +648,7 @@
 			brk_destroy(m->locals[e][d].brk);
 		}
 	}
-	free(m->heap);
+	slot_events_done(&m->events);
 	free(m->requests);
 }
 
@@ -774,10 +711,10 @@
 		err = make_givers(m);
 	for (int r = 0; r < RANK_COUNT; r++)
 		post_arrival(m, (enum rank)r);
-	post_request(m, 0, REPORT, 0);
-	post_request(m, 0, TICKED, 0);
-	while (!err && !m->failed && m->event_count) {
-		const struct event e = take_event(m);
+	post_request(m, 0, SLOT_REPORT, 0);
+	post_request(m, 0, SLOT_TICKED, 0);
+	while (!err && !m->failed && m->events.count) {
+		const struct slot_event e = slot_events_take(&m->events);
 
 		m->now = e.at;
 		if (m->now > m->cfg.end + SETTLE)
