Asks do not wait for a broker that is silent

Cause: when a new list moved a service's broker to a VM that was silent, the asks that waited at the former broker were neither sent nor turned to the VM's own share; they waited for the next list or their deadline. Asks are turned when a broker falls silent and new ones go to the share at once, but a move onto a silent broker did neither. Ruled out: a lost answer (both directions count messages), and the order of releases and asks within a message (releases go first). Failed first: test_permit_faults, asks of 20 s left unanswered 2 s after the list moved their broker (ask 5 of 6); passes now, with the other 242.

--- a/agent/permit_key.c
+++ b/agent/permit_key.c
@@ -182,7 +182,7 @@
 }
 
 /* Counts what a broker gave against the static share. */
-void permit_key_claim(struct permit_key *key)
+static void claim_held(struct permit_key *key)
 {
 	struct permit_state *st = key->st;
 	struct brk_claim *claims;
@@ -238,6 +238,30 @@
 		permit_local_ask(local, &local_ask, st->now);
 }
 
+static struct permit_open *first_at_broker(const struct permit_key *key)
+{
+	struct permit_open *ask = key->st->first_ask;
+
+	while (ask && (ask->key != key || ask->local))
+		ask = ask->next;
+	return ask;
+}
+
+unsigned permit_key_turn_local(struct permit_key *key)
+{
+	struct permit_open *ask;
+	unsigned turned = 0;
+
+	if (permit_key_local(key))
+		claim_held(key);
+	/* From the first each time: an answer may drop any number of asks. */
+	while ((ask = first_at_broker(key))) {
+		turned++;
+		permit_open_locally(ask);
+	}
+	return turned;
+}
+
 void permit_open_send(struct permit_open *ask)
 {
 	struct permit_state *st = ask->key->st;
@@ -312,6 +336,8 @@
 		permit_key_resend(st, key);
 		if (key->permits)
 			permit_key_part(key);
+	} else {
+		permit_key_turn_local(key);
 	}
 }
 
--- a/agent/permit_key.h
+++ b/agent/permit_key.h
@@ -110,8 +110,11 @@
 
 /* Its own share, made on first use; NULL when memory is out. */
 struct permit_local *permit_key_local(struct permit_key *key);
-/* Counts what a broker gave against the own share. */
-void permit_key_claim(struct permit_key *key);
+/*
+ * Turns its open asks to the own share, against which what a broker gave is
+ * counted. Returns how many were turned.
+ */
+unsigned permit_key_turn_local(struct permit_key *key);
 
 /* The VM as a broker's; NULL when memory is out. */
 struct permit_peer *permit_key_peer(struct permit_state *st,
--- a/agent/permit_state.c
+++ b/agent/permit_state.c
@@ -22,27 +22,13 @@
 
 static void peer_silent(struct permit_state *st, struct permit_peer *peer)
 {
-	struct permit_open *ask = st->first_ask;
-	unsigned moved = 0;
+	unsigned turned = 0;
 
 	for (struct permit_key *key = st->first_key; key; key = key->next) {
-		if (key->peer == peer && permit_key_local(key))
-			permit_key_claim(key);
-	}
-	while (ask) {
-		struct permit_open *next = ask->next;
-
-		if (ask->key->peer == peer && !ask->local) {
-			moved++;
-			permit_open_locally(ask);
-			/* The answer may have dropped any number of asks. */
-			next = st->first_ask;
-			while (next && (next->key->peer != peer || next->local))
-				next = next->next;
-		}
-		ask = next;
+		if (key->peer == peer)
+			turned += permit_key_turn_local(key);
 	}
-	evt_log(BROKER_SILENT, "broker=%s asks=%u", peer->vm.ptr, moved);
+	evt_log(BROKER_SILENT, "broker=%s asks=%u", peer->vm.ptr, turned);
 }
 
 static void peer_resync(struct permit_state *st, const struct permit_peer *peer)
--- a/tests/test_permit_faults.c
+++ b/tests/test_permit_faults.c
@@ -373,6 +373,42 @@
 }
 END_TEST
 
+/* Asks that wait at one broker, when the list moves it to a silent one. */
+START_TEST(asks_do_not_wait_for_a_broker_that_is_silent)
+{
+	const uint64_t asks = FIX_UPSTREAMS * FIX_SLOTS + 2;
+	struct permit_answer last;
+	struct fix_net net;
+	struct fix_vm *broker;
+	struct fix_vm *vm;
+
+	fix_net_start(&net);
+	broker = fix_net_broker(&net);
+	vm = &net.vms[(broker->number + 1) % FIX_VMS];
+	fix_net_kill_host(broker);
+	fix_net_ask(vm, 100, RANK_NORMAL, CLK_SEC(2));
+	fix_net_run(&net, CLK_SEC(2));
+	fix_net_release_all(vm, PERMIT_DONE);
+	net.vm_leaving[broker->number] = true;
+	fix_net_list(&net);
+	fix_net_run(&net, CLK_SEC(2));
+	for (uint64_t id = 1; id <= asks; id++)
+		fix_net_ask(vm, id, RANK_NORMAL, CLK_SEC(20));
+	fix_net_run(&net, CLK_SEC(1));
+	ck_assert_uint_eq(fix_net_answers(vm, asks, &last), 0);
+	net.vm_leaving[broker->number] = false;
+	fix_net_list(&net);
+	for (int i = 0; i < 20; i++) {
+		fix_net_run(&net, CLK_MS(100));
+		fix_net_release_all(vm, PERMIT_DONE);
+	}
+	for (uint64_t id = 1; id <= asks; id++)
+		ck_assert_msg(fix_net_answers(vm, id, &last) == 1,
+			      "ask %lu waits", (unsigned long)id);
+	fix_net_stop(&net);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("permit_faults");
@@ -382,6 +418,7 @@
 			    FAULT_COUNT * STEP_COUNT);
 	tcase_add_test(tc, pause_of_the_broker_is_not_time_that_work_took);
 	tcase_add_test(tc, steady_traffic_keeps_its_connections);
+	tcase_add_test(tc, asks_do_not_wait_for_a_broker_that_is_silent);
 	tcase_add_loop_test(tc, pairs_of_faults, 1, PAIRS + 1);
 	return fix_run("permit_faults", tc);
 }
