The platform's list is sent only when it has changed

An answer with an ETag is now asked for again with If-None-Match; on 304 the reader gives out a copy of the list as it was read, so that what holders do with theirs does not show. A platform without ETags is read as before. Ruled out: the list's revision as the condition, since a platform that was restored from a backup may give the same revision to another list.

--- a/agent/lst.c
+++ b/agent/lst.c
@@ -2,6 +2,7 @@
 
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <curl/curl.h>
 
@@ -12,11 +13,48 @@
 /* Largest list accepted, in bytes. */
 #define MAX_LIST ((size_t)32 * 1024 * 1024)
 
-#define HTTP_OK	 200
-#define TEXT_MAX 512
+/* Longest ETag that is used, in bytes. */
+#define ETAG_MAX	  128
 
-static int fetch(CURL *easy, const struct settings *set, struct hbuf *body,
-		 long *status)
+#define HTTP_OK		  200
+#define HTTP_NOT_MODIFIED 304
+#define TEXT_MAX	  512
+
+struct lst {
+	const struct settings *set;
+	/* The list of etag, as it was read; NULL without one. */
+	struct vml *kept;
+	char etag[ETAG_MAX + 1];
+};
+
+int lst_create(struct lst **out, const struct settings *set)
+{
+	struct lst *lst = calloc(1, sizeof(*lst));
+
+	if (!lst)
+		return PST_ERR_NOMEM;
+	lst->set = set;
+	*out = lst;
+	return 0;
+}
+
+static void forget(struct lst *lst)
+{
+	vml_put(lst->kept);
+	lst->kept = NULL;
+	lst->etag[0] = '\0';
+}
+
+void lst_destroy(struct lst *lst)
+{
+	if (!lst)
+		return;
+	forget(lst);
+	free(lst);
+}
+
+static void set_options(CURL *easy, const struct settings *set,
+			struct hbuf *body)
 {
 	char url[TEXT_MAX];
 	char from[TEXT_MAX];
@@ -31,14 +69,65 @@
 			 (long)set->platform.call_timeout_ms);
 	curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, hbuf_keep);
 	curl_easy_setopt(easy, CURLOPT_WRITEDATA, body);
-	if (curl_easy_perform(easy) != CURLE_OK)
+}
+
+static struct curl_slist *condition(const struct lst *lst)
+{
+	char line[ETAG_MAX + sizeof("If-None-Match: ")];
+
+	if (!lst->kept)
+		return NULL;
+	snprintf(line, sizeof(line), "If-None-Match: %s", lst->etag);
+	return curl_slist_append(NULL, line);
+}
+
+static int fetch(const struct lst *lst, CURL *easy, struct hbuf *body,
+		 long *status)
+{
+	struct curl_slist *headers = condition(lst);
+	CURLcode code;
+
+	set_options(easy, lst->set, body);
+	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
+	code = curl_easy_perform(easy);
+	curl_slist_free_all(headers);
+	if (code != CURLE_OK)
 		return PST_ERR_UNAVAILABLE;
 	wire_count_http("list", easy);
 	curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, status);
-	return *status == HTTP_OK ? 0 : PST_ERR_UNAVAILABLE;
+	if (*status == HTTP_OK || (*status == HTTP_NOT_MODIFIED && lst->kept))
+		return 0;
+	return PST_ERR_UNAVAILABLE;
+}
+
+/* Without memory the next read is not conditional. */
+static void keep(struct lst *lst, CURL *easy, const struct vml *list)
+{
+	struct curl_header *etag;
+
+	forget(lst);
+	if (curl_easy_header(easy, "ETag", 0, CURLH_HEADER, -1, &etag) ||
+	    strlen(etag->value) > ETAG_MAX || vml_copy(&lst->kept, list))
+		return;
+	memcpy(lst->etag, etag->value, strlen(etag->value) + 1);
+}
+
+static int take(struct lst *lst, CURL *easy, long status,
+		const struct hbuf *body, struct vml **out)
+{
+	int err;
+
+	if (status == HTTP_NOT_MODIFIED)
+		return vml_copy(out, lst->kept);
+	err = vml_parse(out, (struct str){.ptr = body->ptr, .len = body->len});
+	if (err)
+		forget(lst);
+	else
+		keep(lst, easy, *out);
+	return err;
 }
 
-int lst_read(const struct settings *set, struct vml **out, long *status)
+int lst_read(struct lst *lst, struct vml **out, long *status)
 {
 	CURL *easy = curl_easy_init();
 	struct hbuf body = {.max = MAX_LIST};
@@ -47,10 +136,9 @@
 	*status = 0;
 	if (!easy)
 		return PST_ERR_NOMEM;
-	err = fetch(easy, set, &body, status);
+	err = fetch(lst, easy, &body, status);
 	if (!err)
-		err = vml_parse(out,
-				(struct str){.ptr = body.ptr, .len = body.len});
+		err = take(lst, easy, *status, &body, out);
 	free(body.ptr);
 	curl_easy_cleanup(easy);
 	return err;
--- a/controld/list_duty.c
+++ b/controld/list_duty.c
@@ -2,10 +2,10 @@
 
 #include <stdlib.h>
 
+#include "agent/duty.h"
 #include "agent/lst.h"
 #include "common/err.h"
 #include "common/evt.h"
-#include "agent/duty.h"
 
 #define LOG_MODULE "list"
 
@@ -15,6 +15,7 @@
 struct list_duty {
 	const struct settings *set;
 	struct node *node;
+	struct lst *lst;
 	struct duty reader;
 	struct duty ticker;
 	uint32_t failures;
@@ -31,7 +32,7 @@
 
 	if (!node_reads_platform(duty->node))
 		return interval;
-	err = lst_read(duty->set, &list, &status);
+	err = lst_read(duty->lst, &list, &status);
 	if (err) {
 		if (!duty->failures)
 			evt_log(LIST_LOST, "err=%s status=%ld", err_name(err),
@@ -65,7 +66,9 @@
 		return PST_ERR_NOMEM;
 	duty->set = set;
 	duty->node = node;
-	err = duty_start(&duty->ticker, run_ticker, duty);
+	err = lst_create(&duty->lst, set);
+	if (!err)
+		err = duty_start(&duty->ticker, run_ticker, duty);
 	if (!err)
 		err = duty_start(&duty->reader, run_reader, duty);
 	if (err)
@@ -81,5 +84,6 @@
 		return;
 	duty_stop(&duty->reader);
 	duty_stop(&duty->ticker);
+	lst_destroy(duty->lst);
 	free(duty);
 }
--- a/fakes/platform/calls.c
+++ b/fakes/platform/calls.c
@@ -1,5 +1,6 @@
 #include "fakes/platform/calls.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -107,6 +108,30 @@
 					  "code", 5));
 }
 
+/* The VM list, unless the caller has it: its ETag is the text's hash. */
+static void reply_list(struct fht_req *req, json_t *root)
+{
+	char *text = json_dumps(root, JSON_COMPACT);
+	struct MHD_Response *response;
+	char etag[32];
+	bool known;
+
+	json_decref(root);
+	if (!text) {
+		fht_abort(req);
+		return;
+	}
+	snprintf(etag, sizeof(etag), "\"%016llx\"",
+		 (unsigned long long)str_hash(str_from_c(text), 0));
+	known = str_eq(fht_header(req, "If-None-Match"), str_from_c(etag));
+	response = MHD_create_response_from_buffer(known ? 0 : strlen(text),
+						   text, MHD_RESPMEM_MUST_COPY);
+	free(text);
+	MHD_add_response_header(response, "ETag", etag);
+	MHD_add_response_header(response, "Content-Type", "application/json");
+	fht_answer(req, known ? MHD_HTTP_NOT_MODIFIED : MHD_HTTP_OK, response);
+}
+
 static void on_delayed(struct flp_timer *timer)
 {
 	struct delayed *delayed = (struct delayed *)(void *)timer;
@@ -199,6 +224,8 @@
 	}
 	if (take_fault(cal, FAULT_SLOW, call))
 		send_later(cal, req, root, cal->fault.ms);
+	else if (call == CALL_VMS)
+		reply_list(req, root);
 	else
 		reply(req, root);
 }
--- a/policy/vml.c
+++ b/policy/vml.c
@@ -169,6 +169,19 @@
 	return 0;
 }
 
+int vml_copy(struct vml **out, const struct vml *from)
+{
+	const int err = vml_create(out, from->count);
+
+	if (err)
+		return err;
+	(*out)->revision = from->revision;
+	if (from->count)
+		memcpy((*out)->vms, from->vms,
+		       from->count * sizeof(*from->vms));
+	return 0;
+}
+
 void vml_get(struct vml *vml)
 {
 	ref_get(&vml->ref);
--- a/policy/vml.h
+++ b/policy/vml.h
@@ -62,6 +62,9 @@
 /* Parses the platform's JSON; returns 0, PST_ERR_INVALID or PST_ERR_NOMEM. */
 int vml_parse(struct vml **out, struct str json);
 
+/* Makes a list of the same VMs and revision. Returns 0 or PST_ERR_NOMEM. */
+int vml_copy(struct vml **out, const struct vml *from);
+
 void vml_get(struct vml *vml);
 void vml_put(struct vml *vml);
 
--- a/pstctl/members.c
+++ b/pstctl/members.c
@@ -45,8 +45,12 @@
 
 int members_read(struct cmd *cmd, struct vml **out)
 {
+	struct lst *lst = NULL;
 	long status;
-	const int err = lst_read(cmd->set, out, &status);
+	int err = lst_create(&lst, cmd->set);
 
+	if (!err)
+		err = lst_read(lst, out, &status);
+	lst_destroy(lst);
 	return err && ask_own(cmd, out) ? err : 0;
 }
