A request not begun by its deadline waits no longer for a link

Its VM's pst-controld had been killed, so the VM had no part of the link; the request got its permit after 26.6 of its 30 s, and the time without a byte was counted anew from there: it held the permit for 30 s more and was told "not run" after 57 s (its next try took 1.1 s). What has not been begun now ends at the request's own deadline. Ruled out: the limits (nothing is sent without a valid part, as meant), and the lost pst-controld's place in look-ups (the upload came before). Failed first: test_entry_link, 201 ms after arrival for 200 ms. What has been begun still waits a deadline from its last byte, and a VM without a valid part still takes work for other regions.

--- a/entryd/xfer.c
+++ b/entryd/xfer.c
@@ -428,6 +428,9 @@
 
 bool xfer_starved(const struct xfer *x, apr_time_t now)
 {
-	return x->throttled &&
-	       now - x->last_moved > CLK_MS(x->req->deadline_ms);
+	const apr_interval_time_t bound = CLK_MS(x->req->deadline_ms);
+	/* What was not begun by its deadline can still be told as not run. */
+	const apr_time_t since = x->started ? x->last_moved : x->req->arrived;
+
+	return x->throttled && now - since > bound;
 }
--- a/entryd/xfer.h
+++ b/entryd/xfer.h
@@ -110,7 +110,10 @@
 /* Whether no byte has moved for longer than the bound. */
 bool xfer_silent(struct xfer *x, apr_time_t now);
 
-/* Whether the link's limit has let no byte pass for the whole deadline. */
+/*
+ * Whether the link's limit has let no byte pass for the whole deadline, or
+ * none at all by the deadline.
+ */
 bool xfer_starved(const struct xfer *x, apr_time_t now);
 
 #endif
--- a/tests/test_entry_link.c
+++ b/tests/test_entry_link.c
@@ -2,6 +2,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "entryd/xfer.h"
 #include "tests/fix_entry.h"
 #include "tests/fix_run.h"
 #include "tests/fix_upstream.h"
@@ -60,6 +61,24 @@
 }
 END_TEST
 
+/* It had its permit late; another entry VM may still do it. */
+START_TEST(request_not_begun_by_its_deadline_waits_no_longer)
+{
+	const apr_time_t now = clk_now(clk_system());
+	struct xfer x = {.throttled = true, .last_moved = now};
+
+	ck_assert_int_eq(req_create(&x.req, 1), 0);
+	x.req->deadline_ms = 200;
+	x.req->arrived = now - CLK_MS(199);
+	ck_assert(!xfer_starved(&x, now));
+	ck_assert(xfer_starved(&x, now + CLK_MS(2)));
+	x.started = true;
+	ck_assert(!xfer_starved(&x, now + CLK_MS(200)));
+	ck_assert(xfer_starved(&x, now + CLK_MS(201)));
+	req_put(x.req);
+}
+END_TEST
+
 START_TEST(refusal_of_the_proxy_is_told_as_not_run)
 {
 	static char text[64];
@@ -88,6 +107,7 @@
 
 	tcase_add_test(tc, small_share_of_a_link_slows_but_does_not_stop);
 	tcase_add_test(tc, link_without_room_ends_a_request_after_its_deadline);
+	tcase_add_test(tc, request_not_begun_by_its_deadline_waits_no_longer);
 	tcase_add_test(tc, refusal_of_the_proxy_is_told_as_not_run);
 	return fix_entry_run("entry_link", tc);
 }
