Capacity: membership measured at 6,800 VMs

Cause: the time of a correction at the size was worked out from 2,400 VMs. Ruled out: a bend between 2,400 and 6,800 VMs.

--- a/bench/cap_table.c
+++ b/bench/cap_table.c
@@ -418,7 +418,7 @@
 int main(void)
 {
 	static const size_t services[] = {37, 370, 3700};
-	static const size_t peers[] = {24, 240, 2400};
+	static const size_t peers[] = {24, 240, 2400, 6800};
 	static const size_t recent[] = {1, 8, 32};
 	static const size_t relays[] = {12, 48, 176};
 	struct set_range bad;
@@ -430,7 +430,7 @@
 		measure_table(services[i]);
 	for (size_t i = 0; i < 3; i++)
 		measure_change(recent[i]);
-	for (size_t i = 0; i < 3; i++)
+	for (size_t i = 0; i < sizeof(peers) / sizeof(peers[0]); i++)
 		measure_members(peers[i]);
 	measure_exchange();
 	for (size_t i = 0; i < 3; i++)
