--- a/lab/bench.py
+++ b/lab/bench.py
@@ -329,6 +329,8 @@
     data = os.path.join(OUT, "urgent.dat")
     with open(path) as f:
         rows = [r for r in csv.DictReader(f) if r["rank"] == "urgent" and r["scenario"] != "hop"]
+    if not rows:
+        return
     names = list(dict.fromkeys((r["deployment"], r["scenario"]) for r in rows))
     policies = [p for p in POLICIES if any(r["policy"] == p for r in rows)]
     with open(data, "w") as f:
