Asks are turned to the own share in one pass

Cause: permit_key_turn_local() looked from the first open ask after each ask that it turned, and turned asks stay on the list, so a broker that fell silent with n asks waiting cost n * n / 2 steps in the thread that answers every ask. Only asks that were turned may be answered on the way, so the next one that still waits at the broker can be taken before the call. Ruled out: a list of asks for each key; one pass needs none. test_permit_faults 243 of 243, test_permit_state and test_permit_local pass as before. No time was measured. Also, one include is in its group.

--- a/agent/permit_key.c
+++ b/agent/permit_key.c
@@ -238,10 +238,10 @@
 		permit_local_ask(local, &local_ask, st->now);
 }
 
-static struct permit_open *first_at_broker(const struct permit_key *key)
+/* The first of ask and those after it that waits at the key's broker. */
+static struct permit_open *next_at_broker(const struct permit_key *key,
+					  struct permit_open *ask)
 {
-	struct permit_open *ask = key->st->first_ask;
-
 	while (ask && (ask->key != key || ask->local))
 		ask = ask->next;
 	return ask;
@@ -249,15 +249,18 @@
 
 unsigned permit_key_turn_local(struct permit_key *key)
 {
-	struct permit_open *ask;
+	struct permit_open *ask = next_at_broker(key, key->st->first_ask);
 	unsigned turned = 0;
 
 	if (permit_key_local(key))
 		claim_held(key);
-	/* From the first each time: an answer may drop any number of asks. */
-	while ((ask = first_at_broker(key))) {
+	while (ask) {
+		/* Only asks that were turned may be answered on the way. */
+		struct permit_open *next = next_at_broker(key, ask->next);
+
 		turned++;
 		permit_open_locally(ask);
+		ask = next;
 	}
 	return turned;
 }
--- a/controld/mark_duty.c
+++ b/controld/mark_duty.c
@@ -2,8 +2,8 @@
 
 #include <stdlib.h>
 
-#include "common/err.h"
 #include "agent/duty.h"
+#include "common/err.h"
 #include "controld/xchg.h"
 #include "policy/relay.h"
 
