Test fixtures: one node, one list, one sum of useful work

Ruled out: joining the start and stop of controld's duties, whose order of parts differs; the at-most-once test's and bench's settings, which differ in values.

--- a/bench/exp_ranks.c
+++ b/bench/exp_ranks.c
@@ -167,15 +167,11 @@
 		      const char *variant, const struct slot_model_results *r,
 		      bool csv)
 {
-	double useful = 0;
-
-	for (int k = 0; k < RANK_COUNT; k++)
-		useful += r->rank[k].useful;
 	printf(csv ? "%s,%s,%s,%d" : "%-5s %-15s %-14s %d", deployment,
 	       scenario, variant, SEED);
 	for (int k = 0; k < RANK_COUNT; k++)
 		print_rank(r, k, csv);
-	printf(csv ? ",%.3f,%llu\n" : " | %5.3f %6llu\n", useful / r->capacity,
+	printf(csv ? ",%.3f,%llu\n" : " | %5.3f %6llu\n", slot_model_useful(r),
 	       (unsigned long long)r->sheds);
 }
 
--- a/fakes/slot_model.c
+++ b/fakes/slot_model.c
@@ -695,6 +695,15 @@
 	cfg->region_hop = CLK_MS(35);
 }
 
+double slot_model_useful(const struct slot_model_results *results)
+{
+	double sum = 0;
+
+	for (int k = 0; k < RANK_COUNT; k++)
+		sum += results->rank[k].useful;
+	return sum / results->capacity;
+}
+
 int slot_model_run(const struct slot_model_cfg *cfg,
 		   struct slot_model_results *out)
 {
--- a/fakes/slot_model.h
+++ b/fakes/slot_model.h
@@ -99,6 +99,9 @@
 /* The same for the Guild. */
 void slot_model_guild(struct slot_model_cfg *cfg);
 
+/* Useful work of all ranks, as a part of the slot time there was. */
+double slot_model_useful(const struct slot_model_results *results);
+
 /* Returns 0 or PST_ERR_NOMEM. */
 int slot_model_run(const struct slot_model_cfg *cfg,
 		   struct slot_model_results *out);
--- /dev/null
+++ b/tests/fix_node.h
@@ -0,0 +1,25 @@
+/* A pst-controld's state behind an RPC server that answers everyone. */
+#ifndef TESTS_FIX_NODE_H
+#define TESTS_FIX_NODE_H
+
+#include "agent/ctl.h"
+#include "controld/node.h"
+
+struct fix_node {
+	struct settings set;
+	struct cview *cview;
+	struct node *node;
+};
+
+/* Starts it on fix_ip() as one that has heard nothing yet. */
+void fix_node_start(struct fix_node *fix, uint16_t port);
+
+/* Reads the list of VMs that has one in each domain. */
+void fix_node_list(struct fix_node *fix);
+
+void fix_node_stop(struct fix_node *fix);
+
+/* Revision of the table that the agent holds, or 0. */
+uint64_t fix_node_revision(struct ctl_agent *agent);
+
+#endif
--- a/tests/fix_table.c
+++ b/tests/fix_table.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include <check.h>
 #include <jansson.h>
 
 const char fix_manifest[] =
@@ -68,3 +69,13 @@
 	json_decref(root);
 	return text;
 }
+
+struct vml *fix_vms(int per_domain)
+{
+	char *text = fix_vm_list(per_domain);
+	struct vml *vml = NULL;
+
+	ck_assert_int_eq(vml_parse(&vml, str_from_c(text)), 0);
+	free(text);
+	return vml;
+}
--- a/tests/fix_table.h
+++ b/tests/fix_table.h
@@ -3,6 +3,7 @@
 #define TESTS_FIX_TABLE_H
 
 #include "policy/tbl.h"
+#include "policy/vml.h"
 
 /* Three regions, two failure domains each, two services. */
 extern const char fix_manifest[];
@@ -19,4 +20,7 @@
  */
 char *fix_vm_list(int per_domain);
 
+/* The same list parsed, with one reference. */
+struct vml *fix_vms(int per_domain);
+
 #endif
--- a/tests/test_brk_fixed.c
+++ b/tests/test_brk_fixed.c
@@ -56,15 +56,6 @@
 	return results;
 }
 
-static double useful(const struct slot_model_results *r)
-{
-	double sum = 0;
-
-	for (int k = 0; k < RANK_COUNT; k++)
-		sum += r->rank[k].useful;
-	return sum / r->capacity;
-}
-
 static void check_flood(struct slot_model_cfg *cfg, int at)
 {
 	const struct slot_model_results calm = run(cfg, at, 0.3);
@@ -73,7 +64,8 @@
 
 	printf("urgent p99 %lu us, calm %lu us, useful work %.3f\n",
 	       (unsigned long)urgent->p99,
-	       (unsigned long)calm.rank[RANK_URGENT].p99, useful(&flood));
+	       (unsigned long)calm.rank[RANK_URGENT].p99,
+	       slot_model_useful(&flood));
 	ck_assert_double_le((double)urgent->p99,
 			    URGENT_P99_FACTOR *
 				    (double)calm.rank[RANK_URGENT].p99);
@@ -81,7 +73,7 @@
 	ck_assert_uint_eq(urgent->late, 0);
 	/* Bulk work of 2 s: see docs/design/broker.md, not met. */
 	if (at != LONG_BULK)
-		ck_assert_double_ge(useful(&flood), USEFUL_WORK);
+		ck_assert_double_ge(slot_model_useful(&flood), USEFUL_WORK);
 }
 
 START_TEST(fund_urgent_work_keeps_its_latency)
--- a/tests/test_brk_flood.c
+++ b/tests/test_brk_flood.c
@@ -53,13 +53,6 @@
 	return results;
 }
 
-static double useful(const struct slot_model_results *r)
-{
-	return (r->rank[RANK_URGENT].useful + r->rank[RANK_NORMAL].useful +
-		r->rank[RANK_BULK].useful) /
-	       r->capacity;
-}
-
 /* What the targets ask of urgent work while bulk work floods in. */
 static void check_urgent(const struct slot_model_cfg *cfg)
 {
@@ -130,9 +123,9 @@
 	slot_model_guild(&cfg);
 	r = run(&cfg, &urgent_flood);
 	for (int k = RANK_NORMAL; k < RANK_COUNT; k++)
-		ck_assert_double_ge(r.rank[k].useful / r.capacity / useful(&r),
-				    RESERVE_KEPT * cfg.rank[k].reserved_pct /
-					    100);
+		ck_assert_double_ge(
+			r.rank[k].useful / r.capacity / slot_model_useful(&r),
+			RESERVE_KEPT * cfg.rank[k].reserved_pct / 100);
 }
 END_TEST
 
@@ -143,9 +136,9 @@
 
 	slot_model_fund(&cfg);
 	r = run(&cfg, &bulk_flood);
-	ck_assert_double_ge(useful(&r), USEFUL_WORK);
+	ck_assert_double_ge(slot_model_useful(&r), USEFUL_WORK);
 	r = run(&cfg, &urgent_flood);
-	ck_assert_double_ge(useful(&r), USEFUL_WORK);
+	ck_assert_double_ge(slot_model_useful(&r), USEFUL_WORK);
 }
 END_TEST
 
--- a/tests/test_brk_hops.c
+++ b/tests/test_brk_hops.c
@@ -41,20 +41,11 @@
 	return results;
 }
 
-static double useful(const struct slot_model_results *r)
-{
-	double sum = 0;
-
-	for (int k = 0; k < RANK_COUNT; k++)
-		sum += r->rank[k].useful;
-	return sum / r->capacity;
-}
-
 START_TEST(slots_do_useful_work_in_a_bulk_flood)
 {
 	const struct slot_model_results r = run((uint32_t)_i, 0.2, 0.2, FLOOD);
 
-	ck_assert_double_ge(useful(&r), USEFUL_WORK);
+	ck_assert_double_ge(slot_model_useful(&r), USEFUL_WORK);
 }
 END_TEST
 
@@ -63,7 +54,7 @@
 	const struct slot_model_results r =
 		run((uint32_t)_i, FLOOD, 0.35, 0.25);
 
-	ck_assert_double_ge(useful(&r), USEFUL_WORK);
+	ck_assert_double_ge(slot_model_useful(&r), USEFUL_WORK);
 }
 END_TEST
 
--- a/tests/test_mbr.c
+++ b/tests/test_mbr.c
@@ -20,11 +20,8 @@
 
 static void begin(void)
 {
-	char *text = fix_vm_list(4);
-
-	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
+	list = fix_vms(4);
 	ck_assert_int_eq(mbr_create(&mbr, TIMEOUT), 0);
-	free(text);
 	now = START;
 }
 
--- a/tests/test_node.c
+++ b/tests/test_node.c
@@ -9,9 +9,8 @@
 #include "agent/hold.h"
 #include "agent/tmsg.h"
 #include "common/err.h"
-#include "common/rpcs.h"
-#include "controld/sync.h"
 #include "controld/xchg.h"
+#include "tests/fix_node.h"
 #include "tests/fix_run.h"
 #include "tests/fix_table.h"
 
@@ -20,59 +19,24 @@
 #define WAIT	     CLK_SEC(5)
 #define POLL	     CLK_MS(5)
 
-static struct settings set;
-static struct cview *cview;
-static struct node *node;
-
-static bool allow(void *ctx, struct str ip)
-{
-	(void)ctx;
-	(void)ip;
-	return true;
-}
-
-static void load_settings(void)
-{
-	struct set_range bad;
-
-	if (!set.vm.id.ptr)
-		ck_assert_int_eq(set_convert(NULL, &set, &bad), 0);
-	set.vm.address = fix_ip();
-	set.control.rpc_port = PORT;
-	set.control.freshness_timeout_ms = 3000;
-	set.control.sync_interval_ms = 20;
-}
+static struct fix_node fix;
 
 static void begin(void)
 {
-	const struct rpcs_gate gate = {.allow = allow};
-	struct vml *list = NULL;
-	char *text = fix_vm_list(1);
-
-	load_settings();
-	ck_assert_int_eq(cview_create(&cview), 0);
-	ck_assert_int_eq(node_create(&node, &set, clk_system(),
-				     hold_wall_clock(), cview),
-			 0);
-	ck_assert_int_eq(sync_register(node), 0);
-	ck_assert_int_eq(rpcs_start(fix_ip(), PORT, gate), 0);
-	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
-	node_read_list(node, list);
-	free(text);
+	fix_node_start(&fix, PORT);
+	fix_node_list(&fix);
 }
 
 static void end(void)
 {
-	rpcs_stop();
-	node_destroy(node);
-	cview_destroy(cview);
+	fix_node_stop(&fix);
 }
 
 /* As a read of the whole table from the store would. */
 static void take(const struct tbl_part *parts, size_t count, uint64_t revision)
 {
-	ck_assert_int_eq(node_keep(node, parts, count), 0);
-	ck_assert_int_eq(node_apply(node, revision, "test"), 0);
+	ck_assert_int_eq(node_keep(fix.node, parts, count), 0);
+	ck_assert_int_eq(node_apply(fix.node, revision, "test"), 0);
 }
 
 static struct tbl_part edit_of(const struct tbl_part *old, uint64_t revision,
@@ -91,23 +55,14 @@
 	};
 }
 
-static uint64_t view_revision(struct ctl_agent *agent)
-{
-	struct ctl_view *view = ctl_agent_view(agent);
-	const uint64_t revision = view ? view->tbl->revision : 0;
-
-	ctl_view_put(view);
-	return revision;
-}
-
 static void wait_revision(struct ctl_agent *agent, uint64_t revision)
 {
 	const apr_time_t until = clk_now(clk_system()) + WAIT;
 
-	while (view_revision(agent) != revision) {
+	while (fix_node_revision(agent) != revision) {
 		ck_assert_msg(clk_now(clk_system()) < until,
 			      "held %llu, want %llu",
-			      (unsigned long long)view_revision(agent),
+			      (unsigned long long)fix_node_revision(agent),
 			      (unsigned long long)revision);
 		apr_sleep(POLL);
 	}
@@ -118,7 +73,7 @@
 	table_status status = {0};
 	uint64_t revision;
 
-	ck_assert_int_eq(node_status(node, &status), 0);
+	ck_assert_int_eq(node_status(fix.node, &status), 0);
 	revision = status.in_force;
 	xdr_free((xdrproc_t)xdr_table_status, &status);
 	return revision;
@@ -150,9 +105,9 @@
 		snprintf(names[i], sizeof(names[i]), "region-%d", i);
 		reports[i].domain = names[i];
 	}
-	node_merge_absents(node, &heard);
-	ask.list_revision = node_listed_revision(node);
-	ck_assert_int_eq(node_answer_sync(node, &ask, &answer), 0);
+	node_merge_absents(fix.node, &heard);
+	ask.list_revision = node_listed_revision(fix.node);
+	ck_assert_int_eq(node_answer_sync(fix.node, &ask, &answer), 0);
 	ck_assert_uint_eq(answer.absents.absents_len, 0);
 	ck_assert_uint_le(xdr_sizeof((xdrproc_t)xdr_table_answer, &answer),
 			  128);
@@ -169,7 +124,7 @@
 	char *text;
 
 	begin();
-	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	ck_assert_int_eq(ctl_agent_start(&agent, &fix.set, clk_system()), 0);
 	ck_assert(!ctl_agent_fresh(agent));
 	take(fix_parts, 3, 5);
 	wait_revision(agent, 5);
@@ -204,7 +159,7 @@
 	char *text;
 
 	begin();
-	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	ck_assert_int_eq(ctl_agent_start(&agent, &fix.set, clk_system()), 0);
 	take(fix_parts, 3, 5);
 	wait_revision(agent, 5);
 	wait_in_force(5);
@@ -225,23 +180,24 @@
 	const apr_time_t until = clk_now(clk_system()) + WAIT;
 
 	begin();
-	set.control.freshness_timeout_ms = 400;
-	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	fix.set.control.freshness_timeout_ms = 400;
+	ck_assert_int_eq(ctl_agent_start(&agent, &fix.set, clk_system()), 0);
 	take(fix_parts, 3, 5);
 	wait_revision(agent, 5);
 	/* From the store alone a new process believes nothing yet. */
-	node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
-	ck_assert_int_eq(node_age(node), REV_NEVER);
-	node_meet(node, &peer);
+	node_confirm(fix.node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
+	ck_assert_int_eq(node_age(fix.node), REV_NEVER);
+	node_meet(fix.node, &peer);
 	while (!ctl_agent_fresh(agent)) {
-		node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
+		node_confirm(fix.node, 5, clk_now(clk_system()),
+			     NODE_SOURCE_STORE);
 		ck_assert(clk_now(clk_system()) < until);
 		apr_sleep(POLL);
 	}
 	/* No further confirmation. */
 	apr_sleep(CLK_MS(500));
 	ck_assert(!ctl_agent_fresh(agent));
-	ck_assert_uint_eq(view_revision(agent), 5);
+	ck_assert_uint_eq(fix_node_revision(agent), 5);
 	ctl_agent_stop(agent);
 	end();
 }
@@ -256,16 +212,18 @@
 	take(fix_parts, 3, 5);
 	change = edit_of(&fix_parts[1], 8, "\"almaty-1\":100", "\"almaty-1\":8",
 			 &text);
-	ck_assert_int_eq(node_take_change(node, &change, 1, 7, 8, "peer"),
+	ck_assert_int_eq(node_take_change(fix.node, &change, 1, 7, 8, "peer"),
 			 PST_ERR_STALE);
-	ck_assert_uint_eq(node_revision(node), 5);
-	ck_assert(node_behind(node));
-	ck_assert_int_eq(node_take_change(node, &change, 1, 5, 8, "peer"), 0);
-	ck_assert_uint_eq(node_revision(node), 8);
+	ck_assert_uint_eq(node_revision(fix.node), 5);
+	ck_assert(node_behind(fix.node));
+	ck_assert_int_eq(node_take_change(fix.node, &change, 1, 5, 8, "peer"),
+			 0);
+	ck_assert_uint_eq(node_revision(fix.node), 8);
 	/* Again, and older: nothing happens. */
-	ck_assert_int_eq(node_take_change(node, &change, 1, 5, 8, "peer"), 0);
-	ck_assert_int_eq(node_apply(node, 6, "peer"), PST_ERR_STALE);
-	ck_assert_uint_eq(node_revision(node), 8);
+	ck_assert_int_eq(node_take_change(fix.node, &change, 1, 5, 8, "peer"),
+			 0);
+	ck_assert_int_eq(node_apply(fix.node, 6, "peer"), PST_ERR_STALE);
+	ck_assert_uint_eq(node_revision(fix.node), 8);
 	free(text);
 	end();
 }
@@ -281,17 +239,18 @@
 	take(fix_parts, 3, 5);
 	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100",
 			 "\"almaty-1\":-1", &text);
-	ck_assert_int_eq(node_take_change(node, &change, 1, 5, 6, "peer"),
+	ck_assert_int_eq(node_take_change(fix.node, &change, 1, 5, 6, "peer"),
 			 PST_ERR_INVALID);
-	tbl = node_table(node);
+	tbl = node_table(fix.node);
 	ck_assert_uint_eq(tbl->revision, 5);
 	tbl_put(tbl);
 	free(text);
 	/* The correction of the cell counts. */
 	change = edit_of(&fix_parts[1], 7, "\"almaty-1\":100", "\"almaty-1\":9",
 			 &text);
-	ck_assert_int_eq(node_take_change(node, &change, 1, 6, 7, "peer"), 0);
-	tbl = node_table(node);
+	ck_assert_int_eq(node_take_change(fix.node, &change, 1, 6, 7, "peer"),
+			 0);
+	tbl = node_table(fix.node);
 	ck_assert_uint_eq(tbl->revision, 7);
 	tbl_put(tbl);
 	free(text);
@@ -311,21 +270,21 @@
 	ck_assert_uint_eq(in_force(), 5);
 	change = edit_of(&fix_parts[1], 6, "\"almaty-1\":100",
 			 "\"almaty-1\":-1", &text);
-	node_take_change(node, &change, 1, 5, 6, "peer");
+	node_take_change(fix.node, &change, 1, 5, 6, "peer");
 	free(text);
 	ck_assert_uint_eq(in_force(), 5);
 	change = edit_of(&fix_parts[2], 7, "\"almaty-1\":100", "\"almaty-1\":9",
 			 &text);
-	node_take_change(node, &change, 1, 6, 7, "peer");
+	node_take_change(fix.node, &change, 1, 6, 7, "peer");
 	free(text);
-	tbl = node_table(node);
+	tbl = node_table(fix.node);
 	ck_assert_uint_eq(tbl_row(tbl, 0, RANK_URGENT)->weights[0], 100);
 	ck_assert_uint_eq(tbl_row(tbl, 1, RANK_URGENT)->weights[0], 9);
 	tbl_put(tbl);
 	ck_assert_uint_eq(in_force(), 5);
 	change = edit_of(&fix_parts[1], 8, "\"almaty-1\":100", "\"almaty-1\":3",
 			 &text);
-	node_take_change(node, &change, 1, 7, 8, "peer");
+	node_take_change(fix.node, &change, 1, 7, 8, "peer");
 	free(text);
 	ck_assert_uint_eq(in_force(), 8);
 	end();
@@ -373,7 +332,7 @@
 	begin();
 	parts = big_table(&manifest);
 	take(parts, BIG_SERVICES + 1, 10 + (BIG_SERVICES - 1) / 3);
-	ck_assert_int_eq(ctl_agent_start(&agent, &set, clk_system()), 0);
+	ck_assert_int_eq(ctl_agent_start(&agent, &fix.set, clk_system()), 0);
 	wait_revision(agent, 10 + (BIG_SERVICES - 1) / 3);
 	view = ctl_agent_view(agent);
 	ck_assert_uint_eq(view->tbl->service_count, BIG_SERVICES);
@@ -399,14 +358,14 @@
 
 	begin();
 	take(fix_parts, 3, 5);
-	node_meet(node, &peer);
-	node_confirm(node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
+	node_meet(fix.node, &peer);
+	node_confirm(fix.node, 5, clk_now(clk_system()), NODE_SOURCE_STORE);
 	ck_assert_int_eq(cview_create(&other_view), 0);
-	ck_assert_int_eq(node_create(&other, &set, clk_system(),
+	ck_assert_int_eq(node_create(&other, &fix.set, clk_system(),
 				     hold_wall_clock(), other_view),
 			 0);
-	ck_assert_int_eq(xchg_create(&xchg, &set, clk_system(), other), 0);
-	members = node_members(node);
+	ck_assert_int_eq(xchg_create(&xchg, &fix.set, clk_system(), other), 0);
+	members = node_members(fix.node);
 	((struct vm *)vml_find(members, STR_LIT("entry-2")))->address.len =
 		(uint8_t)fix_ip().len;
 	memcpy(members->vms[1].address.ptr, fix_ip().ptr, fix_ip().len + 1);
@@ -441,13 +400,14 @@
 
 	begin();
 	take(fix_parts, 3, 5);
-	ck_assert_int_eq(node_take_change(node, &mark, 1, 5, 6, "peer"), 0);
-	view = cview_get(cview);
+	ck_assert_int_eq(node_take_change(fix.node, &mark, 1, 5, 6, "peer"), 0);
+	view = cview_get(fix.cview);
 	ck_assert_int_eq(vml_find(view->vml, STR_LIT("entry-3"))->state,
 			 VM_LEAVING);
 	ctl_view_put(view);
-	ck_assert_int_eq(node_take_change(node, &cleared, 1, 6, 7, "peer"), 0);
-	view = cview_get(cview);
+	ck_assert_int_eq(node_take_change(fix.node, &cleared, 1, 6, 7, "peer"),
+			 0);
+	view = cview_get(fix.cview);
 	ck_assert_int_eq(vml_find(view->vml, STR_LIT("entry-3"))->state,
 			 VM_LIVE);
 	ctl_view_put(view);
--- a/tests/test_relay.c
+++ b/tests/test_relay.c
@@ -7,22 +7,12 @@
 #include "tests/fix_run.h"
 #include "tests/fix_table.h"
 
-static struct vml *fleet(int per_domain)
-{
-	char *text = fix_vm_list(per_domain);
-	struct vml *vml = NULL;
-
-	ck_assert_int_eq(vml_parse(&vml, str_from_c(text)), 0);
-	free(text);
-	return vml;
-}
-
 START_TEST(each_domain_has_two_of_its_own)
 {
 	static const char *const domains[] = {"almaty-1", "almaty-2",
 					      "astana-1", "astana-2",
 					      "aktobe-1", "aktobe-2"};
-	struct vml *vml = fleet(4);
+	struct vml *vml = fix_vms(4);
 
 	for (size_t d = 0; d < 6; d++) {
 		const struct str domain = str_from_c(domains[d]);
@@ -42,7 +32,7 @@
 
 START_TEST(next_best_follows_a_relay_that_leaves)
 {
-	struct vml *vml = fleet(4);
+	struct vml *vml = fix_vms(4);
 	const struct str domain = STR_LIT("astana-1");
 	const struct vm *before[RELAY_PER_DOMAIN];
 	const struct vm *after[RELAY_PER_DOMAIN];
@@ -58,7 +48,7 @@
 
 START_TEST(small_domain_has_what_there_is)
 {
-	struct vml *vml = fleet(1);
+	struct vml *vml = fix_vms(1);
 	const struct vm *relays[RELAY_PER_DOMAIN];
 
 	ck_assert_uint_eq(relay_pick(vml, STR_LIT("aktobe-2"), relays), 1);
@@ -70,7 +60,7 @@
 /* Whatever the size, every VM hears of a change, and none sends too often. */
 START_TEST(tree_reaches_each_vm_once)
 {
-	struct vml *vml = fleet(_i);
+	struct vml *vml = fix_vms(_i);
 	const struct str domain = STR_LIT("aktobe-1");
 	const struct vm *children[RELAY_CHILDREN_MAX];
 	size_t told[1024] = {0};
@@ -118,7 +108,7 @@
 
 START_TEST(tree_over_domains_reaches_each_once)
 {
-	struct vml *vml = fleet(4);
+	struct vml *vml = fix_vms(4);
 	struct vml *many = NULL;
 
 	ck_assert_int_eq(reach(vml, "aktobe-1"), 6);
--- a/tests/test_tbl_golden.c
+++ b/tests/test_tbl_golden.c
@@ -49,17 +49,14 @@
 /* leaving may be NULL. */
 static void take_list(const char *leaving)
 {
-	char *text = fix_vm_list(2);
-	struct vml *list = NULL;
+	struct vml *list = fix_vms(2);
 
-	ck_assert_int_eq(vml_parse(&list, str_from_c(text)), 0);
 	if (leaving) {
 		list->revision++;
 		((struct vm *)vml_find(list, str_from_c(leaving)))->state =
 			VM_LEAVING;
 	}
 	node_read_list(node, list);
-	free(text);
 }
 
 static void push(struct tbl_part part, const char *value, uint64_t previous,
--- a/tests/test_vml.c
+++ b/tests/test_vml.c
@@ -71,19 +71,9 @@
 }
 END_TEST
 
-static struct vml *fleet(int per_domain)
-{
-	char *text = fix_vm_list(per_domain);
-	struct vml *vml = NULL;
-
-	ck_assert_int_eq(vml_parse(&vml, str_from_c(text)), 0);
-	free(text);
-	return vml;
-}
-
 START_TEST(rendezvous_moves_only_what_was_on_the_lost_vm)
 {
-	struct vml *vml = fleet(4);
+	struct vml *vml = fix_vms(4);
 	const struct vm *before[2];
 	const struct vm *after[2];
 	struct vm *lost = &vml->vms[5];
@@ -115,7 +105,7 @@
 
 START_TEST(rendezvous_keeps_to_the_domain)
 {
-	struct vml *vml = fleet(3);
+	struct vml *vml = fix_vms(3);
 	const struct vm *picks[VML_MAX_PICKS];
 	const size_t count = vml_rendezvous(vml, STR_LIT("k"),
 					    STR_LIT("astana-2"), picks, 99);
@@ -228,8 +218,8 @@
 
 START_TEST(delta_is_small_refused_when_old_and_whole_when_too_far)
 {
-	struct vml *first = fleet(4);
-	struct vml *second = fleet(4);
+	struct vml *first = fix_vms(4);
+	struct vml *second = fix_vms(4);
 	struct lsd_delta delta;
 	struct vml *list;
 	struct lsd *a;
