steerd: a relay of relays hears anew as soon as its own relay does

Cause: with 33 VMs in a domain the relays form a tree, and the second relay's data was as old as its own relay's plus the time that its watch waited (0.4 to 0.5 s) plus the pause after an update (0.4 to 1.5 s). With a store 0.11 s away that passed the 1.2 s for which it vouches, it refused its followers, and each of them watched the store three times for 3 s. Seen in logs of refusals: all by VMs that followed a relay, with data 1,200 to 1,425 ms old.

Now a VM that others follow, or that has no data yet, tells its relay the age of its data and is answered as soon as the relay's is newer; and there is no pause after an update that another VM sent, which costs no call.

Ruled out: asking the same relay again after a refusal, as a follower's data is never newer than its relay's.

--- a/policy/relaytree.c
+++ b/policy/relaytree.c
@@ -25,6 +25,15 @@
 #define FALLBACK_LONG_PAUSE_US 2000000
 #define FALLBACK_QUICK_TRIES   16
 
+/*
+ * Difference between two ages that counts, in microseconds: longer than a
+ * request takes within a domain, by which the stated age is wrong.
+ */
+#define NEWER_BY_US 100000
+
+/* Age that is stated for data that was never fresh, in microseconds: a day. */
+#define AGE_OF_NONE_US (86400 * APR_USEC_PER_SEC)
+
 /* Time after a follower's request in which a VM is a relay, in microseconds. */
 #define FOLLOWED_FOR_US 3000000
 
@@ -205,6 +214,21 @@
 	       now - relaytree->asked_at < FOLLOWED_FOR_US;
 }
 
+apr_interval_time_t relaytree_stated_age(const struct relaytree *relaytree,
+					 apr_time_t fresh_at, apr_time_t now)
+{
+	if (!fresh_at)
+		return AGE_OF_NONE_US;
+	if (!relaytree_has_followers(relaytree, now))
+		return -1;
+	return now > fresh_at ? now - fresh_at : 0;
+}
+
+bool relaytree_is_newer(apr_time_t fresh_at, apr_time_t known_at)
+{
+	return fresh_at - known_at > NEWER_BY_US;
+}
+
 bool relaytree_is_fresh(apr_time_t fresh_at, apr_time_t now)
 {
 	return fresh_at && now - fresh_at < RELAYTREE_FRESH_TIME_US;
--- a/policy/relaytree.h
+++ b/policy/relaytree.h
@@ -120,6 +120,22 @@
 /* Whether other VMs have watched this one recently. */
 bool relaytree_has_followers(const struct relaytree *relaytree, apr_time_t now);
 
+/*
+ * Age, in microseconds, of the data that a VM states to its relay, when it
+ * needs the relay's word that nothing has changed as soon as there is a newer
+ * one; negative when it needs no such word before a change. A VM that others
+ * follow passes that word on, and would add the time that a watch waits to the
+ * age of its data; a VM whose data was never fresh (fresh_at 0) has none yet.
+ */
+apr_interval_time_t relaytree_stated_age(const struct relaytree *relaytree,
+					 apr_time_t fresh_at, apr_time_t now);
+
+/*
+ * Whether data as of fresh_at is so much newer than that as of known_at that it
+ * is worth an answer.
+ */
+bool relaytree_is_newer(apr_time_t fresh_at, apr_time_t known_at);
+
 /* Whether data of the store as of fresh_at (0: none) counts as fresh. */
 bool relaytree_is_fresh(apr_time_t fresh_at, apr_time_t now);
 
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -314,11 +314,16 @@
 						    : now);
 }
 
-/* Delay after an update, which ends no later than the settling does. */
+/*
+ * Delay after an update, which ends no later than the settling does. Calls to
+ * another VM aren't charged, and that VM's own delay collects the changes.
+ */
 static double update_delay(const struct feed *feed)
 {
 	const double settle = seconds(settle_time(feed));
 
+	if (feedstep_asks_vm(feed->feedstep))
+		return 0;
 	return settle > 0 && settle < feed->update_delay_s
 		       ? settle
 		       : feed->update_delay_s;
@@ -407,8 +412,12 @@
 		return;
 	case FEEDSTEP_WATCH_RELAY:
 	case FEEDSTEP_WATCH_FALLBACK:
-		feed->call = plt_watch_vm(vm, feed->prefix, feed->revision,
-					  !view.store_failing, on_watch, feed);
+		feed->call = plt_watch_vm(
+			vm, feed->prefix, feed->revision, !view.store_failing,
+			relaytree_stated_age(&st->relaytree,
+					     feed->relay_fresh_at,
+					     feed->called_at),
+			on_watch, feed);
 		return;
 	case FEEDSTEP_WAIT:
 		wait_for_wake(feed,
--- a/steerd/relay.c
+++ b/steerd/relay.c
@@ -21,6 +21,8 @@
 	uint64_t after;
 	apr_time_t received_at;
 	apr_time_t wait_until;
+	/* Answered without a change once this VM's data is newer than that. */
+	apr_time_t known_at;
 	TAILQ_ENTRY(relay_watch) link;
 };
 
@@ -71,7 +73,8 @@
 				watch->received_at -
 					feed_fresh_at(watch->feed));
 	if (count > 0 ||
-	    (!count && clk_now(relay->st->clk) >= watch->wait_until)) {
+	    (!count && (late || relaytree_is_newer(feed_fresh_at(watch->feed),
+						   watch->known_at)))) {
 		watch_free(relay, watch);
 		srv_answer(req, 200, STR_LIT("OK"), STR_LIT(JSON_TYPE),
 			   buf_str(&body));
@@ -125,6 +128,9 @@
 		.after = query.after,
 		.received_at = now,
 		.wait_until = now + CLK_MS(query.wait_ms),
+		.known_at = query.wants_newer
+				    ? now - (apr_interval_time_t)query.age
+				    : APR_INT64_MAX,
 	};
 	req->user = watch;
 	TAILQ_INSERT_TAIL(&relay->watches, watch, link);
--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -67,6 +67,8 @@
         self.items, self.events, self.revision, self.dropped_revision = {}, [], 1, 0
         self.leases, self.mode, self.watch_cuts, self.calls = {}, "ok", 0, []
         self.lag_s, self.lags, self.lists, self.watch_log = 0, {}, [], []
+        # Time from a call until its answer is sent, on top of a watch's wait: the way to another region and back.
+        self.delay_s = 0
         # Time, revision and items of the latest states, oldest first.
         self.past_states = deque([(0, 1, {})], maxlen=MAX_PAST_STATES)
         # By port: the mode for the VMs that call there, where it differs from mode.
@@ -112,6 +114,7 @@
                 if mode() in ("lost", "silent") or result is None:
                     self.close_connection = True
                     return None
+                time.sleep(outer.delay_s)
                 return self.answer(*result)
 
             def handle(self):
--- a/tests/test_relaytree.c
+++ b/tests/test_relaytree.c
@@ -176,6 +176,32 @@
 }
 END_TEST
 
+/*
+ * A VM that others follow, and one that has no data yet, want their relay's
+ * word as soon as it is newer than what they have; others wait for a change.
+ */
+START_TEST(relays_want_newer_data)
+{
+	struct relaytree relaytree = {.asked_at = CLK_SEC(30)};
+	const apr_time_t now = CLK_SEC(31);
+	const apr_time_t own = now - CLK_MS(400);
+
+	ck_assert_int_eq(relaytree_stated_age(&relaytree, own, now),
+			 CLK_MS(400));
+	ck_assert_int_eq(relaytree_stated_age(&relaytree, now + 5, now), 0);
+	ck_assert_int_ge(relaytree_stated_age(&relaytree, 0, now),
+			 CLK_SEC(3600));
+	relaytree.asked_at = 0;
+	ck_assert_int_lt(relaytree_stated_age(&relaytree, own, now), 0);
+	ck_assert_int_ge(relaytree_stated_age(&relaytree, 0, now),
+			 CLK_SEC(3600));
+
+	/* The stated age includes the way there: no answer for that alone. */
+	ck_assert(!relaytree_is_newer(own + CLK_MS(2), own));
+	ck_assert(relaytree_is_newer(own + CLK_MS(200), own));
+}
+END_TEST
+
 /* Changes that wait for the grace period and then pass relays are in time. */
 START_TEST(grace_period_ends_in_time)
 {
@@ -356,6 +382,7 @@
 	tcase_add_test(tc, start_among_running_vms);
 	tcase_add_test(tc, large_domains_form_a_tree);
 	tcase_add_test(tc, stale_relay_stops_serving);
+	tcase_add_test(tc, relays_want_newer_data);
 	tcase_add_test(tc, grace_period_ends_in_time);
 	tcase_add_test(tc, relay_fails_in_grace_period);
 	tcase_add_test(tc, relay_after_an_outage);
