steerd: the VMs with the most bandwidth relay the store's changes

Cause: relays were chosen by hash alone, so 0.1 of a core and 20 Mbit/s could have to pass 1,212 new upstreams (some 500 KB) to 16 followers while the fleet starts: answers came after 0.5 s and more, watches ended by time-out, and the followers left for the store, 3 s and three watches each.

A VM states its link's bandwidth in its entry (steer.link_mbps); at each level of the tree those with most come first, then the hash. VMs of an earlier version state none and come last; where views differ for a while, a loop ends by the age of its data as before.

--- a/policy/relaytree.c
+++ b/policy/relaytree.c
@@ -63,33 +63,39 @@
 	return vm->domain == domain && vm->peer.len;
 }
 
-/* The VM of the domain with the highest score below the given one. */
-static const struct vms_entry *next_by_score(const struct vms *vms, int domain,
-					     uint64_t below)
+/* Whether a VM comes before another among the relays of their domain. */
+static bool precedes(const struct vms_entry *vm, const struct vms_entry *other)
+{
+	if (vm->link_mbps != other->link_mbps)
+		return vm->link_mbps > other->link_mbps;
+	return score(vm->hash) > score(other->hash);
+}
+
+/* The domain's relay that comes next after the given one; NULL: the first. */
+static const struct vms_entry *next_relay(const struct vms *vms, int domain,
+					  const struct vms_entry *after)
 {
 	const struct vms_entry *best = NULL;
 
 	for (size_t i = 0; i < vms->count; i++) {
 		const struct vms_entry *vm = &vms->list[i];
-		const uint64_t own = score(vm->hash);
 
-		if (may_relay(vm, domain) && own < below &&
-		    (!best || own > score(best->hash)))
+		if (may_relay(vm, domain) && (!after || precedes(after, vm)) &&
+		    (!best || precedes(vm, best)))
 			best = vm;
 	}
 	return best;
 }
 
-/* Number of VMs of the same domain with a higher score. */
-static size_t rank_by_score(const struct vms *vms, const struct vms_entry *self)
+/* Number of VMs of the same domain that come before this one. */
+static size_t relay_rank(const struct vms *vms, const struct vms_entry *self)
 {
 	size_t rank = 0;
 
 	for (size_t i = 0; i < vms->count; i++) {
 		const struct vms_entry *vm = &vms->list[i];
 
-		rank += may_relay(vm, self->domain) &&
-			score(vm->hash) > score(self->hash);
+		rank += may_relay(vm, self->domain) && precedes(vm, self);
 	}
 	return rank;
 }
@@ -98,7 +104,7 @@
 			  int domain, apr_time_t now)
 {
 	if (now < relaytree->grace_until && !relaytree->grace_failed &&
-	    next_by_score(vms, domain, UINT64_MAX))
+	    next_relay(vms, domain, NULL))
 		relaytree->direct_until = now;
 }
 
@@ -113,15 +119,15 @@
 	if (now < relaytree->direct_until)
 		return NULL;
 	if (at < vms->count) {
-		const size_t rank = rank_by_score(vms, &vms->list[at]);
+		const size_t rank = relay_rank(vms, &vms->list[at]);
 
 		if (!rank)
 			return NULL;
 		parent = (rank - 1) / RELAYTREE_MAX_FOLLOWERS;
 	}
-	vm = next_by_score(vms, domain, UINT64_MAX);
+	vm = next_relay(vms, domain, NULL);
 	while (vm && parent--)
-		vm = next_by_score(vms, domain, score(vm->hash));
+		vm = next_relay(vms, domain, vm);
 	return vm;
 }
 
--- a/policy/relaytree.h
+++ b/policy/relaytree.h
@@ -8,7 +8,9 @@
  * is silent, refuses, or cannot guarantee that its data is fresh; where the
  * store refuses them as well, they watch any VM that gives the guarantee (the
  * fallback). A relay's work and traffic grow with its followers, so their
- * number is bounded; in a larger domain the relays form a tree. The age of the
+ * number is bounded; in a larger domain the relays form a tree, and the VMs
+ * with the most bandwidth come first: in a start of the fleet every upstream is
+ * news for all followers at once. The age of the
  * data is passed down with it, so the guarantee is the same at any depth.
  */
 #ifndef POLICY_RELAYTREE_H
--- a/policy/vms.h
+++ b/policy/vms.h
@@ -23,6 +23,8 @@
 	struct strbuf front;
 	/* "ADDRESS:PORT" for other VMs; empty: it accepts no calls. */
 	struct strbuf peer;
+	/* Bandwidth of its link in Mbit/s; 0 if it states none. */
+	unsigned link_mbps;
 	uint64_t hash;
 	int domain;
 	int region;
--- a/schema/gen/settings_gen.c
+++ b/schema/gen/settings_gen.c
@@ -201,6 +201,7 @@
 	char **domains;
 	unsigned domains_count;
 	uint64_t *descriptors;
+	double *link_mbps;
 	uint64_t *memory_mb;
 };
 
@@ -213,6 +214,7 @@
 	CYAML_FIELD_STRING_PTR("store", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_steer, store, 0, CYAML_UNLIMITED),
 	CYAML_FIELD_SEQUENCE("domains", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_steer, domains, &string_entry, 0, CYAML_UNLIMITED),
 	CYAML_FIELD_UINT_PTR("descriptors", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_steer, descriptors),
+	CYAML_FIELD_FLOAT_PTR("link_mbps", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_steer, link_mbps),
 	CYAML_FIELD_UINT_PTR("memory_mb", CYAML_FLAG_POINTER | CYAML_FLAG_OPTIONAL, struct raw_steer, memory_mb),
 	CYAML_FIELD_END,
 };
@@ -507,6 +509,8 @@
 		return PST_ERR_NOMEM;
 	if (conv_uint(r ? r->descriptors : NULL, UINT64_C(2400), UINT64_C(400), UINT64_C(1000000), &out->steer.descriptors))
 		return refuse(bad, "steer", "descriptors", "a number from 400 to 1000000");
+	if (conv_real(r ? r->link_mbps : NULL, 0.0, &out->steer.link_mbps))
+		return refuse(bad, "steer", "link_mbps", "a number from 0 to 1000000");
 	if (conv_uint(r ? r->memory_mb : NULL, UINT64_C(128), UINT64_C(16), UINT64_C(65536), &out->steer.memory_mb))
 		return refuse(bad, "steer", "memory_mb", "a number from 16 to 65536");
 	return 0;
--- a/schema/gen/settings_gen.h
+++ b/schema/gen/settings_gen.h
@@ -118,6 +118,8 @@
 	size_t domains_count;
 	/* Descriptors that the process may use; apart from a reserve, half are for callers and half for upstreams. */
 	uint64_t descriptors;
+	/* Bandwidth of this VM's link, in megabits per second. Those VMs of a domain that have most relay the store's changes to the others; 0: unknown, after all others. */
+	double link_mbps;
 	/* Memory of this VM, in megabytes; a quarter of it holds bodies. */
 	uint64_t memory_mb;
 };
--- a/steerd/self.c
+++ b/steerd/self.c
@@ -150,9 +150,10 @@
 	snprintf(key, sizeof(key), STATE_PREFIX_VMS "%.*s",
 		 STR_ARG(set->vm.id));
 	snprintf(value, sizeof(value),
-		 "{\"front\":\"%.*s\",\"domain\":\"%.*s\",\"peer\":\"%.*s\"}",
+		 "{\"front\":\"%.*s\",\"domain\":\"%.*s\",\"peer\":\"%.*s\","
+		 "\"link_mbps\":%u}",
 		 STR_ARG(set->steer.front), STR_ARG(set->vm.failure_domain),
-		 STR_ARG(set->steer.peer));
+		 STR_ARG(set->steer.peer), (unsigned)set->steer.link_mbps);
 	plt_put(self->st->store, str_from_c(key), str_from_c(value),
 		self->lease, on_put, self);
 }
--- a/steerd/state.c
+++ b/steerd/state.c
@@ -19,6 +19,9 @@
 #define UPSTREAMS_DELAY_S 0.4
 #define VMS_DELAY_S	  1.5
 
+/* Largest bandwidth of a VM's link that is believed: 10 Tbit/s. */
+#define MAX_LINK_MBPS 10000000
+
 /* Time between two checks for entries whose hold after an outage has ended. */
 #define EXPIRE_INTERVAL_S 0.25
 
@@ -176,11 +179,14 @@
 	const char *front = NULL;
 	const char *domain = NULL;
 	const char *peer = NULL;
+	/* VMs of an earlier version state none. */
+	json_int_t link_mbps = 0;
 	int err;
 
 	*out = (struct vms_entry){0};
-	err = json_unpack(doc, "{s:s, s:s, s:s}", "front", &front, "domain",
-			  &domain, "peer", &peer);
+	err = json_unpack(doc, "{s:s, s:s, s:s, s?I}", "front", &front,
+			  "domain", &domain, "peer", &peer, "link_mbps",
+			  &link_mbps);
 	if (!err)
 		err = strbuf_set(&out->id, id) ||
 		      strbuf_set(&out->front, str_from_c(front)) ||
@@ -188,6 +194,8 @@
 	if (!err) {
 		out->domain = geo_domain(&st->geo, str_from_c(domain));
 		out->region = geo_region_of(&st->geo, out->domain);
+		if (link_mbps > 0 && link_mbps <= MAX_LINK_MBPS)
+			out->link_mbps = (unsigned)link_mbps;
 	}
 	json_decref(doc);
 	return err ? PST_ERR_INVALID : 0;
--- a/tests/test_relaytree.c
+++ b/tests/test_relaytree.c
@@ -158,6 +158,44 @@
 }
 END_TEST
 
+/* The VMs with the most bandwidth are the relays, at each level of the tree. */
+START_TEST(relays_have_most_bandwidth)
+{
+	struct vms vms = {0};
+	struct relaytree relaytree;
+	unsigned followers[40] = {0};
+	unsigned direct = 0;
+
+	relaytree_init(&relaytree, CLK_SEC(10));
+	for (int i = 0; i < 40; i++) {
+		struct vms_entry entry;
+		char id[16];
+
+		snprintf(id, sizeof(id), "vm-%d", i);
+		entry = vm(id, 0);
+		entry.link_mbps = i == 7 || i == 23 || i == 31 ? 200 : 20;
+		if (i == 5)
+			entry.link_mbps = 0;
+		vms_put(&vms, &entry);
+	}
+	for (size_t i = 0; i < vms.count; i++) {
+		const struct vms_entry *r = relaytree_choose(
+			&relaytree, &vms, 0, strbuf_str(&vms.list[i].id),
+			CLK_SEC(20));
+
+		direct += !r;
+		if (r)
+			followers[r - vms.list]++;
+	}
+	ck_assert_uint_eq(direct, 1);
+	for (size_t i = 0; i < vms.count; i++)
+		ck_assert(!followers[i] || vms.list[i].link_mbps == 200);
+	ck_assert_uint_eq(followers[7] + followers[23] + followers[31], 39);
+	free(vms.list);
+	free(vms.hashes);
+}
+END_TEST
+
 /*
  * A relay that the store doesn't answer stops guaranteeing fresh data within
  * half of the shortest bound on changes, 2.5 s.
@@ -381,6 +419,7 @@
 	tcase_add_test(tc, one_relay_per_domain);
 	tcase_add_test(tc, start_among_running_vms);
 	tcase_add_test(tc, large_domains_form_a_tree);
+	tcase_add_test(tc, relays_have_most_bandwidth);
 	tcase_add_test(tc, stale_relay_stops_serving);
 	tcase_add_test(tc, relays_want_newer_data);
 	tcase_add_test(tc, grace_period_ends_in_time);
