steerd: a VM starts from lists of replicas, and its relay confirms the table

Now the first lists all come from any replica (a tenth of a call). Until there is a table it is listed again, five times at most; until the relay is known so are the VMs. A table that a replica listed is not used before the relay, or else one call to the store, has said what came after (FEEDSTEP_UNCONFIRMED). A VM is listed while that is under way, since its followers wait for it. Any call that the store answered shows that it serves this VM, not renewals alone.

Ruled out: asking the seeds of the settings first; they would have to pass all news to a hundred VMs each, and the list of VMs shows the relays as early.

--- a/policy/feedstep.c
+++ b/policy/feedstep.c
@@ -19,6 +19,7 @@
 						: FEEDSTEP_LIST;
 	case FEEDSTEP_CHANGES_MISSING:
 		return wait_for_renewal ? FEEDSTEP_WAIT : FEEDSTEP_CATCH_UP;
+	case FEEDSTEP_UNCONFIRMED:
 	case FEEDSTEP_LISTED:
 		break;
 	}
@@ -26,7 +27,12 @@
 		return FEEDSTEP_WATCH_RELAY;
 	if (view->has_fallback)
 		return FEEDSTEP_WATCH_FALLBACK;
-	return wait_for_renewal || view->in_start_grace || view->awaits_table
-		       ? FEEDSTEP_WAIT
-		       : FEEDSTEP_WATCH_STORE;
+	if (wait_for_renewal)
+		return FEEDSTEP_WAIT;
+	if (view->may_poll)
+		return FEEDSTEP_POLL_REPLICA;
+	if (view->in_start_grace || view->awaits_table)
+		return FEEDSTEP_WAIT;
+	return view->list_state == FEEDSTEP_UNCONFIRMED ? FEEDSTEP_CATCH_UP
+							: FEEDSTEP_WATCH_STORE;
 }
--- a/policy/feedstep.h
+++ b/policy/feedstep.h
@@ -5,8 +5,11 @@
  * Designed for: a store that fails calls, each of which is charged and adds to
  * its load, and a fleet whose VMs all start at once. In an outage only the
  * renewal of the VM's lease probes the store, on behalf of all feeds. At a
- * start the feeds list from any replica of the store where stale data will do,
- * and put off the watch until there is a table and the relays are known.
+ * start the feeds list from any replica of the store, which costs a tenth of
+ * another call, and put off the watch until there is a table and the relays are
+ * known. Until then they list again: a watch would be answered by each change
+ * of the many in a start. What must not be stale is not used before the relay
+ * or the store has said that nothing came after.
  */
 #ifndef POLICY_FEEDSTEP_H
 #define POLICY_FEEDSTEP_H
@@ -17,6 +20,11 @@
 enum feedstep_list_state {
 	/* The list is missing or incomplete. */
 	FEEDSTEP_UNLISTED,
+	/*
+	 * Listed from a replica, and not to be used before it is known whether
+	 * changes came after.
+	 */
+	FEEDSTEP_UNCONFIRMED,
 	/* Listed, but the relay has dropped changes that came after. */
 	FEEDSTEP_CHANGES_MISSING,
 	/* Complete up to a revision. */
@@ -32,6 +40,8 @@
 	 * the replica lacked comes with the watch that follows.
 	 */
 	FEEDSTEP_LIST_REPLICA,
+	/* The same after a pause. */
+	FEEDSTEP_POLL_REPLICA,
 	/* Ask the store once for the changes since, without waiting. */
 	FEEDSTEP_CATCH_UP,
 	/* Watch the store. */
@@ -52,6 +62,8 @@
 	 * list that replaces another must not be older.
 	 */
 	bool stale_list_allowed;
+	/* What is waited for may be in a list by now: it is listed again. */
+	bool may_poll;
 	/* There is a relay that may be watched now. */
 	bool has_relay;
 	/* There is a fallback VM, and the store fails this one. */
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -27,9 +27,23 @@
 /* Delay before the next call to a relay that may have lost the store too. */
 #define RELAY_RETRY_S 0.4
 
+/*
+ * Pause before a replica is listed again: in a start the VMs are listed within
+ * some calls of each other. Ten polls cost as much as the watch that they
+ * replace, so the table is not polled for long.
+ */
+#define POLL_INTERVAL_S 0.25
+#define TABLE_POLLS	5
+
 /* Time by which the feed of VMs settles before the others: one call. */
 #define VMS_LEAD_TIME_US 200000
 
+/*
+ * Time by which the table is confirmed at the latest before the others settle:
+ * a VM accepts callers 0.5 s after its start whether it can serve or not.
+ */
+#define CONFIRM_LEAD_TIME_US 250000
+
 /* A key that exists. */
 struct feed_key {
 	/* The feed's list_seq when the key was last seen. */
@@ -59,6 +73,10 @@
 
 	(void)loop;
 	(void)events;
+	if (feed->feedstep == FEEDSTEP_POLL_REPLICA) {
+		feed->place = FEEDSTEP_UNLISTED;
+		feed->listed = false;
+	}
 	next_call(feed);
 }
 
@@ -196,6 +214,24 @@
 	feed->failures = 0;
 }
 
+/* The store answered a call of this feed, at its newest revision. */
+static void note_store_answer(const struct feed *feed)
+{
+	struct relaytree *relaytree = &feed->st->relaytree;
+
+	if (feed->called_at > relaytree->fresh_at)
+		relaytree->fresh_at = feed->called_at;
+}
+
+/* All changes are known up to now: what is listed may be used. */
+static void become_current(struct feed *feed)
+{
+	feed->place = FEEDSTEP_LISTED;
+	feed->current = true;
+	if (feed->ops->listed)
+		feed->ops->listed(feed->st);
+}
+
 static void on_range(void *ctx, const struct plt_reply *reply)
 {
 	struct feed *feed = ctx;
@@ -223,10 +259,14 @@
 	buf_reset(&feed->after);
 	report_unlisted(feed);
 	changelog_reset(&feed->changes, feed->revision);
-	feed->place = FEEDSTEP_LISTED;
 	feed->listed = true;
-	if (feed->ops->listed)
-		feed->ops->listed(feed->st);
+	if (feed->feedstep == FEEDSTEP_LIST)
+		note_store_answer(feed);
+	if (feed->feedstep == FEEDSTEP_LIST || !feed->must_be_current)
+		become_current(feed);
+	else
+		feed->place = feed->st->routing ? FEEDSTEP_UNCONFIRMED
+						: FEEDSTEP_LISTED;
 	next_call(feed);
 }
 
@@ -307,11 +347,19 @@
 /* Time left for which the feed waits for other VMs that may be starting. */
 static apr_interval_time_t settle_time(const struct feed *feed)
 {
-	const apr_time_t now = clk_now(feed->st->clk);
-
-	return relaytree_grace_left(&feed->st->relaytree,
-				    feed->lists_vms ? now + VMS_LEAD_TIME_US
-						    : now);
+	const struct st *st = feed->st;
+	apr_time_t now = clk_now(st->clk);
+
+	if (feed->lists_vms)
+		now += VMS_LEAD_TIME_US;
+	if (feed->place == FEEDSTEP_UNCONFIRMED && st->routing) {
+		/* Callers wait: not for VMs that may not come. */
+		if (st->relaytree.grace_failed ||
+		    downtime_is_recent(&st->downtime, now))
+			return 0;
+		now += CONFIRM_LEAD_TIME_US;
+	}
+	return relaytree_grace_left(&st->relaytree, now);
 }
 
 /*
@@ -350,13 +398,15 @@
 				feed->st->set->vm.id, feed->detour_attempt);
 		feed_wake_waiting(feed->group);
 	} else {
-		feed->place = FEEDSTEP_LISTED;
+		note_store_answer(feed);
 		call_succeeded(feed);
 	}
 	apply_reply(feed, reply);
 	if (reply->revision > feed->revision)
 		feed->revision = reply->revision;
 	changelog_advance(&feed->changes, feed->revision);
+	if (feed->place != FEEDSTEP_LISTED || !feed->current)
+		become_current(feed);
 	if (feed->group->on_update)
 		feed->group->on_update(feed->group->ctx, feed);
 	if (reply->count)
@@ -365,13 +415,37 @@
 		next_call(feed);
 }
 
+/* Delay until the poll that follows the last call. */
+static double poll_delay(const struct feed *feed)
+{
+	const double passed = seconds(clk_now(feed->st->clk) - feed->listed_at);
+
+	return passed < POLL_INTERVAL_S ? POLL_INTERVAL_S - passed : 0;
+}
+
+/* Whether a list that is made again may show what the feed waits for. */
+static bool may_poll(struct feed *feed, bool settling)
+{
+	const bool has_table = feed->st->routing != NULL;
+
+	if (feed->place == FEEDSTEP_UNLISTED)
+		return false;
+	if (feed->lists_vms)
+		return settling && has_table;
+	if (!feed->must_be_current || has_table || !feed->table_polls_left)
+		return false;
+	feed->table_polls_left--;
+	return true;
+}
+
 static void next_call(struct feed *feed)
 {
 	struct st *st = feed->st;
 	const apr_interval_time_t settle = settle_time(feed);
 	struct feedstep_input view = {
 		.list_state = feed->place,
-		.stale_list_allowed = feed->may_lag && !feed->listed,
+		.stale_list_allowed = !feed->listed,
+		.may_poll = may_poll(feed, settle > 0),
 		.renewing_lease = self_is_listed(st->self),
 		.store_failing = st->downtime.store_unavailable ||
 				 self_is_checking(st->self),
@@ -380,7 +454,8 @@
 	};
 	struct plt_store *vm = NULL;
 
-	if (feed->place == FEEDSTEP_LISTED &&
+	if ((feed->place == FEEDSTEP_LISTED ||
+	     feed->place == FEEDSTEP_UNCONFIRMED) &&
 	    !(needs_detour(st) && st->relaytree.fallback_works)) {
 		vm = st_relay(st);
 		view.has_relay = vm != NULL;
@@ -397,11 +472,15 @@
 	switch (feed->feedstep) {
 	case FEEDSTEP_LIST:
 	case FEEDSTEP_LIST_REPLICA:
+		feed->listed_at = feed->called_at;
 		feed->call = plt_list_keys(
 			st->store, feed->prefix, buf_str(&feed->after),
 			feed->feedstep == FEEDSTEP_LIST_REPLICA, on_range,
 			feed);
 		return;
+	case FEEDSTEP_POLL_REPLICA:
+		schedule(feed, poll_delay(feed));
+		return;
 	case FEEDSTEP_CATCH_UP:
 		feed->call = plt_catch_up(st->store, feed->prefix,
 					  feed->revision, on_watch, feed);
@@ -437,22 +516,25 @@
 
 bool feed_is_direct(const struct feed *feed)
 {
-	return feed->place != FEEDSTEP_UNLISTED &&
-	       !feedstep_asks_vm(feed->feedstep) &&
-	       feed->feedstep != FEEDSTEP_WAIT &&
+	return feed->place == FEEDSTEP_LISTED &&
+	       (feed->feedstep == FEEDSTEP_WATCH_STORE ||
+		feed->feedstep == FEEDSTEP_CATCH_UP) &&
 	       (!feed->failures || has_live_call(feed));
 }
 
 bool feed_is_following(const struct feed *feed)
 {
-	return feed_is_direct(feed) || (feed->place != FEEDSTEP_UNLISTED &&
+	return feed_is_direct(feed) || (feed->place == FEEDSTEP_LISTED &&
 					feedstep_asks_vm(feed->feedstep));
 }
 
 bool feed_is_settling(const struct feed *feed)
 {
-	return feed->place != FEEDSTEP_UNLISTED &&
-	       feed->feedstep == FEEDSTEP_WAIT && settle_time(feed) > 0;
+	if (!feed->listed || (feed->place != FEEDSTEP_UNLISTED &&
+			      feed->place != FEEDSTEP_LISTED))
+		return true;
+	return feed->place == FEEDSTEP_LISTED &&
+	       feed->feedstep != FEEDSTEP_WATCH_STORE && settle_time(feed) > 0;
 }
 
 apr_time_t feed_fresh_at(const struct feed *feed)
@@ -524,5 +606,6 @@
 	LIST_INIT(&feed->list);
 	ev_timer_init(&feed->timer, on_timer, 0, 0);
 	feed->timer.data = feed;
+	feed->table_polls_left = TABLE_POLLS;
 	next_call(feed);
 }
--- a/steerd/feed.h
+++ b/steerd/feed.h
@@ -14,7 +14,7 @@
 struct feed_ops {
 	/* A key was written or deleted. */
 	void (*changed)(struct st *st, const struct plt_item *item);
-	/* A list is complete; may be NULL. */
+	/* A list is complete and may be used; may be NULL. */
 	void (*listed)(struct st *st);
 };
 
@@ -43,8 +43,9 @@
 	bool listed;
 	/* How the call in progress, or else the last call, is made. */
 	enum feedstep feedstep;
-	/* When the last call began. */
+	/* When the last call began, and the last list. */
 	apr_time_t called_at;
+	apr_time_t listed_at;
 	/* When the relay last heard from the store, going by its answers. */
 	apr_time_t relay_fresh_at;
 	/*
@@ -57,8 +58,15 @@
 	 * it settles before them, and searches for a VM that the store serves.
 	 */
 	bool lists_vms;
-	/* The first list may come from a replica that lags. */
-	bool may_lag;
+	/*
+	 * What a replica listed isn't used before it is known whether changes
+	 * came after: only then ops->listed is called.
+	 */
+	bool must_be_current;
+	/* Known as the keys were at some time since the start. */
+	bool current;
+	/* Replicas are listed again until there is a table. */
+	unsigned table_polls_left;
 	/* Its keys are not needed before there is a table. */
 	bool after_table;
 	/* The detour attempt that its call belongs to. */
@@ -81,7 +89,7 @@
 
 /*
  * The caller has set st, group, prefix, ops, update_delay_s, lists_vms,
- * may_lag and after_table, and zeroed the rest.
+ * must_be_current and after_table, and zeroed the rest.
  */
 void feed_start(struct feed *feed);
 
@@ -97,13 +105,16 @@
 /* Moves watches from the store to the relay, if there is one. */
 void feed_prefer_relay(struct feed_group *group);
 
-/* Whether all keys were listed and the feed watches the store itself. */
+/* Whether all keys are known and the feed watches the store itself. */
 bool feed_is_direct(const struct feed *feed);
 
 /* As feed_is_direct(), or through a relay. */
 bool feed_is_following(const struct feed *feed);
 
-/* Whether all keys were listed and the feed waits for VMs that start. */
+/*
+ * Whether the feed has yet to learn, in a start, which keys there are or where
+ * to watch for changes.
+ */
 bool feed_is_settling(const struct feed *feed);
 
 /* Time up to which the store's changes are known; 0: not following. */
--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -486,7 +486,7 @@
 	struct str draw_key = flow->marks.id;
 
 	*cause = REFUSE_NO_TABLE;
-	if (!st->routing || !st->upstreams_known)
+	if (!st->routing || !st->table_known || !st->upstreams_known)
 		return PST_ERR_REQ_NO_TABLE;
 	flow->routing = st->routing;
 	ref_get(&flow->routing->ref);
--- a/steerd/main.c
+++ b/steerd/main.c
@@ -71,11 +71,16 @@
 	struct stat settings_stat;
 };
 
-bool st_ready(const struct st *st)
+bool st_nearly_ready(const struct st *st)
 {
 	return st->routing && st->upstreams_known && !st->stopping;
 }
 
+bool st_ready(const struct st *st)
+{
+	return st_nearly_ready(st) && st->table_known;
+}
+
 void st_store_call_ended(struct st *st, int err)
 {
 	/* With these errors the store did answer. */
--- a/steerd/self.c
+++ b/steerd/self.c
@@ -163,7 +163,7 @@
 	if (self->calling || self->leaving)
 		return;
 	/* A VM that is listed gets callers, so it must be able to serve. */
-	if (!st_ready(self->st)) {
+	if (!st_nearly_ready(self->st)) {
 		schedule(self, RETRY_MIN_S);
 		return;
 	}
--- a/steerd/st.h
+++ b/steerd/st.h
@@ -44,6 +44,11 @@
 	/* The manifest in force; NULL until the first. */
 	struct routing *routing;
 	struct registry registry;
+	/*
+	 * The operators' keys were known as they were at some time since this
+	 * VM's start, not only as a replica of the store had them.
+	 */
+	bool table_known;
 	/* The list of upstreams was read completely at least once. */
 	bool upstreams_known;
 	struct vms vms;
@@ -68,6 +73,13 @@
 /* Whether this VM can serve callers. */
 bool st_ready(const struct st *st);
 
+/*
+ * Whether this VM can serve callers as soon as it knows that its table is the
+ * newest: time to be listed, since that takes two calls, and since the relay of
+ * its domain is found in the list.
+ */
+bool st_nearly_ready(const struct st *st);
+
 /* Records the result of a call to the store, 0 or an error. */
 void st_store_call_ended(struct st *st, int err);
 
--- a/steerd/state.c
+++ b/steerd/state.c
@@ -25,13 +25,13 @@
 /* Time between two checks for entries whose hold after an outage has ended. */
 #define EXPIRE_INTERVAL_S 0.25
 
-/* Accepts the connections that arrived since the start, once ready. */
+/* Accepts the connections that arrived since the start, and is listed. */
 static void accept_callers(struct st *st)
 {
-	if (!st_ready(st))
-		return;
-	srv_accept(&st->front);
-	self_list(st->self);
+	if (st_nearly_ready(st))
+		self_list(st->self);
+	if (st_ready(st))
+		srv_accept(&st->front);
 }
 
 /* Other VMs may have waited for the first manifest, and start now as well. */
@@ -113,6 +113,12 @@
 	}
 }
 
+static void operators_listed(struct st *st)
+{
+	st->table_known = true;
+	accept_callers(st);
+}
+
 static void drop_upstream(struct st *st, struct str id, const char *why)
 {
 	const apr_time_t hold = st_hold_until(st);
@@ -233,6 +239,8 @@
 	relaytree_vms_listed(&st->relaytree, &st->vms, st->domain,
 			     clk_now(st->clk));
 	feed_prefer_relay(st->feeds);
+	/* They may have waited for the relay. */
+	feed_wake_waiting(st->feeds);
 }
 
 static void on_expire(struct ev_loop *loop, struct ev_timer *timer, int events)
@@ -290,11 +298,8 @@
 		struct feed_ops ops;
 		double update_delay_s;
 		bool lists_vms;
-		/*
-		 * Not for the table: the one read must not be older than the
-		 * one in force.
-		 */
-		bool may_lag;
+		/* The table must not be older than the one in force. */
+		bool must_be_current;
 		bool after_table;
 	} specs[] = {
 		/* First, so that the others know of a relay. */
@@ -302,15 +307,14 @@
 		 .ops = {.changed = on_vm, .listed = vms_listed},
 		 .update_delay_s = VMS_DELAY_S,
 		 .lists_vms = true,
-		 .may_lag = true,
 		 .after_table = true},
 		{.prefix = STR_LIT(PLT_PREFIX_OPERATORS),
-		 .ops = {.changed = on_operator},
-		 .update_delay_s = OPERATORS_DELAY_S},
+		 .ops = {.changed = on_operator, .listed = operators_listed},
+		 .update_delay_s = OPERATORS_DELAY_S,
+		 .must_be_current = true},
 		{.prefix = STR_LIT(PLT_PREFIX_UPSTREAMS),
 		 .ops = {.changed = on_upstream, .listed = upstreams_listed},
 		 .update_delay_s = UPSTREAMS_DELAY_S,
-		 .may_lag = true,
 		 .after_table = true},
 	};
 	const size_t count = sizeof(specs) / sizeof(specs[0]);
@@ -333,7 +337,7 @@
 		feeds[i].ops = &specs[i].ops;
 		feeds[i].update_delay_s = specs[i].update_delay_s;
 		feeds[i].lists_vms = specs[i].lists_vms;
-		feeds[i].may_lag = specs[i].may_lag;
+		feeds[i].must_be_current = specs[i].must_be_current;
 		feeds[i].after_table = specs[i].after_table;
 		feed_start(&feeds[i]);
 	}
--- a/tests/test_feedstep.c
+++ b/tests/test_feedstep.c
@@ -37,6 +37,47 @@
 }
 END_TEST
 
+/*
+ * What must not be stale is confirmed by the relay, which costs nothing, or
+ * else by one call; until the relay can be known the feed waits or polls.
+ */
+START_TEST(stale_list_is_confirmed)
+{
+	struct feedstep_input view = {.list_state = FEEDSTEP_UNCONFIRMED,
+				      .in_start_grace = true};
+
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_WAIT);
+	view.may_poll = true;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_POLL_REPLICA);
+	view.has_relay = true;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_WATCH_RELAY);
+	view = (struct feedstep_input){.list_state = FEEDSTEP_UNCONFIRMED};
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_CATCH_UP);
+	view.store_failing = true;
+	view.renewing_lease = true;
+	view.may_poll = true;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_WAIT);
+	view.has_fallback = true;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_WATCH_FALLBACK);
+	ck_assert(!feedstep_asks_vm(FEEDSTEP_POLL_REPLICA));
+}
+END_TEST
+
+/* A list that is complete is polled as well while VMs are being listed. */
+START_TEST(list_is_polled_in_grace_period)
+{
+	struct feedstep_input view = {.list_state = FEEDSTEP_LISTED,
+				      .in_start_grace = true,
+				      .may_poll = true};
+
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_POLL_REPLICA);
+	view.has_relay = true;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_WATCH_RELAY);
+	view.list_state = FEEDSTEP_UNLISTED;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_LIST);
+}
+END_TEST
+
 /* Keys that are of use only with a table aren't watched before there is one. */
 START_TEST(no_watch_before_the_table)
 {
@@ -123,6 +164,8 @@
 
 	tcase_add_test(tc, store_works);
 	tcase_add_test(tc, first_list_may_be_stale);
+	tcase_add_test(tc, stale_list_is_confirmed);
+	tcase_add_test(tc, list_is_polled_in_grace_period);
 	tcase_add_test(tc, no_watch_before_the_table);
 	tcase_add_test(tc, outage_waits_for_renewals);
 	tcase_add_test(tc, outage_without_a_lease);
