steerd: when a relay refuses, one of its followers takes its place

A relay that refuses or ends quickly is passed over for 8 s for the next in the order, the same VM for all, which watches the store and renews its lease at once if it is asked; after two, or after a silence, the store is asked as before. Lost changes come as a list from the relay, which is no older than what the follower knows, and only then from the store.

--- a/policy/feedstep.c
+++ b/policy/feedstep.c
@@ -43,6 +43,8 @@
 		return view->has_relay ? FEEDSTEP_LIST_RELAY
 				       : FEEDSTEP_LIST_REPLICA;
 	case FEEDSTEP_CHANGES_MISSING:
+		if (view->has_relay)
+			return FEEDSTEP_LIST_RELAY;
 		return wait_for_renewal ? FEEDSTEP_WAIT : FEEDSTEP_CATCH_UP;
 	case FEEDSTEP_UNCONFIRMED:
 	case FEEDSTEP_LISTED:
--- a/policy/feedstep.h
+++ b/policy/feedstep.h
@@ -45,7 +45,10 @@
 	FEEDSTEP_LIST_REPLICA,
 	/* The same after a pause. */
 	FEEDSTEP_POLL_REPLICA,
-	/* List the keys from the relay, which costs no call to the store. */
+	/*
+	 * List the keys from the relay, which costs no call to the store: at a
+	 * start, or when the relay has dropped changes.
+	 */
 	FEEDSTEP_LIST_RELAY,
 	/* Ask the store once for the changes since, without waiting. */
 	FEEDSTEP_CATCH_UP,
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -5,6 +5,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "steerd/feedplan.h"
 #include "steerd/self.h"
 
 #define LOG_MODULE "feed"
@@ -28,21 +29,10 @@
 #define RELAY_RETRY_S 0.4
 
 /*
- * Pause before a replica is listed again: in a start the VMs are listed within
- * some calls of each other. Ten polls cost as much as the watch that they
- * replace, so the table is not polled for long.
+ * Time in which a relay refuses or its process ends: a watch's wait and a
+ * margin. After a longer silence there is no time to ask another relay.
  */
-#define POLL_INTERVAL_S 0.25
-#define TABLE_POLLS	5
-
-/* Time by which the feed of VMs settles before the others: one call. */
-#define VMS_LEAD_TIME_US 200000
-
-/*
- * Time by which the table is confirmed at the latest before the others settle:
- * a VM accepts callers 0.5 s after its start whether it can serve or not.
- */
-#define CONFIRM_LEAD_TIME_US 250000
+#define QUICK_FAILURE_US 600000
 
 static void next_call(struct feed *feed);
 
@@ -192,8 +182,11 @@
 	struct feed *feed = ctx;
 
 	feed->call = NULL;
-	if (reply->err && feed->feedstep == FEEDSTEP_LIST_RELAY) {
-		log_relay_left(feed, reply->err);
+	if (feed->feedstep == FEEDSTEP_LIST_RELAY &&
+	    (reply->err ||
+	     (feed->listed && reply->revision < feed->revision))) {
+		/* A list that replaces another must not be older. */
+		log_relay_left(feed, reply->err ? reply->err : PST_ERR_STALE);
 		feed->relay_list_failed = true;
 		next_call(feed);
 		return;
@@ -239,12 +232,6 @@
 		feed->group->on_update(feed->group->ctx, feed);
 }
 
-/* Whether the store fails this VM, but may serve another one. */
-static bool needs_detour(const struct st *st)
-{
-	return st->downtime.store_unavailable && self_is_listed(st->self);
-}
-
 /* Makes the feed of VMs try a detour after the delay. */
 static void schedule_detour(struct feed_group *group, double delay_s)
 {
@@ -277,6 +264,20 @@
 	next_call(feed);
 }
 
+/* The relay is passed over: its other calls would be refused too. */
+static void leave_relay(struct feed_group *group)
+{
+	for (size_t i = 0; i < group->count; i++) {
+		struct feed *feed = &group->feeds[i];
+
+		if (!feed->call || !feedstep_asks_vm(feed->feedstep))
+			continue;
+		plt_cancel(feed->call);
+		feed->call = NULL;
+		schedule(feed, 0);
+	}
+}
+
 /*
  * The relay could not answer: watches the store from the same revision on, if
  * the store answers this VM.
@@ -295,47 +296,33 @@
 	 * A relay that began to follow after this feed's revision can still be
 	 * used once the changes in between were read from the store.
 	 */
-	if (err == PST_ERR_STALE && !needs_detour(st)) {
+	if (err == PST_ERR_STALE && !feedplan_needs_detour(st)) {
 		feed->place = FEEDSTEP_CHANGES_MISSING;
+	} else if (now - feed->called_at < QUICK_FAILURE_US &&
+		   !feedplan_needs_detour(st) &&
+		   relaytree_pass_over(&st->relaytree, st->relay_hash, now)) {
+		leave_relay(feed->group);
 	} else if (relaytree_failed(&st->relaytree, st->downtime.ended_at,
 				    now)) {
 		schedule(feed, RELAY_RETRY_S);
 		return;
 	} else {
 		self_check_store(st->self);
-		if (needs_detour(st))
+		if (feedplan_needs_detour(st))
 			schedule_detour(feed->group, 0);
-		if (needs_detour(st) && feed->lists_vms)
+		if (feedplan_needs_detour(st) && feed->lists_vms)
 			return;
 	}
 	next_call(feed);
 }
 
-/* Time left for which the feed waits for other VMs that may be starting. */
-static apr_interval_time_t settle_time(const struct feed *feed)
-{
-	const struct st *st = feed->st;
-	apr_time_t now = clk_now(st->clk);
-
-	if (feed->lists_vms)
-		now += VMS_LEAD_TIME_US;
-	if (feed->place == FEEDSTEP_UNCONFIRMED && st->routing) {
-		/* Callers wait: not for VMs that may not come. */
-		if (st->relaytree.grace_failed || feed->relay_list_failed ||
-		    downtime_is_recent(&st->downtime, now))
-			return 0;
-		now += CONFIRM_LEAD_TIME_US;
-	}
-	return relaytree_grace_left(&st->relaytree, now);
-}
-
 /*
  * Delay after an update, which ends no later than the settling does. Calls to
  * another VM aren't charged, and that VM's own delay collects the changes.
  */
 static double update_delay(const struct feed *feed)
 {
-	const double settle = seconds(settle_time(feed));
+	const double settle = seconds(feedplan_settle_time(feed));
 
 	if (feedstep_asks_vm(feed->feedstep))
 		return 0;
@@ -358,6 +345,7 @@
 		return;
 	}
 	if (feedstep_asks_vm(feed->feedstep)) {
+		feed->relay_list_failed = false;
 		feed->relay_fresh_at = feed->called_at - reply->age;
 		if (feed->feedstep == FEEDSTEP_WATCH_FALLBACK)
 			relaytree_fallback_succeeded(
@@ -382,73 +370,15 @@
 		next_call(feed);
 }
 
-/* Delay until the poll that follows the last call. */
-static double poll_delay(const struct feed *feed)
-{
-	const double passed = seconds(clk_now(feed->st->clk) - feed->listed_at);
-
-	return passed < POLL_INTERVAL_S ? POLL_INTERVAL_S - passed : 0;
-}
-
-/* Whether a list that is made again may show what the feed waits for. */
-static bool may_poll(struct feed *feed, bool settling)
-{
-	const bool has_table = feed->st->routing != NULL;
-
-	if (feed->place == FEEDSTEP_UNLISTED)
-		return false;
-	if (feed->lists_vms)
-		return settling && has_table;
-	if (!feed->must_be_current || has_table || !feed->table_polls_left)
-		return false;
-	feed->table_polls_left--;
-	return true;
-}
-
-/* Whether the list of VMs, and with it the relay, is about to be known. */
-static bool awaits_relay(const struct feed *feed)
-{
-	const struct feed_group *group = feed->group;
-
-	for (size_t i = 0; i < group->count && !feed->lists_vms; i++) {
-		const struct feed *other = &group->feeds[i];
-
-		if (other->lists_vms && !other->listed && !other->failures)
-			return true;
-	}
-	return false;
-}
-
-/* Whether the relay may be asked for a list, or for changes. */
-static bool may_use_relay(const struct feed *feed)
-{
-	const struct st *st = feed->st;
-
-	switch (feed->place) {
-	case FEEDSTEP_UNLISTED:
-		return !feed->lists_vms && !feed->listed &&
-		       !feed->relay_list_failed;
-	case FEEDSTEP_CHANGES_MISSING:
-		return false;
-	case FEEDSTEP_UNCONFIRMED:
-		if (feed->relay_list_failed)
-			return false;
-		/* fallthrough */
-	case FEEDSTEP_LISTED:
-		return !(needs_detour(st) && st->relaytree.fallback_works);
-	}
-	return false;
-}
-
 static void next_call(struct feed *feed)
 {
 	struct st *st = feed->st;
-	const apr_interval_time_t settle = settle_time(feed);
+	const apr_interval_time_t settle = feedplan_settle_time(feed);
 	struct feedstep_input view = {
 		.list_state = feed->place,
 		.stale_list_allowed = !feed->listed,
-		.may_poll = may_poll(feed, settle > 0),
-		.awaits_relay = awaits_relay(feed),
+		.may_poll = feedplan_may_poll(feed, settle > 0),
+		.awaits_relay = feedplan_awaits_relay(feed),
 		.renewing_lease = self_is_listed(st->self),
 		.store_failing = st->downtime.store_unavailable ||
 				 self_is_checking(st->self),
@@ -457,11 +387,12 @@
 	};
 	struct plt_store *vm = NULL;
 
-	if (may_use_relay(feed)) {
+	if (feedplan_may_use_relay(feed)) {
 		vm = st_relay(st);
 		view.has_relay = vm != NULL;
 	}
-	if (feed->place == FEEDSTEP_LISTED && needs_detour(st) && !vm) {
+	if (feed->place == FEEDSTEP_LISTED && feedplan_needs_detour(st) &&
+	    !vm) {
 		vm = st_fallback(st, feed->lists_vms);
 		view.has_fallback = vm != NULL;
 	}
@@ -483,13 +414,18 @@
 		feed->call = plt_list_vm(vm, feed->prefix, on_range, feed);
 		return;
 	case FEEDSTEP_POLL_REPLICA:
-		schedule(feed, poll_delay(feed));
+		schedule(feed, seconds(feedplan_poll_delay(feed)));
 		return;
 	case FEEDSTEP_CATCH_UP:
 		feed->call = plt_catch_up(st->store, feed->prefix,
 					  feed->revision, on_watch, feed);
 		return;
 	case FEEDSTEP_WATCH_STORE:
+		/* Followers may be waiting for this VM to take over. */
+		if (relaytree_has_followers(&st->relaytree, feed->called_at) &&
+		    relaytree_is_nearly_stale(st->relaytree.fresh_at,
+					      feed->called_at))
+			self_renew(st->self);
 		feed->call = plt_watch(st->store, feed->prefix, feed->revision,
 				       on_watch, feed);
 		return;
@@ -538,7 +474,8 @@
 			      feed->place != FEEDSTEP_LISTED))
 		return true;
 	return feed->place == FEEDSTEP_LISTED &&
-	       feed->feedstep != FEEDSTEP_WATCH_STORE && settle_time(feed) > 0;
+	       feed->feedstep != FEEDSTEP_WATCH_STORE &&
+	       feedplan_settle_time(feed) > 0;
 }
 
 apr_time_t feed_fresh_at(const struct feed *feed)
@@ -609,6 +546,6 @@
 	keys_init(&feed->keys, feed->st->pool);
 	ev_timer_init(&feed->timer, on_timer, 0, 0);
 	feed->timer.data = feed;
-	feed->table_polls_left = TABLE_POLLS;
+	feed->table_polls_left = FEEDPLAN_TABLE_POLLS;
 	next_call(feed);
 }
--- a/steerd/feed.h
+++ b/steerd/feed.h
@@ -83,7 +83,7 @@
 	unsigned failures;
 	/* Keys that exist. */
 	struct keys keys;
-	/* The relay could not list them: the store is asked. */
+	/* The relay did not list them: the store is asked. */
 	bool relay_list_failed;
 };
 
--- /dev/null
+++ b/steerd/feedplan.c
@@ -0,0 +1,96 @@
+#include "steerd/feedplan.h"
+
+#include "steerd/self.h"
+
+/*
+ * Pause before a replica is listed again: in a start the VMs are listed within
+ * some calls of each other.
+ */
+#define POLL_INTERVAL_US 250000
+
+/* Time by which the feed of VMs settles before the others: one call. */
+#define VMS_LEAD_TIME_US 200000
+
+/*
+ * Time by which the table is confirmed at the latest before the others settle:
+ * a VM accepts callers soon after its start whether it can serve or not.
+ */
+#define CONFIRM_LEAD_TIME_US 250000
+
+bool feedplan_needs_detour(const struct st *st)
+{
+	return st->downtime.store_unavailable && self_is_listed(st->self);
+}
+
+apr_interval_time_t feedplan_settle_time(const struct feed *feed)
+{
+	const struct st *st = feed->st;
+	apr_time_t now = clk_now(st->clk);
+
+	if (feed->lists_vms)
+		now += VMS_LEAD_TIME_US;
+	if (feed->place == FEEDSTEP_UNCONFIRMED && st->routing) {
+		/* Callers wait: not for VMs that may not come. */
+		if (st->relaytree.grace_failed || feed->relay_list_failed ||
+		    downtime_is_recent(&st->downtime, now))
+			return 0;
+		now += CONFIRM_LEAD_TIME_US;
+	}
+	return relaytree_grace_left(&st->relaytree, now);
+}
+
+apr_interval_time_t feedplan_poll_delay(const struct feed *feed)
+{
+	const apr_interval_time_t passed =
+		clk_now(feed->st->clk) - feed->listed_at;
+
+	return passed < POLL_INTERVAL_US ? POLL_INTERVAL_US - passed : 0;
+}
+
+bool feedplan_may_poll(struct feed *feed, bool settling)
+{
+	const bool has_table = feed->st->routing != NULL;
+
+	if (feed->place == FEEDSTEP_UNLISTED)
+		return false;
+	if (feed->lists_vms)
+		return settling && has_table;
+	if (!feed->must_be_current || has_table || !feed->table_polls_left)
+		return false;
+	feed->table_polls_left--;
+	return true;
+}
+
+bool feedplan_awaits_relay(const struct feed *feed)
+{
+	const struct feed_group *group = feed->group;
+
+	for (size_t i = 0; i < group->count && !feed->lists_vms; i++) {
+		const struct feed *other = &group->feeds[i];
+
+		if (other->lists_vms && !other->listed && !other->failures)
+			return true;
+	}
+	return false;
+}
+
+bool feedplan_may_use_relay(const struct feed *feed)
+{
+	const struct st *st = feed->st;
+
+	switch (feed->place) {
+	case FEEDSTEP_UNLISTED:
+		return !feed->lists_vms && !feed->listed &&
+		       !feed->relay_list_failed;
+	case FEEDSTEP_CHANGES_MISSING:
+		return !feed->relay_list_failed && !feedplan_needs_detour(st);
+	case FEEDSTEP_UNCONFIRMED:
+		if (feed->relay_list_failed)
+			return false;
+		/* fallthrough */
+	case FEEDSTEP_LISTED:
+		return !(feedplan_needs_detour(st) &&
+			 st->relaytree.fallback_works);
+	}
+	return false;
+}
--- a/tests/test_feedstep.c
+++ b/tests/test_feedstep.c
@@ -12,6 +12,9 @@
 	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_LIST);
 	view.list_state = FEEDSTEP_CHANGES_MISSING;
 	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_CATCH_UP);
+	view.has_relay = true;
+	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_LIST_RELAY);
+	view.has_relay = false;
 	view.list_state = FEEDSTEP_LISTED;
 	ck_assert_int_eq(feedstep_next(&view), FEEDSTEP_WATCH_STORE);
 	view.has_relay = true;
