platform: an entry that cannot be read costs the others nothing

Reports of other operators: one odd entry among the upstreams ended processes or stopped them from following. Here a key with a character of code 0 made every list and watch fail (json_loadb() refuses it in the whole answer), so that VMs that started had no upstreams and others followed no more; an item without a whole revision or a text as its value did the same; port 0 was taken as usable; a key with a line break wrote a line of the log.

--- a/common/evt.c
+++ b/common/evt.c
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdio.h>
 #include <string.h>
+#include <ctype.h>
 #include <fcntl.h>
 #include <time.h>
 #include <unistd.h>
@@ -220,6 +221,11 @@
 	used += (size_t)n;
 	if (used > sizeof(line) - 2)
 		used = sizeof(line) - 2;
+	/* What others write, such as keys, must not begin a line. */
+	for (size_t i = 0; i < used; i++) {
+		if (iscntrl((unsigned char)line[i]))
+			line[i] = '?';
+	}
 	line[used] = '\n';
 	line[used + 1] = '\0';
 	if (pending_fd >= 0) {
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -63,6 +63,9 @@
 
 static void apply_reply(struct feed *feed, const struct plt_reply *reply)
 {
+	if (reply->damaged)
+		evt_log(FEED_DAMAGED, "prefix=%.*s items=%zu",
+			STR_ARG(feed->prefix), reply->damaged);
 	for (size_t i = 0; i < reply->count; i++) {
 		const struct plt_item *item = &reply->items[i];
 		const struct changelog_change change = {
