--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -5,6 +5,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "steerd/calls.h"
 #include "steerd/feedplan.h"
 #include "steerd/self.h"
 
@@ -373,6 +374,19 @@
 		next_call(feed);
 }
 
+static enum calls_cause cause_of_call(const struct feed *feed)
+{
+	const struct st *st = feed->st;
+
+	if (!feed->current)
+		return CALLS_START;
+	if (feed->failures ||
+	    downtime_is_recent(&st->downtime, feed->called_at))
+		return CALLS_OUTAGE;
+	return feed->called_at < st->relaytree.direct_until ? CALLS_RELAY_LOST
+							    : CALLS_NEWS;
+}
+
 static void next_call(struct feed *feed)
 {
 	struct st *st = feed->st;
@@ -407,6 +421,7 @@
 	switch (feed->feedstep) {
 	case FEEDSTEP_LIST:
 	case FEEDSTEP_LIST_REPLICA:
+		calls_count(cause_of_call(feed));
 		feed->listed_at = feed->called_at;
 		feed->call = plt_list_keys(
 			st->store, feed->prefix, buf_str(&feed->after),
@@ -420,6 +435,7 @@
 		schedule(feed, seconds(feedplan_poll_delay(feed)));
 		return;
 	case FEEDSTEP_CATCH_UP:
+		calls_count(cause_of_call(feed));
 		feed->call = plt_catch_up(st->store, feed->prefix,
 					  feed->revision, on_watch, feed);
 		return;
@@ -429,6 +445,7 @@
 		    relaytree_is_nearly_stale(st->relaytree.fresh_at,
 					      feed->called_at))
 			self_renew(st->self);
+		calls_count(cause_of_call(feed));
 		feed->call = plt_watch(st->store, feed->prefix, feed->revision,
 				       on_watch, feed);
 		return;
--- a/steerd/self.c
+++ b/steerd/self.c
@@ -6,6 +6,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "steerd/calls.h"
 #include "steerd/feed.h"
 #include "steerd/state.h"
 
@@ -169,6 +170,9 @@
 	}
 	self->calling = true;
 	self->called_at = clk_now(self->st->clk);
+	calls_count(!self->written   ? CALLS_START
+		    : self->failures ? CALLS_OUTAGE
+				     : CALLS_RENEWAL);
 	if (!self->lease)
 		plt_grant_lease(self->st->store, LEASE_MS, on_lease, self);
 	else if (!self->written)
@@ -230,5 +234,6 @@
 	if (self->calling || !self->lease)
 		return;
 	self->calling = true;
+	calls_count(CALLS_STOP);
 	plt_revoke_lease(self->st->store, self->lease, on_end, self);
 }
