--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -387,6 +387,25 @@
 							    : CALLS_NEWS;
 }
 
+/* Returns the VM that may be asked now, or NULL, and says which it is. */
+static struct plt_store *choose_vm(const struct feed *feed,
+				   struct feedstep_input *view)
+{
+	struct st *st = feed->st;
+	struct plt_store *vm = NULL;
+
+	if (feedplan_may_use_relay(feed)) {
+		vm = st_relay(st);
+		view->has_relay = vm != NULL;
+	}
+	if (feed->place == FEEDSTEP_LISTED && feedplan_needs_detour(st) &&
+	    !vm) {
+		vm = st_fallback(st, feed->lists_vms);
+		view->has_fallback = vm != NULL;
+	}
+	return vm;
+}
+
 static void next_call(struct feed *feed)
 {
 	struct st *st = feed->st;
@@ -402,17 +421,7 @@
 		.in_start_grace = settle > 0,
 		.awaits_table = feed->after_table && !st->routing,
 	};
-	struct plt_store *vm = NULL;
-
-	if (feedplan_may_use_relay(feed)) {
-		vm = st_relay(st);
-		view.has_relay = vm != NULL;
-	}
-	if (feed->place == FEEDSTEP_LISTED && feedplan_needs_detour(st) &&
-	    !vm) {
-		vm = st_fallback(st, feed->lists_vms);
-		view.has_fallback = vm != NULL;
-	}
+	struct plt_store *const vm = choose_vm(feed, &view);
 
 	feed->detour_attempt = st->relaytree.fallback_turn;
 	feed->relay_fresh_at = feed_fresh_at(feed);
