steerd: a VM that takes its relay's place asks the store what came since

Cause, by the logs of three VMs: the relay's watches ended at 2.21 s as the store dropped its history; a follower took its place at 2.23 s, and the store never answered the watches that it sent in that moment, neither with the evacuation of 1.3 s nor with 410, until 7.89 s. It vouched for its news to the others all the while.

The VM that takes the place now catches up with one call a feed (answered at once), and a relay is passed over for 3 s as before, not 8 s.

--- a/policy/relaytree.c
+++ b/policy/relaytree.c
@@ -9,10 +9,10 @@
 #define START_GRACE_US 700000
 
 /*
- * Time for which a relay that refused is passed over, in microseconds: the VM
- * in its place would move its watches back and forth otherwise.
+ * Time for which a relay that refused is passed over, in microseconds. A watch
+ * that the store never answers is noticed when it is given up for the relay.
  */
-#define PASS_OVER_US 8000000
+#define PASS_OVER_US 3000000
 
 /* Time without a relay after one has failed, in microseconds. */
 #define DIRECT_AFTER_FAILURE_US 3000000
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -268,12 +268,21 @@
 	next_call(feed);
 }
 
-/* The relay is passed over: its other calls would be refused too. */
-static void leave_relay(struct feed_group *group)
+/*
+ * The relay is passed over: its other calls would be refused too. If this VM
+ * takes its place, it asks the store for what came since: a watch is not
+ * answered when it is sent at the moment in which the store drops its history.
+ */
+static void leave_relay(struct st *st)
 {
+	struct feed_group *group = st->feeds;
+	const bool takes_place = !st_relay(st);
+
 	for (size_t i = 0; i < group->count; i++) {
 		struct feed *feed = &group->feeds[i];
 
+		if (takes_place && feed->place == FEEDSTEP_LISTED)
+			feed->place = FEEDSTEP_CHANGES_MISSING;
 		if (!feed->call || !feedstep_asks_vm(feed->feedstep))
 			continue;
 		plt_cancel(feed->call);
@@ -305,7 +314,7 @@
 	} else if (now - feed->called_at < QUICK_FAILURE_US &&
 		   !feedplan_needs_detour(st) &&
 		   relaytree_pass_over(&st->relaytree, st->relay_hash, now)) {
-		leave_relay(feed->group);
+		leave_relay(st);
 	} else if (relaytree_failed(&st->relaytree, st->downtime.ended_at,
 				    now)) {
 		schedule(feed, RELAY_RETRY_S);
