steerd: a relay that refuses is not replaced after all

Cause of the first: a VM that took a relay's place while the store refused it as well waited for the store with its changes missing, and asked no other VM. With that mended both still failed, six at a time: followers reach the next VM before it has noticed itself, pass it over too, and scatter.

So relaytree_pass_over() and its tests are taken out; a refusal sends a follower to the store for 3 s as before. Kept: lists from the relay when it has dropped changes, and two mends for VMs that the store turns away meanwhile (a catch-up that failed leaves the watch of another VM possible; a table that waits for confirmation may be confirmed by any VM). A way without this race is open: the relay names its successor when it refuses.

--- a/policy/relaytree.c
+++ b/policy/relaytree.c
@@ -8,12 +8,6 @@
  */
 #define START_GRACE_US 700000
 
-/*
- * Time for which a relay that refused is passed over, in microseconds. A watch
- * that the store never answers is noticed when it is given up for the relay.
- */
-#define PASS_OVER_US 3000000
-
 /* Time without a relay after one has failed, in microseconds. */
 #define DIRECT_AFTER_FAILURE_US 3000000
 
@@ -64,29 +58,9 @@
 		0x72656c6179);
 }
 
-/* The relays of a domain at a time, as one VM sees them. */
-struct relays {
-	const struct relaytree *relaytree;
-	const struct vms *vms;
-	int domain;
-	apr_time_t now;
-};
-
-static bool is_passed_over(const struct relays *relays,
-			   const struct vms_entry *vm)
-{
-	for (int i = 0; i < RELAYTREE_MAX_PASSED; i++) {
-		if (relays->relaytree->passed[i].hash == vm->hash &&
-		    relays->now < relays->relaytree->passed[i].until)
-			return true;
-	}
-	return false;
-}
-
-static bool may_relay(const struct relays *relays, const struct vms_entry *vm)
+static bool may_relay(const struct vms_entry *vm, int domain)
 {
-	return vm->domain == relays->domain && vm->peer.len &&
-	       !is_passed_over(relays, vm);
+	return vm->domain == domain && vm->peer.len;
 }
 
 /* Whether a VM comes before another among the relays of their domain. */
@@ -98,16 +72,15 @@
 }
 
 /* The domain's relay that comes next after the given one; NULL: the first. */
-static const struct vms_entry *next_relay(const struct relays *relays,
+static const struct vms_entry *next_relay(const struct vms *vms, int domain,
 					  const struct vms_entry *after)
 {
-	const struct vms *vms = relays->vms;
 	const struct vms_entry *best = NULL;
 
 	for (size_t i = 0; i < vms->count; i++) {
 		const struct vms_entry *vm = &vms->list[i];
 
-		if (may_relay(relays, vm) && (!after || precedes(after, vm)) &&
+		if (may_relay(vm, domain) && (!after || precedes(after, vm)) &&
 		    (!best || precedes(vm, best)))
 			best = vm;
 	}
@@ -115,16 +88,14 @@
 }
 
 /* Number of VMs of the same domain that come before this one. */
-static size_t relay_rank(const struct relays *relays,
-			 const struct vms_entry *self)
+static size_t relay_rank(const struct vms *vms, const struct vms_entry *self)
 {
-	const struct vms *vms = relays->vms;
 	size_t rank = 0;
 
 	for (size_t i = 0; i < vms->count; i++) {
 		const struct vms_entry *vm = &vms->list[i];
 
-		rank += may_relay(relays, vm) && precedes(vm, self);
+		rank += may_relay(vm, self->domain) && precedes(vm, self);
 	}
 	return rank;
 }
@@ -132,10 +103,8 @@
 void relaytree_vms_listed(struct relaytree *relaytree, const struct vms *vms,
 			  int domain, apr_time_t now)
 {
-	const struct relays relays = {relaytree, vms, domain, now};
-
 	if (now < relaytree->grace_until && !relaytree->grace_failed &&
-	    next_relay(&relays, NULL))
+	    next_relay(vms, domain, NULL))
 		relaytree->direct_until = now;
 }
 
@@ -143,7 +112,6 @@
 					 const struct vms *vms, int domain,
 					 struct str self, apr_time_t now)
 {
-	const struct relays relays = {relaytree, vms, domain, now};
 	const size_t at = vms_find(vms, self);
 	const struct vms_entry *vm;
 	size_t parent = 0;
@@ -151,15 +119,15 @@
 	if (now < relaytree->direct_until)
 		return NULL;
 	if (at < vms->count) {
-		const size_t rank = relay_rank(&relays, &vms->list[at]);
+		const size_t rank = relay_rank(vms, &vms->list[at]);
 
 		if (!rank)
 			return NULL;
 		parent = (rank - 1) / RELAYTREE_MAX_FOLLOWERS;
 	}
-	vm = next_relay(&relays, NULL);
+	vm = next_relay(vms, domain, NULL);
 	while (vm && parent--)
-		vm = next_relay(&relays, vm);
+		vm = next_relay(vms, domain, vm);
 	return vm;
 }
 
@@ -184,21 +152,6 @@
 	return false;
 }
 
-bool relaytree_pass_over(struct relaytree *relaytree, uint64_t hash,
-			 apr_time_t now)
-{
-	if (now < relaytree->grace_until)
-		return false;
-	for (int i = 0; i < RELAYTREE_MAX_PASSED; i++) {
-		if (now < relaytree->passed[i].until)
-			continue;
-		relaytree->passed[i].hash = hash;
-		relaytree->passed[i].until = now + PASS_OVER_US;
-		return true;
-	}
-	return false;
-}
-
 const struct vms_entry *relaytree_fallback(const struct relaytree *relaytree,
 					   const struct vms *vms,
 					   struct str self)
--- a/policy/relaytree.h
+++ b/policy/relaytree.h
@@ -27,18 +27,7 @@
 /* Most followers of one relay; they cost it less than 0.1 of a processor. */
 #define RELAYTREE_MAX_FOLLOWERS 16
 
-/*
- * Relays that a follower passes over at a time: when more refuse, the trouble
- * is not theirs, and asking one after the other would take too long.
- */
-#define RELAYTREE_MAX_PASSED 2
-
 struct relaytree {
-	/* Relays that refused, by the hash of their ids, and until when. */
-	struct {
-		uint64_t hash;
-		apr_time_t until;
-	} passed[RELAYTREE_MAX_PASSED];
 	/* The store is watched directly until then. */
 	apr_time_t direct_until;
 	/* End of the start-up grace period: other VMs may be starting too. */
@@ -95,14 +84,6 @@
 bool relaytree_failed(struct relaytree *relaytree, apr_time_t store_back_at,
 		      apr_time_t now);
 
-/*
- * Records that the relay with this hash refused: the next VM in the order takes
- * its place for a while, for all that it refused, so that one of them asks the
- * store and not each. Returns false if the store is to be asked instead.
- */
-bool relaytree_pass_over(struct relaytree *relaytree, uint64_t hash,
-			 apr_time_t now);
-
 /*
  * Returns the fallback VM to watch while both the store and the relay fail
  * this VM, or NULL when there is no other. The VMs are tried in the order of
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -29,12 +29,6 @@
 /* Delay before the next call to a relay that may have lost the store too. */
 #define RELAY_RETRY_S 0.4
 
-/*
- * Time in which a relay refuses or its process ends: a watch's wait and a
- * margin. After a longer silence there is no time to ask another relay.
- */
-#define QUICK_FAILURE_US 600000
-
 static void next_call(struct feed *feed);
 
 static double seconds(apr_interval_time_t t)
@@ -134,6 +128,9 @@
 			(unsigned long long)feed->revision);
 	if (feed->lists_vms && !feed->listed)
 		feed_wake_waiting(feed->group);
+	/* Another VM may still have the changes after this revision. */
+	if (feed->place == FEEDSTEP_CHANGES_MISSING)
+		feed->place = FEEDSTEP_LISTED;
 	if (err == PST_ERR_STALE) {
 		/* Other watches may have lost changes without an error. */
 		feed_relist_all(feed->group);
@@ -268,29 +265,6 @@
 	next_call(feed);
 }
 
-/*
- * The relay is passed over: its other calls would be refused too. If this VM
- * takes its place, it asks the store for what came since: a watch is not
- * answered when it is sent at the moment in which the store drops its history.
- */
-static void leave_relay(struct st *st)
-{
-	struct feed_group *group = st->feeds;
-	const bool takes_place = !st_relay(st);
-
-	for (size_t i = 0; i < group->count; i++) {
-		struct feed *feed = &group->feeds[i];
-
-		if (takes_place && feed->place == FEEDSTEP_LISTED)
-			feed->place = FEEDSTEP_CHANGES_MISSING;
-		if (!feed->call || !feedstep_asks_vm(feed->feedstep))
-			continue;
-		plt_cancel(feed->call);
-		feed->call = NULL;
-		schedule(feed, 0);
-	}
-}
-
 /*
  * The relay could not answer: watches the store from the same revision on, if
  * the store answers this VM.
@@ -311,10 +285,6 @@
 	 */
 	if (err == PST_ERR_STALE && !feedplan_needs_detour(st)) {
 		feed->place = FEEDSTEP_CHANGES_MISSING;
-	} else if (now - feed->called_at < QUICK_FAILURE_US &&
-		   !feedplan_needs_detour(st) &&
-		   relaytree_pass_over(&st->relaytree, st->relay_hash, now)) {
-		leave_relay(st);
 	} else if (relaytree_failed(&st->relaytree, st->downtime.ended_at,
 				    now)) {
 		schedule(feed, RELAY_RETRY_S);
@@ -407,8 +377,9 @@
 		vm = st_relay(st);
 		view->has_relay = vm != NULL;
 	}
-	if (feed->place == FEEDSTEP_LISTED && feedplan_needs_detour(st) &&
-	    !vm) {
+	if ((feed->place == FEEDSTEP_LISTED ||
+	     feed->place == FEEDSTEP_UNCONFIRMED) &&
+	    feedplan_needs_detour(st) && !vm) {
 		vm = st_fallback(st, feed->lists_vms);
 		view->has_fallback = vm != NULL;
 	}
@@ -458,11 +429,6 @@
 					  feed->revision, on_watch, feed);
 		return;
 	case FEEDSTEP_WATCH_STORE:
-		/* Followers may be waiting for this VM to take over. */
-		if (relaytree_has_followers(&st->relaytree, feed->called_at) &&
-		    relaytree_is_nearly_stale(st->relaytree.fresh_at,
-					      feed->called_at))
-			self_renew(st->self);
 		calls_count(cause_of_call(feed));
 		feed->call = plt_watch(st->store, feed->prefix, feed->revision,
 				       on_watch, feed);
--- a/steerd/main.c
+++ b/steerd/main.c
@@ -111,7 +111,6 @@
 	st->relay = NULL;
 	if (plt_store_new(&st->relay, st->loop, addr, &plt_store_relay))
 		return NULL;
-	st->relay_hash = vm->hash;
 	evt_log(RELAY_TAKEN, "relay=%s address=%.*s", vm->id.ptr,
 		STR_ARG(addr));
 	return st->relay;
--- a/steerd/st.h
+++ b/steerd/st.h
@@ -32,8 +32,6 @@
 	struct plt_store *store;
 	/* Client of the VM that relays the store's changes; NULL if none. */
 	struct plt_store *relay;
-	/* Hash of that VM's id. */
-	uint64_t relay_hash;
 	/* The previous relay's client, until it can be freed. */
 	struct plt_store *previous_relay;
 	struct relaytree relaytree;
