steerd: bound the memory of all answers that are being read

Cause: each answer could take a quarter of the memory, and nothing bounded their sum. Ruled out: heads (64 kB each) and requests of callers (bounded by max_held).

Change: one quota for all answers that are being read, policy/memquota. Over it the largest are evicted, those without a stated length first while they hold half of it. Sound answers with a length stay, and an attempt that is evicted ends as any broken connection does: retried if safe, else 502.

--- a/steerd/main.c
+++ b/steerd/main.c
@@ -256,7 +256,9 @@
 	steerd->self.st = st;
 	relaytree_init(&st->relaytree, clk_now(st->clk));
 	/* state_start() sets the operations and the address. */
+		.quota.limit = (size_t)set->steer.memory_mb << 18,
 	prepare_server(st, &st->peers, NULL, MAX_PEER_CONNS);
+	upclient_init(&st->upclient);
 	if (!err)
 		err = state_start(st);
 	if (err)
--- a/steerd/msg.c
+++ b/steerd/msg.c
@@ -209,6 +209,12 @@
 	return http_should_keep_alive(&msg->parser);
 }
 
+bool msg_states_length(const struct msg *msg)
+{
+	return msg->head_done && !(msg->parser.flags & F_CHUNKED) &&
+	       msg->parser.content_length != UINT64_MAX;
+}
+
 /* Whether the comma-separated list names the token. */
 static bool lists(struct str list, struct str token)
 {
--- a/steerd/msg.h
+++ b/steerd/msg.h
@@ -78,6 +78,9 @@
 /* Whether its connection may carry another message. */
 bool msg_keep_alive(const struct msg *msg);
 
+/* Whether the head is complete and states the length of the body. */
+bool msg_states_length(const struct msg *msg);
+
 /*
  * Whether a header concerns one connection only, or the length of the body,
  * and so is not passed on.
--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -67,6 +67,9 @@
 	 */
 	apr_time_t since;
 	apr_interval_time_t max_idle;
+	/* What answer holds. */
+	struct memquota_item memory;
+	/* In pool->idle, or in upclient->active with an attempt. */
 	TAILQ_ENTRY(upclient_conn) link;
 };
 
@@ -117,6 +120,9 @@
 	close(conn->fd);
 	if (conn->state == CONN_IDLE)
 		TAILQ_REMOVE(&pool->idle, conn, link);
+	else
+		TAILQ_REMOVE(&conn->upclient->active, conn, link);
+	memquota_set(&conn->upclient->quota, &conn->memory, 0, false);
 	conn->upclient->count--;
 	pool->count--;
 	msg_free(&conn->answer);
@@ -221,6 +227,8 @@
 {
 	struct upclient_pool *pool = conn->pool;
 
+	TAILQ_REMOVE(&conn->upclient->active, conn, link);
+	memquota_set(&conn->upclient->quota, &conn->memory, 0, false);
 	conn->state = CONN_IDLE;
 	conn->call = NULL;
 	conn->max_idle = stated_idle_limit(answer);
@@ -271,6 +279,40 @@
 	msg_free(&answer);
 }
 
+/* Ends attempts until the answers that are being read fit their quota. */
+static void enforce_quota(struct upclient *upclient)
+{
+	while (memquota_is_exceeded(&upclient->quota)) {
+		struct upclient_conn *victim = NULL;
+		struct upclient_conn *conn;
+
+		TAILQ_FOREACH(conn, &upclient->active, link)
+		{
+			if (conn->memory.bytes &&
+			    memquota_evicts(&upclient->quota, &conn->memory,
+					    victim ? &victim->memory : NULL))
+				victim = conn;
+		}
+		evt_log(ANSWER_EVICTED,
+			"req=%.*s upstream=%s bytes=%zu stated=%d sum=%zu",
+			STR_ARG(victim->call->id), victim->pool->up->id.ptr,
+			victim->memory.bytes, victim->memory.sized,
+			upclient->quota.used);
+		conn_fail(victim, UPCLIENT_BROKEN);
+	}
+}
+
+/* Accounts for the answer being read; may close this connection. */
+static void account_answer(struct upclient_conn *conn)
+{
+	struct upclient *upclient = conn->upclient;
+
+	memquota_set(&upclient->quota, &conn->memory,
+		     conn->answer.text.len + conn->answer.body.len,
+		     msg_states_length(&conn->answer));
+	enforce_quota(upclient);
+}
+
 /* Parses the bytes read; skips late answers to earlier requests. */
 static void parse_answers(struct upclient_conn *conn)
 {
@@ -280,8 +322,10 @@
 			msg_parse(&conn->answer, buf_str(&conn->in), &used);
 
 		buf_consume(&conn->in, used);
-		if (state == MSG_INCOMPLETE)
+		if (state == MSG_INCOMPLETE) {
+			account_answer(conn);
 			return;
+		}
 		if (state != MSG_COMPLETE) {
 			conn_fail(conn, UPCLIENT_BROKEN);
 			return;
@@ -436,6 +480,7 @@
 		return NULL;
 	}
 	TAILQ_REMOVE(&pool->idle, conn, link);
+	TAILQ_INSERT_TAIL(&upclient->active, conn, link);
 	ev_timer_stop(upclient->loop, &conn->timer);
 	conn->state = CONN_BUSY;
 	conn->reused = true;
@@ -468,6 +513,7 @@
 	conn->events = EV_WRITE;
 	upclient->count++;
 	pool->count++;
+	TAILQ_INSERT_TAIL(&upclient->active, conn, link);
 	ev_io_init(&conn->io, on_conn, fd, EV_WRITE);
 	conn->io.data = conn;
 	ev_io_start(upclient->loop, &conn->io);
@@ -482,6 +528,11 @@
 	return conn;
 }
 
+void upclient_init(struct upclient *upclient)
+{
+	TAILQ_INIT(&upclient->active);
+}
+
 int upclient_start(struct upclient *upclient, struct upclient_call *call)
 {
 	struct upclient_pool *pool = pool_of(call->up);
--- a/steerd/upclient.h
+++ b/steerd/upclient.h
@@ -9,9 +9,11 @@
 #define STEERD_UPCLIENT_H
 
 #include <ev.h>
+#include <sys/queue.h>
 
 #include "common/clk.h"
 #include "policy/marks.h"
+#include "policy/memquota.h"
 #include "policy/registry.h"
 #include "steerd/msg.h"
 
@@ -67,8 +69,15 @@
 	/* Largest head and body of an answer, in bytes. */
 	size_t max_head;
 	size_t max_body;
+	/* For all answers that are being read; the caller sets its limit. */
+	struct memquota quota;
+	/* Connections with an attempt. */
+	TAILQ_HEAD(, upclient_conn) active;
 };
 
+/* The caller has set all fields but count and active. */
+void upclient_init(struct upclient *upclient);
+
 /*
  * Starts an attempt. Returns 0, PST_ERR_FULL or PST_ERR_NOMEM; on an error
  * nothing is sent and ended() is not called. ended() may be called before it
--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -411,6 +411,12 @@
 
 class Caller:
     """One connection of a caller."""
+        elif mode == "large":
+            conn.sendall(self.answer(head, bytes(1 << 20)))
+        elif mode == "endless":
+            conn.sendall(whole[:whole.index(b"Content-Length")] + b"\r\n")
+            while True:
+                conn.sendall(bytes(1 << 18))
 
     def __init__(self, addr):
         host, port = addr.split(":")
@@ -452,7 +458,7 @@
 class Steerd:
     """A pst-steerd process. lines() returns the log lines that contain all given words."""
 
-    def __init__(self, store, name="vm-1", domain="d1", bounds="", addr=None):
+    def __init__(self, store, name="vm-1", domain="d1", bounds="", addr=None, memory_mb=182):
         self.dir = tempfile.TemporaryDirectory()
         self.front, self.ready, self.directory, self.peer = ("127.0.0.1:%d" % free_port() for _ in range(4))
         self.store = addr or store.addr
@@ -461,8 +467,8 @@
         self.text = (
             "vm:\n  id: %s\n  region: r1\n  failure_domain: %s\n  address: 127.0.0.1\n"
             "steer:\n  front: \"%s\"\n  ready: \"%s\"\n  directory: \"%s\"\n  peer: \"%s\"\n  store: \"%s\"\n"
-            "  domains: [\"d1=r1\", \"d2=r1\", \"d3=r2\"]\nbounds:\n" % (
-                name, domain, self.front, self.ready, self.directory, self.peer, self.store))
+            "  memory_mb: %d\n  domains: [\"d1=r1\", \"d2=r1\", \"d3=r2\"]\nbounds:\n" % (
+                name, domain, self.front, self.ready, self.directory, self.peer, self.store, memory_mb))
         self.write(self.text + self.bounds)
         self.log = os.path.join(self.dir.name, "log")
         self.start()
@@ -510,13 +516,13 @@
 class Stage:
     """A store and a pst-steerd in front of upstreams of the given modes; lines: each with a SlotQueue."""
 
-    def __init__(self, *modes, routes=(SAFE, ONCE), work=0.0, lines=False):
+    def __init__(self, *modes, routes=(SAFE, ONCE), work=0.0, lines=False, memory_mb=182):
         self.store = Store()
         self.ups = [Upstream("i-%d" % i, mode, work, SlotQueue() if lines else None) for i, mode in enumerate(modes)]
         for up in self.ups:
             self.store.put("servers/" + up.name, up.entry())
         self.store.manifest(1, routes)
-        self.vm = Steerd(self.store)
+        self.vm = Steerd(self.store, memory_mb=memory_mb)
         self.vm.wait_ready()
 
     def __enter__(self):
