steerd: a lost answer to a watch shows in time

Cause: a watch waits 9 s and times out 2 s later. When only its answer is lost, every other call succeeds and nothing shows that changes are missing. Ruled out: the relay's path (followers have the changes as soon as the relay has) and the delays after an update.

Change: a watch waits for the time allowed for a leaving upstream plus 1 s, so that it is overdue before the 4 s without trouble plus that time have passed. An overdue watch while a later call was answered is a lost answer and no outage: it is made again from the same revision, and what was deleted meanwhile is not held. Watches of another VM wait 0.4 s as before; lists, leases and writes time out after 2 s as before.

--- a/policy/feedstep.c
+++ b/policy/feedstep.c
@@ -1,5 +1,14 @@
 #include "policy/feedstep.h"
 
+/*
+ * Time without trouble after which the users expect changes to be known in
+ * time, less the time-out of a call (2 s) and the time to make it again.
+ */
+#define CALM_TIME_US 1000000
+
+/* Well below the time for which the store keeps its history. */
+#define MAX_WATCH_TIME_US 9000000
+
 bool feedstep_asks_vm(enum feedstep feedstep)
 {
 	return feedstep == FEEDSTEP_LIST_RELAY ||
@@ -63,3 +72,16 @@
 	return view->list_state == FEEDSTEP_UNCONFIRMED ? FEEDSTEP_CATCH_UP
 							: FEEDSTEP_WATCH_STORE;
 }
+
+apr_interval_time_t feedstep_watch_time(apr_interval_time_t leave)
+{
+	const apr_interval_time_t wait = leave + CALM_TIME_US;
+
+	return wait < MAX_WATCH_TIME_US ? wait : MAX_WATCH_TIME_US;
+}
+
+bool feedstep_answer_lost(const struct feedstep_failure *failure)
+{
+	return failure->now - failure->called_at >= failure->wait &&
+	       failure->answered_since > failure->called_at;
+}
--- a/policy/feedstep.h
+++ b/policy/feedstep.h
@@ -19,6 +19,8 @@
 
 #include <stdbool.h>
 
+#include <apr_time.h>
+
 /* What a feed knows of its keys. */
 enum feedstep_list_state {
 	/* The list is missing or incomplete. */
@@ -96,4 +98,29 @@
 
 enum feedstep feedstep_next(const struct feedstep_input *view);
 
+/*
+ * Time in microseconds for which a watch of the store waits for a change. The
+ * store may lose an answer without closing the connection, which shows only
+ * when the watch is overdue. Changes must be known within leave once the store
+ * has been without trouble for a while, so the wait is bounded by both. Longer
+ * waits cost fewer calls.
+ */
+apr_interval_time_t feedstep_watch_time(apr_interval_time_t leave);
+
+/* A call of a feed that has failed. Times in microseconds. */
+struct feedstep_failure {
+	apr_time_t called_at;
+	apr_time_t now;
+	/* Time for which the call was to wait for a change. */
+	apr_interval_time_t wait;
+	/* When the newest call began that the store has answered. */
+	apr_time_t answered_since;
+};
+
+/*
+ * Whether only the answer was lost: the call is overdue, and the store has
+ * answered a later one. Such a loss is no outage.
+ */
+bool feedstep_answer_lost(const struct feedstep_failure *failure);
+
 #endif
--- a/steerd/feed.c
+++ b/steerd/feed.c
@@ -314,6 +314,24 @@
 		       : feed->update_delay_s;
 }
 
+static apr_interval_time_t watch_time(const struct feed *feed)
+{
+	return feedstep_watch_time(CLK_MS(feed->st->set->bounds.leave_ms));
+}
+
+/* Whether the store works, but the answer to this feed's watch was lost. */
+static bool answer_was_lost(const struct feed *feed, int err)
+{
+	const struct feedstep_failure failure = {
+		.called_at = feed->called_at,
+		.now = clk_now(feed->st->clk),
+		.wait = watch_time(feed),
+		.answered_since = feed->st->relaytree.fresh_at,
+	};
+
+	return err == PST_ERR_TIMEOUT && feedstep_answer_lost(&failure);
+}
+
 static void on_watch(void *ctx, const struct plt_reply *reply)
 {
 	struct feed *feed = ctx;
@@ -323,6 +341,14 @@
 		relay_failed(feed, reply->err);
 		return;
 	}
+	if (answer_was_lost(feed, reply->err)) {
+		evt_log(FEED_ANSWER_LOST, "prefix=%.*s waited_ms=%lld",
+			STR_ARG(feed->prefix),
+			(long long)(clk_now(feed->st->clk) - feed->called_at) /
+				1000);
+		next_call(feed);
+		return;
+	}
 	if (reply->err) {
 		call_failed(feed, reply->err);
 		return;
@@ -431,6 +457,7 @@
 	case FEEDSTEP_WATCH_STORE:
 		calls_count(cause_of_call(feed));
 		feed->call = plt_watch(st->store, feed->prefix, feed->revision,
+				       (unsigned)(watch_time(feed) / CLK_MS(1)),
 				       on_watch, feed);
 		return;
 	case FEEDSTEP_WATCH_RELAY:
--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -183,6 +183,8 @@
             self.lock.notify_all()
 
     stuck_prefixes = ()
+    # Prefixes whose next watch with an event loses its answer; the connection stays open.
+    lost_watches = ()
     # Items in one page of a list; few, so that most lists have more than one page.
     page_items = 2
 
@@ -198,9 +200,14 @@
                     return 410, None
                 found = [e for e in self.events if e["key"].startswith(prefix) and e["revision"] > after]
                 left = end - time.monotonic()
+                if found and prefix in self.lost_watches:
+                    self.lost_watches = tuple(p for p in self.lost_watches if p != prefix)
+                    break
                 if (found and prefix not in self.stuck_prefixes) or left <= 0:
                     return 200, {"events": found, "currentRev": self.revision}
                 self.lock.wait(min(left, 0.2))
+        time.sleep(20)
+        return None
 
     def range(self, query):
         self.lists.append((query["prefix"], "serializable" in query))
--- a/tests/test_feedstep.c
+++ b/tests/test_feedstep.c
@@ -1,6 +1,7 @@
 /* Next step of a feed by its own state and that of the store and the relay. */
 #include <check.h>
 
+#include "common/clk.h"
 #include "policy/feedstep.h"
 #include "tests/fix_run.h"
 
@@ -186,6 +187,43 @@
 }
 END_TEST
 
+/* A lost answer must show before the users' time without trouble has passed. */
+START_TEST(watches_are_overdue_in_time)
+{
+	const apr_interval_time_t call_timeout = CLK_SEC(2);
+	const apr_interval_time_t calm = CLK_SEC(4);
+
+	for (apr_interval_time_t leave = CLK_MS(100); leave <= CLK_SEC(60);
+	     leave += CLK_MS(100)) {
+		const apr_interval_time_t wait = feedstep_watch_time(leave);
+
+		ck_assert_int_lt(wait + call_timeout, calm + leave);
+		ck_assert_int_ge(wait, CLK_SEC(1));
+		ck_assert_int_le(wait, CLK_SEC(9));
+	}
+}
+END_TEST
+
+START_TEST(a_lost_answer_is_no_outage)
+{
+	struct feedstep_failure failure = {
+		.called_at = CLK_SEC(10),
+		.now = CLK_SEC(15),
+		.wait = CLK_SEC(4),
+		.answered_since = CLK_SEC(13),
+	};
+
+	ck_assert(feedstep_answer_lost(&failure));
+	/* Nothing that was asked later has been answered. */
+	failure.answered_since = CLK_SEC(9);
+	ck_assert(!feedstep_answer_lost(&failure));
+	/* The connection broke before an answer was due. */
+	failure.answered_since = CLK_SEC(13);
+	failure.now = CLK_MS(13500);
+	ck_assert(!feedstep_answer_lost(&failure));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("way");
@@ -201,5 +239,7 @@
 	tcase_add_test(tc, relay_in_an_outage);
 	tcase_add_test(tc, fallback_in_an_outage);
 	tcase_add_test(tc, watch_waits_in_grace_period);
+	tcase_add_test(tc, watches_are_overdue_in_time);
+	tcase_add_test(tc, a_lost_answer_is_no_outage);
 	return fix_run("way", tc);
 }
