steerd: a planned stop ends connections with the requests they carry

What callers saw (LOST around SIGTERM, from the users' machines, on both deployments; also a report of other operators): requests that came late in the grace period were passed on, run by an upstream, and cut with no answer.

Cause: in a stop an answer closes its connection unless the next request on it is running, so a caller that always has one ahead keeps its connection, is served until 0.94 of the grace period, and is cut then. Ruled out: new connections, requests sent one at a time, unsafe requests behind others.

Change: after 1.2 s each connection reads no further request but the one whose bytes are arriving, answers what it carries and closes. The phases of a stop are pure code in policy/shutdown.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -121,6 +121,17 @@
 	ev_timer_again(conn->srv->loop, &conn->timer);
 }
 
+void conn_drain(struct srv_conn *conn)
+{
+	if (conn_idle(conn)) {
+		conn_free(conn);
+		return;
+	}
+	conn->draining = true;
+	if (!conn->reading)
+		conn->read_ended = true;
+}
+
 static void flush(struct srv_conn *conn)
 {
 	while (conn->out.len) {
@@ -372,6 +383,7 @@
 		case MSG_COMPLETE:
 			req->read_at = clk_now(conn->srv->clk);
 			conn->reading = NULL;
+			conn->read_ended = conn->draining;
 			conn->pending++;
 			TAILQ_INSERT_TAIL(&conn->reqs, req, link);
 			break;
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -22,6 +22,8 @@
 	bool head_ok;
 	/* Requests that were read but whose answers are not in out yet. */
 	unsigned pending;
+	/* Ends with the requests that it carries. */
+	bool draining;
 	/* No further request is read. */
 	bool read_ended;
 	/* All is sent; input is discarded until the caller closes its side. */
@@ -43,6 +45,12 @@
 /* Closes at once, and tells the handler that the callers are gone. */
 void conn_free(struct srv_conn *conn);
 
+/*
+ * Reads no further request, but the one whose bytes are arriving; closes after
+ * the answers to those that were read, or at once if there are none.
+ */
+void conn_drain(struct srv_conn *conn);
+
 /* Whether no request is being read or pending, and nothing is left to send. */
 bool conn_idle(const struct srv_conn *conn);
 
--- a/steerd/main.c
+++ b/steerd/main.c
@@ -25,15 +25,6 @@
 /* Time between two checks whether the process may exit. */
 #define STOP_CHECK_INTERVAL_S 0.05
 
-/*
- * Time after the signal to stop in which requests are still accepted, since
- * callers use cached look-up answers.
- */
-#define STOP_ACCEPT_TIME CLK_MS(1200)
-
-/* Fraction of the grace period after which requests are abandoned. */
-#define STOP_GRACE_FRACTION 0.94
-
 /*
  * Longest time after a start in which callers wait for the table instead of
  * being refused: callers turn to another VM when one reads nothing for a
@@ -81,6 +72,24 @@
 	return st_nearly_ready(st) && st->table_known;
 }
 
+struct shutdown st_shutdown(const struct st *st)
+{
+	return (struct shutdown){
+		.elapsed = clk_now(st->clk) - st->stopping_since,
+		.grace = CLK_SEC(st->set->bounds.grace_s),
+	};
+}
+
+bool st_would_cut(const struct st *st, apr_interval_time_t expected)
+{
+	struct shutdown shutdown;
+
+	if (!st->stopping)
+		return false;
+	shutdown = st_shutdown(st);
+	return !shutdown_admits(&shutdown, expected);
+}
+
 void st_store_call_ended(struct st *st, int err)
 {
 	/* With these errors the store did answer. */
@@ -247,7 +256,9 @@
 				   2,
 		.max_head = 65536,
 		.max_body = (size_t)set->steer.memory_mb << 18,
+		.quota.limit = (size_t)set->steer.memory_mb << 18,
 	};
+	upclient_init(&st->upclient);
 	err = plt_store_new(&st->store, st->loop, set->steer.store,
 			    &plt_store_direct);
 	if (!err)
@@ -256,9 +267,7 @@
 	steerd->self.st = st;
 	relaytree_init(&st->relaytree, clk_now(st->clk));
 	/* state_start() sets the operations and the address. */
-		.quota.limit = (size_t)set->steer.memory_mb << 18,
 	prepare_server(st, &st->peers, NULL, MAX_PEER_CONNS);
-	upclient_init(&st->upclient);
 	if (!err)
 		err = state_start(st);
 	if (err)
@@ -283,18 +292,14 @@
 {
 	struct steerd *steerd = timer->data;
 	struct st *st = &steerd->st;
-	const apr_interval_time_t since = clk_now(st->clk) - st->stopping_since;
-	const apr_interval_time_t grace =
-		(apr_interval_time_t)(STOP_GRACE_FRACTION *
-				      (double)APR_USEC_PER_SEC *
-				      (double)st->set->bounds.grace_s);
+	const struct shutdown shutdown = st_shutdown(st);
 
 	(void)events;
-	if (since < STOP_ACCEPT_TIME)
+	if (shutdown_accepts(&shutdown))
 		return;
 	srv_stop_accept(&st->front);
 	srv_drain(&st->front);
-	if (st->front.conn_count && since < grace)
+	if (st->front.conn_count && !shutdown_is_over(&shutdown))
 		return;
 	ev_break(loop, EVBREAK_ALL);
 }
--- a/steerd/srv.c
+++ b/steerd/srv.c
@@ -93,8 +93,7 @@
 	srv->stopping = true;
 	for (conn = TAILQ_FIRST(&srv->conns); conn; conn = next) {
 		next = TAILQ_NEXT(conn, link);
-		if (conn_idle(conn))
-			conn_free(conn);
+		conn_drain(conn);
 	}
 }
 
--- a/steerd/srv.h
+++ b/steerd/srv.h
@@ -82,7 +82,7 @@
 /* Closes the listening socket. */
 void srv_stop_accept(struct srv *srv);
 
-/* Closes idle connections, and the others after their answers. */
+/* Closes each connection after the answers to the requests that it carries. */
 void srv_drain(struct srv *srv);
 
 /* Closes all connections at once; tells the handler of open requests. */
--- a/steerd/st.h
+++ b/steerd/st.h
@@ -11,6 +11,7 @@
 #include "policy/relaytree.h"
 #include "policy/routing.h"
 #include "policy/registry.h"
+#include "policy/shutdown.h"
 #include "policy/vms.h"
 #include "platform/plt_store.h"
 #include "steerd/upclient.h"
@@ -80,6 +81,12 @@
  */
 bool st_nearly_ready(const struct st *st);
 
+/* The planned stop in progress; only while st->stopping. */
+struct shutdown st_shutdown(const struct st *st);
+
+/* Whether this VM may end before a request that takes so long is answered. */
+bool st_would_cut(const struct st *st, apr_interval_time_t expected);
+
 /* Records the result of a call to the store, 0 or an error. */
 void st_store_call_ended(struct st *st, int err);
 
