steerd: a stopping VM refuses what it could only cut

What callers saw: an upload that began before SIGTERM and ended late in the grace period was passed on and cut, with no word whether it had run.

Cause: a request was passed on however little of the grace period was left. Ruled out: requests read whole before the stop, which have the whole period.

Before: t_steer_stop late_upload_is_refused got no answer. After: 503, and nothing reached the upstream.

--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -37,6 +37,9 @@
 /* Weight of a new answer in the smoothed (EWMA) answer size. */
 #define ANSWER_SIZE_WEIGHT 0.05
 
+/* Delay after which a caller turns from a VM that stops to another one. */
+#define STOP_RETRY_AFTER_US 50000
+
 /* An attempt is made only if at least this much time is left. */
 #define MIN_TIME_LEFT_US 20000
 
@@ -445,6 +448,10 @@
 		       retry_after_time(flow));
 		return;
 	}
+	if (!flow->may_have_run && st_would_cut(st, flow->pick.expected)) {
+		refuse(flow, REFUSE_STOPPING, STOP_RETRY_AFTER_US);
+		return;
+	}
 	if (refused_admission(flow, ask.now))
 		return;
 	if (!flow->may_have_run &&
