steerd: a stop waits for answers that the kernel still sends

What callers saw: on a slow link a caller got part of a large answer and then a reset, when it had sent another request by then.

Cause: once an answer was written to the socket, a stop closed the connection within 50 ms; a request that arrives at a closed socket resets it, and what the kernel still held is lost. Ruled out: the process's own buffer, which the stop waited for.

Change: a connection with unacknowledged bytes closes its own direction only and lingers until they are acknowledged, at most for the idle time-out; so do connections that close after an answer outside of a stop.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -123,6 +123,13 @@
 
 void conn_drain(struct srv_conn *conn)
 {
+	if (conn->lingering)
+		return;
+	if (conn_idle(conn) && sock_unsent(conn->fd)) {
+		conn->read_ended = true;
+		end_sending(conn);
+		return;
+	}
 	if (conn_idle(conn)) {
 		conn_free(conn);
 		return;
@@ -462,7 +469,9 @@
 
 	(void)events;
 	if (conn->lingering) {
-		conn_free(conn);
+		/* Callers that read slowly get the rest of their answer. */
+		if (now >= at || !sock_unsent(conn->fd))
+			conn_free(conn);
 		return;
 	}
 	if (!conn->reading && !TAILQ_EMPTY(&conn->reqs)) {
--- a/steerd/sock.c
+++ b/steerd/sock.c
@@ -2,7 +2,9 @@
 
 #include <errno.h>
 #include <limits.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -157,3 +159,10 @@
 	return count_or_error(
 		recvfrom(fd, out, size, 0, (struct sockaddr *)from, &len));
 }
+
+size_t sock_unsent(int fd)
+{
+	int count = 0;
+
+	return ioctl(fd, SIOCOUTQ, &count) || count < 0 ? 0 : (size_t)count;
+}
--- a/steerd/sock.h
+++ b/steerd/sock.h
@@ -45,4 +45,7 @@
 /* Reads one datagram. Returns its length, PST_ERR_AGAIN or PST_ERR_IO. */
 int sock_receive(int fd, char *out, size_t size, struct sockaddr_in *from);
 
+/* Bytes written that the peer has not acknowledged; 0 if not known. */
+size_t sock_unsent(int fd);
+
 #endif
--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -411,6 +411,12 @@
             return self.answer(head, b"late answer of before")
         elif mode == "reset":
             return None
+        elif mode == "large":
+            conn.sendall(self.answer(head, bytes(1 << 20)))
+        elif mode == "endless":
+            conn.sendall(whole[:whole.index(b"Content-Length")] + b"\r\n")
+            while True:
+                conn.sendall(bytes(1 << 18))
         else:
             conn.sendall(whole)
         return b""
@@ -418,12 +424,6 @@
 
 class Caller:
     """One connection of a caller."""
-        elif mode == "large":
-            conn.sendall(self.answer(head, bytes(1 << 20)))
-        elif mode == "endless":
-            conn.sendall(whole[:whole.index(b"Content-Length")] + b"\r\n")
-            while True:
-                conn.sendall(bytes(1 << 18))
 
     def __init__(self, addr):
         host, port = addr.split(":")
