steerd: an earlier refusal proves nothing of the request that runs

Cause: an answer without an id was taken for the current request's, and its 'not executed' for proof. Ruled out: copies with an id, which are skipped, and copies that arrive while the connection is idle, which close it.

Change: a refusal or a 421 counts only if it bears the request's id or is the first answer on its connection. Else the attempt failed and may have run.

Before: t_steer_answers repeated_refusals failed, 'refuse-again-bare: ran 2 times'. After: it passes.

--- a/policy/marks.h
+++ b/policy/marks.h
@@ -29,6 +29,11 @@
 	struct str id;
 	/* Sealed: the upstream attests the body. */
 	bool sealed;
+	/*
+	 * It answers this request: it has the request's id, or is the first
+	 * answer on its connection. An earlier answer may come once more.
+	 */
+	bool matched;
 	/* The request was not executed, and will not be. */
 	bool not_run;
 	/* The answer has a load report. */
--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -277,7 +277,8 @@
 
 	if (result == UPCLIENT_ANSWERED) {
 		outcome = verdict_outcome(call);
-		if (call->answer->parser.status_code == 421)
+		if (call->answer->parser.status_code == 421 &&
+		    call->marks.matched)
 			registry_remove(&flow->st->registry,
 					strbuf_str(&up->id), 0);
 		else if (call->marks.has_load)
--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -215,12 +215,17 @@
 	return DEFAULT_IDLE_US;
 }
 
-static void read_marks(const struct msg *answer, struct answer_meta *marks)
+static void read_marks(const struct upclient_conn *conn)
 {
+	const struct msg *answer = &conn->answer;
+	struct answer_meta *marks = &conn->call->marks;
+
 	*marks = (struct answer_meta){.cold_for = -1};
 	for (unsigned i = 0; i < answer->field_count; i++)
 		plt_answer_header(msg_name(answer, i), msg_value(answer, i),
 				  marks);
+	marks->matched = !conn->reused ||
+			 (marks->id.len && str_eq(marks->id, conn->call->id));
 }
 
 static void make_idle(struct upclient_conn *conn, const struct msg *answer)
@@ -330,7 +335,7 @@
 			conn_fail(conn, UPCLIENT_BROKEN);
 			return;
 		}
-		read_marks(&conn->answer, &conn->call->marks);
+		read_marks(conn);
 		if (!is_for_other_request(conn->call)) {
 			on_answer_complete(conn);
 			return;
@@ -351,7 +356,7 @@
 		on_broken(conn);
 		return;
 	}
-	read_marks(&conn->answer, &conn->call->marks);
+	read_marks(conn);
 	if (is_for_other_request(conn->call))
 		on_broken(conn);
 	else
--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -303,6 +303,8 @@
     def __init__(self, name, mode="ok", work=0.0, queue=None):
         self.name, self.mode, self.work, self.queue = name, mode, work, queue
         self.seen, self.gone, self.connections, self.open = [], [], 0, set()
+        # Ids of the requests that ran, in modes that refuse some.
+        self.ran = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -411,6 +413,15 @@
             return self.answer(head, b"late answer of before")
         elif mode == "reset":
             return None
+        elif mode in ("refuse-again", "refuse-again-bare"):
+            # Refuses each second request; before the answer to the one after it comes that refusal once more.
+            named = "Attempt-Id: %s\r\n" % head.get("attempt-id", "") if mode == "refuse-again" else ""
+            if not late:
+                refusal = ("HTTP/1.1 503 X\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n" % named).encode()
+                conn.sendall(refusal)
+                return refusal
+            self.ran.append(head.get("attempt-id"))
+            conn.sendall(late + whole)
         elif mode == "large":
             conn.sendall(self.answer(head, bytes(1 << 20)))
         elif mode == "endless":
