steerd: an answer that bears an id is not for a request without one

What callers saw (MIXED; found beside the repeated refusals): a caller that sent no attempt id got a late answer to an earlier request.

Cause: the ids were compared only if the request had one. Ruled out: requests with an id, where a late answer is skipped.

Change: an answer that bears an id belongs to the request with that id only.

Before: t_steer_answers answers_to_requests_without_id failed, 'an answer to another request, 1'. After: it passes.

--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -249,8 +249,7 @@
 /* Whether the answer belongs to another request than the current one. */
 static bool is_for_other_request(const struct upclient_call *call)
 {
-	return call->marks.id.len && call->id.len &&
-	       !str_eq(call->marks.id, call->id);
+	return call->marks.id.len && !str_eq(call->marks.id, call->id);
 }
 
 static void init_answer(struct upclient_conn *conn)
