soak: callers that keep requests ahead until their connection ends

Cause: the users' soak has clients that use open connections until the process is gone; here callers left a connection after 25 requests at most, and sent ahead rarely.

--- a/tests/soak/soak_callers.py
+++ b/tests/soak/soak_callers.py
@@ -1,4 +1,5 @@
 """Callers of a soak: each request is noted with where it went, when, and what came back."""
+import collections
 import contextlib
 import json
 import random
@@ -13,6 +14,8 @@
 # How long an address that failed is left out.
 SHUN_S = 1.0
 THINK_S = 0.05
+# Requests that a keen caller has sent and not yet seen answered.
+AHEAD = 3
 
 
 class Request:
@@ -35,10 +38,12 @@
 
 
 class Callers:
-    def __init__(self, stage, count, seed):
+    def __init__(self, stage, count, keen, seed):
         self.stage, self.over = stage, False
         self.requests = []
-        self.threads = [threading.Thread(target=OneCaller(self, i, seed).run, daemon=True) for i in range(count)]
+        callers = [OneCaller(self, i, seed) for i in range(count)]
+        callers += [KeenCaller(self, i, seed) for i in range(count, count + keen)]
+        self.threads = [threading.Thread(target=caller.run, daemon=True) for caller in callers]
         for thread in self.threads:
             thread.start()
 
@@ -66,10 +71,14 @@
                 self.shunned[vm.front] = now() + SHUN_S
                 continue
             with contextlib.closing(conn):
-                for i in range(self.rng.randint(1, 25)):
-                    if self.all.over or not self.exchange(conn, vm, i > 0):
-                        break
-                    self.rest(self.rng.random() * THINK_S)
+                self.use(conn, vm)
+
+    def use(self, conn, vm):
+        """Sends some requests on a connection."""
+        for i in range(self.rng.randint(1, 25)):
+            if self.all.over or not self.exchange(conn, vm, i > 0):
+                break
+            self.rest(self.rng.random() * THINK_S)
 
     @staticmethod
     def rest(seconds):
@@ -141,3 +150,40 @@
             request.outcome = "closed"
         request.done = now()
         return request.outcome == "answer" and request.head.get("connection") != "close"
+
+
+class KeenCaller(OneCaller):
+    """Has safe requests ahead on its connection all the time, until the connection ends."""
+
+    def use(self, conn, vm):
+        ahead, sends, kept, more = collections.deque(), True, False, True
+        while not self.all.over or ahead:
+            while sends and more and len(ahead) < AHEAD and not self.all.over:
+                sends = self.send_one(conn, vm, ahead, kept)
+            if not ahead:
+                return
+            request, kept = ahead.popleft(), True
+            # What was answered can be read when nothing more can be sent.
+            more = self.take(conn, request, None, more)
+            if request.outcome == "late":
+                break
+        for request in ahead:
+            # The caller closes, and with that leaves what it had sent behind.
+            request.outcome, request.done = "left", now()
+
+    def send_one(self, conn, vm, ahead, kept):
+        """Sends one more safe request; returns whether the connection takes more."""
+        request = self.draw(vm)
+        while request.kind != "safe":
+            request = self.draw(vm)
+        request.began, request.kept = now(), kept
+        self.all.requests.append(request)
+        ahead.append(request)
+        try:
+            conn.sock.settimeout(request.deadline / 1000)
+            conn.send(request.path, request.method, b"", request.id, request.deadline, str(self.rng.randint(1, 40)))
+        except OSError:
+            return False
+        finally:
+            request.sent = now()
+        return True
