--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -297,6 +297,8 @@
 					    victim ? &victim->memory : NULL))
 				victim = conn;
 		}
+		if (!victim)
+			return;
 		evt_log(ANSWER_EVICTED,
 			"req=%.*s upstream=%s bytes=%zu stated=%d sum=%zu",
 			STR_ARG(victim->call->id), victim->pool->up->id.ptr,
