--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -314,7 +314,7 @@
 	struct upclient *upclient = conn->upclient;
 
 	memquota_set(&upclient->quota, &conn->memory,
-		     conn->answer.text.len + conn->answer.body.len,
+		     conn->answer.text.cap + conn->answer.body.cap,
 		     msg_states_length(&conn->answer));
 	enforce_quota(upclient);
 }
