steerd: of requests sent ahead, those beyond 16 are answered too

Cause: requests are taken from the input up to 16 pending ones; an answer made room, but the rest was looked at only when more bytes came. A caller that left meanwhile was not noticed. Ruled out: the order of answers and the kernel's buffer, in which nothing is lost.

Change: whatever makes room takes the next requests (advance()). What is not read waits in the kernel's buffer, and a caller that leaves then is noticed within 0.2 s.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -17,10 +17,14 @@
 /* Most bytes read at a time. */
 #define READ_BYTES 16384
 
+/* Time between two checks whether a caller that isn't read from has left. */
+#define PAUSE_CHECK_S 0.2
+
 /* Longest wait for a caller to close its side. */
 #define LINGER_S 1.0
 
 static void dispatch(struct srv_conn *conn);
+static void advance(struct srv_conn *conn);
 
 static double seconds(apr_interval_time_t t)
 {
@@ -95,6 +99,10 @@
 
 	if (conn->dead || events == conn->events)
 		return;
+	if ((conn->events & EV_READ) && !(events & EV_READ)) {
+		conn->timer.repeat = PAUSE_CHECK_S;
+		ev_timer_again(conn->srv->loop, &conn->timer);
+	}
 	conn->events = events;
 	ev_io_stop(conn->srv->loop, &conn->io);
 	ev_io_set(&conn->io, conn->fd, events);
@@ -249,6 +257,9 @@
 	send_ready(conn);
 	if (!conn->dead)
 		dispatch(conn);
+	advance(conn);
+	if (!conn->dead)
+		set_events(conn);
 	conn_leave(conn);
 }
 
@@ -409,6 +420,26 @@
 	}
 }
 
+/*
+ * Takes requests from the input and passes them on, for as long as there is
+ * room: the rest was read when too many were pending.
+ */
+static void advance(struct srv_conn *conn)
+{
+	size_t before;
+
+	do {
+		before = buf_str(&conn->in).len;
+		if (!conn->dead)
+			parse(conn);
+		if (!conn->dead)
+			dispatch(conn);
+		if (!conn->dead)
+			send_ready(conn);
+	} while (!conn->dead && !conn->read_ended && conn->in.len &&
+		 buf_str(&conn->in).len != before);
+}
+
 static void on_readable(struct srv_conn *conn)
 {
 	const int n = sock_read(conn->fd, &conn->in, READ_BYTES);
@@ -424,16 +455,7 @@
 		buf_reset(&conn->in);
 		return;
 	}
-	parse(conn);
-	if (!conn->dead)
-		dispatch(conn);
-	if (!conn->dead)
-		send_ready(conn);
-	/* Input that was read when too many requests were pending. */
-	if (!conn->dead)
-		parse(conn);
-	if (!conn->dead)
-		dispatch(conn);
+	advance(conn);
 }
 
 static void on_conn(struct ev_loop *loop, struct ev_io *io, int events)
@@ -474,8 +496,15 @@
 			conn_free(conn);
 		return;
 	}
+	if (!(conn->events & EV_READ) && sock_peer_closed(conn->fd)) {
+		conn_free(conn);
+		return;
+	}
 	if (!conn->reading && !TAILQ_EMPTY(&conn->reqs)) {
-		timer->repeat = seconds(conn->srv->limits.idle_timeout);
+		timer->repeat =
+			conn->events & EV_READ
+				? seconds(conn->srv->limits.idle_timeout)
+				: PAUSE_CHECK_S;
 		ev_timer_again(loop, timer);
 		return;
 	}
--- a/steerd/sock.c
+++ b/steerd/sock.c
@@ -4,6 +4,7 @@
 #include <limits.h>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
@@ -166,3 +167,11 @@
 
 	return ioctl(fd, SIOCOUTQ, &count) || count < 0 ? 0 : (size_t)count;
 }
+
+bool sock_peer_closed(int fd)
+{
+	struct pollfd poller = {.fd = fd, .events = POLLRDHUP};
+
+	return poll(&poller, 1, 0) > 0 &&
+	       (poller.revents & (POLLRDHUP | POLLHUP | POLLERR));
+}
--- a/steerd/sock.h
+++ b/steerd/sock.h
@@ -48,4 +48,7 @@
 /* Bytes written that the peer has not acknowledged; 0 if not known. */
 size_t sock_unsent(int fd);
 
+/* Whether the peer has closed its side, also behind bytes not yet read. */
+bool sock_peer_closed(int fd);
+
 #endif
