--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -433,6 +433,8 @@
         return b""
 
 
+        elif mode == "huge":
+            conn.sendall(self.answer(head, bytes(8 << 20)))
 class Caller:
     """One connection of a caller."""
 
@@ -473,6 +475,12 @@
         caller.close()
 
 
+def peak_mb(vm):
+    """Most memory that the process of a VM has held, in MB."""
+    with open("/proc/%d/status" % vm.process.pid) as f:
+        return next(int(x.split()[1]) / 1024 for x in f if x.startswith("VmHWM"))
+
+
 class Steerd:
     """A pst-steerd process. lines() returns the log lines that contain all given words."""
 
