steerd: upstreams that say in an answer that they leave get no requests

Cause: the header was passed on and not read. Ruled out: entries, which are followed as before.

Change: the word makes the upstream draining at once, by the path of an entry that says so. It is believed of an answer with the request's id, or of the first on its connection, and not of a 421, which another upstream wrote. It holds until the incarnation has ended: rewritten, lapsed and returning entries take nothing back. Requests whose connection was still being made go elsewhere (UPCLIENT_WITHHELD), idle connections are closed.

--- a/policy/marks.h
+++ b/policy/marks.h
@@ -39,6 +39,8 @@
 	/* The answer has a load report. */
 	bool has_load;
 	struct up_load_report load;
+	/* The upstream says that it is leaving. */
+	bool leaving;
 	/* Rest of the upstream's cold start; negative: not given. */
 	apr_interval_time_t cold_for;
 };
--- a/policy/registry.c
+++ b/policy/registry.c
@@ -98,10 +98,45 @@
 	return 0;
 }
 
+static bool same_addr(const struct sockaddr_in *a, const struct sockaddr_in *b)
+{
+	return a->sin_addr.s_addr == b->sin_addr.s_addr &&
+	       a->sin_port == b->sin_port;
+}
+
+/* Remembers what an incarnation said that may be listed again. */
+static void keep_words(struct registry *registry, const struct up *up)
+{
+	if (!up->born_ms || !up->leaving)
+		return;
+	registry->words[registry->next_words++ % REGISTRY_WORDS] =
+		(struct registry_words){
+			.hash = up->hash,
+			.addr = up->addr,
+			.born_ms = up->born_ms,
+			.leaving = up->leaving,
+		};
+}
+
+static void restore_words(const struct registry *registry, struct up *up)
+{
+	for (unsigned i = 0; i < REGISTRY_WORDS && i < registry->next_words;
+	     i++) {
+		const struct registry_words *words = &registry->words[i];
+
+		if (!words->born_ms || words->born_ms != up->born_ms ||
+		    words->hash != up->hash ||
+		    !same_addr(&words->addr, &up->addr))
+			continue;
+		up->leaving = true;
+	}
+}
+
 static void drop(struct registry *registry, struct up *up)
 {
 	struct registry_service *svc = up->svc;
 
+	keep_words(registry, up);
 	for (size_t i = 0; i < svc->count; i++) {
 		if (svc->ups[i] == up) {
 			svc->ups[i] = svc->ups[--svc->count];
@@ -130,10 +165,17 @@
 	}
 }
 
+/* The state of an upstream by its entry and its own word. */
+static enum up_state state_of(const struct up *up,
+			      const struct registry_entry *entry)
+{
+	return up->leaving ? UP_DRAINING : entry->state;
+}
+
 static void update(struct up *up, const struct registry_entry *entry,
 		   apr_time_t now)
 {
-	up->state = entry->state;
+	up->state = state_of(up, entry);
 	up->slots = entry->slots;
 	up->revision = entry->revision;
 	up->hold_until = 0;
@@ -158,6 +200,7 @@
 	up->domain = geo_domain(registry->geo, entry->domain);
 	up->region = geo_region_of(registry->geo, up->domain);
 	up->latency_ratio = 1;
+	restore_words(registry, up);
 	update(up, entry, now);
 	if (strbuf_set(&up->id, entry->id) || svc_add(svc, up)) {
 		free(up);
@@ -172,8 +215,7 @@
 {
 	return up->born_ms == entry->born_ms &&
 	       str_eq(strbuf_str(&up->svc->name), entry->service) &&
-	       up->addr.sin_addr.s_addr == entry->addr.sin_addr.s_addr &&
-	       up->addr.sin_port == entry->addr.sin_port;
+	       same_addr(&up->addr, &entry->addr);
 }
 
 int registry_put(struct registry *registry, const struct registry_entry *entry,
@@ -191,7 +233,7 @@
 		change = add(registry, entry, now);
 		return change < 0 ? change : REGISTRY_RESTARTED;
 	}
-	change = up->state == entry->state && up->slots == entry->slots
+	change = up->state == state_of(up, entry) && up->slots == entry->slots
 			 ? REGISTRY_SAME
 			 : REGISTRY_CHANGED;
 	update(up, entry, now);
@@ -398,9 +440,38 @@
 	up->maybe_cold_until = now + COLD_DELAY_US;
 }
 
+void registry_keep_words(struct registry *registry, const struct up *up)
+{
+	struct up *listed = registry_find(registry, strbuf_str(&up->id));
+
+	if (up->state != UP_GONE)
+		return;
+	keep_words(registry, up);
+	if (!listed)
+		return;
+	restore_words(registry, listed);
+	if (listed->leaving && listed->state == UP_READY)
+		listed->state = UP_DRAINING;
+}
+
+bool up_note_leaving(struct up *up)
+{
+	const bool is_news = !up->leaving;
+
+	up->leaving = true;
+	if (up->state == UP_READY)
+		up->state = UP_DRAINING;
+	return is_news;
+}
+
+bool up_accepts(const struct up *up)
+{
+	return up->state == UP_READY;
+}
+
 bool up_is_usable(const struct up *up, apr_time_t now)
 {
-	return up->state == UP_READY && up->ejected_until <= now &&
+	return up_accepts(up) && up->ejected_until <= now &&
 	       (!up->hold_until || now < up->hold_until);
 }
 
--- a/policy/registry.h
+++ b/policy/registry.h
@@ -77,6 +77,8 @@
 	uint32_t slots;
 	enum up_state state;
 	uint64_t revision;
+	/* It said in an answer that it leaves; holds until it has ended. */
+	bool leaving;
 	/* Removed from the list while the store failed: used until then. */
 	apr_time_t hold_until;
 	/* End of the cold start, during which it is slow and fragile. */
@@ -117,6 +119,17 @@
 	double answer_bytes;
 };
 
+/* Incarnations that are no longer listed whose words are remembered. */
+#define REGISTRY_WORDS 256
+
+/* What an incarnation of an upstream said of itself before it was dropped. */
+struct registry_words {
+	uint64_t hash;
+	struct sockaddr_in addr;
+	int64_t born_ms;
+	bool leaving;
+};
+
 struct registry_service {
 	struct strbuf name;
 	struct up **ups;
@@ -138,6 +151,9 @@
 	apr_hash_t *by_id;
 	/* Every service that was ever listed; entries are never removed. */
 	apr_hash_t *services;
+	/* An entry may lapse and come back; the oldest is overwritten. */
+	struct registry_words words[REGISTRY_WORDS];
+	unsigned next_words;
 	/* Called when an upstream is removed, to close its connections. */
 	void (*dropped)(void *ctx, struct up *up);
 	void *ctx;
@@ -233,6 +249,22 @@
 /* Whether the upstream handled the object for this VM recently. */
 bool up_is_warm_for(const struct up *up, uint64_t object, apr_time_t now);
 
+/*
+ * Records that the upstream said that it leaves: from now on it counts as
+ * draining, whatever its entry says, since an upstream that leaves does not
+ * come back as the same incarnation. Returns whether that is news.
+ */
+bool up_note_leaving(struct up *up);
+
+/*
+ * Takes what an upstream said that was dropped meanwhile over to the one that
+ * is listed now, or may be listed later, as the same incarnation.
+ */
+void registry_keep_words(struct registry *registry, const struct up *up);
+
+/* Whether the upstream takes requests, by its own word and its entry. */
+bool up_accepts(const struct up *up);
+
 /* Treats the upstream as cold until its next update is due. */
 void up_assume_cold(struct up *up, apr_time_t now);
 
--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -10,9 +10,9 @@
 #include "policy/placement.h"
 #include "policy/spillover.h"
 #include "steerd/reqstats.h"
-#include "steerd/loads.h"
 #include "steerd/pass.h"
 #include "steerd/refuse.h"
+#include "steerd/said.h"
 #include "steerd/verdict.h"
 
 #define LOG_MODULE "flow"
@@ -255,17 +255,6 @@
 		answer_caller(flow, call->answer);
 }
 
-/* Records the load report in an answer, and shares it with other VMs. */
-static void record_load(const struct flow *flow, apr_time_t now)
-{
-	struct st *st = flow->st;
-	const struct up_load_report *load = &flow->call.marks.load;
-
-	up_note_load_report(flow->pick.up, load, now);
-	if (st->loads)
-		loads_share(st->loads, flow->pick.up, load, now);
-}
-
 /* Updates what is known of the upstream after an attempt. */
 static void record_result(struct flow *flow, enum upclient_result result)
 {
@@ -281,9 +270,9 @@
 		    call->marks.matched)
 			registry_remove(&flow->st->registry,
 					strbuf_str(&up->id), 0);
-		else if (call->marks.has_load)
-			record_load(flow, now);
-	} else if (result == UPCLIENT_STALE) {
+		else
+			said_record(flow->st, call, up, log_id(flow), now);
+	} else if (result == UPCLIENT_STALE || result == UPCLIENT_WITHHELD) {
 		outcome = UP_OUTCOME_ABANDONED;
 	}
 	elapsed = now - call->sent_at;
@@ -314,13 +303,14 @@
 	const bool safe = flow->route->kind == ROUTING_SAFE;
 
 	record_result(flow, result);
-	if (result != UPCLIENT_UNSENT)
+	if (result != UPCLIENT_UNSENT && result != UPCLIENT_WITHHELD)
 		flow->attempts_made++;
 	switch (result) {
 	case UPCLIENT_ANSWERED:
 		on_answer(flow);
 		return;
 	case UPCLIENT_UNSENT:
+	case UPCLIENT_WITHHELD:
 		/* Nothing was sent, so no retry is taken from the budget. */
 		if (++flow->unsent < MAX_UNSENT)
 			dispatch(flow);
--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -435,6 +435,10 @@
 		/* A shorter time weighs more: longer ones include waiting. */
 		*d += elapsed < *d ? (elapsed - *d) / 4 : (elapsed - *d) / 64;
 	}
+	if (!up_accepts(conn->pool->up)) {
+		conn_fail(conn, UPCLIENT_WITHHELD);
+		return;
+	}
 	conn->state = CONN_BUSY;
 	write_request(conn);
 }
--- a/steerd/upclient.h
+++ b/steerd/upclient.h
@@ -26,6 +26,8 @@
 	UPCLIENT_ANSWERED,
 	/* No byte left this VM: the request was not run. */
 	UPCLIENT_UNSENT,
+	/* The same: the upstream stopped taking requests while connecting. */
+	UPCLIENT_WITHHELD,
 	/* The upstream had closed a reused connection; may have run. */
 	UPCLIENT_STALE,
 	/* The connection broke, or the answer is invalid; may have run. */
--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -305,6 +305,8 @@
         self.seen, self.gone, self.connections, self.open = [], [], 0, set()
         # Ids of the requests that ran, in modes that refuse some.
         self.ran = []
+        # Header lines in all answers, and in the late copies of mode extra-late; seconds in the refusals of mode quiet.
+        self.said, self.said_late, self.quiet = "", "", "2.0"
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
         threading.Thread(target=self.accept, daemon=True).start()
@@ -381,7 +383,8 @@
     def answer(self, head, body, status=200, more=""):
         return ("HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nServer-Load: %s\r\n"
                 "Content-Length: %d\r\n%s\r\n" % (status, head.get("attempt-id", ""), self.name,
-                                                 self.queue.load() if self.queue else "1,0,4", len(body), more)
+                                                 self.queue.load() if self.queue else "1,0,4", len(body),
+                                                 self.said + more)
                 ).encode() + body
 
     def reply(self, conn, mode, head, line, late):
@@ -389,9 +392,15 @@
         body = ("%s:%s" % (self.name, line.decode().split()[1])).encode()
         whole = self.answer(head, body)
         if head.get("expect-instance") != self.name:
-            conn.sendall(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n")
+            conn.sendall(("HTTP/1.1 421 Misdirected Request\r\n%sContent-Length: 0\r\n\r\n" % self.said).encode())
         elif mode == "shed":
             conn.sendall(b"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+        elif mode == "refuse-leaving":
+            conn.sendall(("HTTP/1.1 503 X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\n%sContent-Length: 0\r\n\r\n" % (
+                head.get("attempt-id", ""), self.said)).encode())
+        elif mode == "quiet":
+            conn.sendall(("HTTP/1.1 503 X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %s\r\n"
+                          "Content-Length: 0\r\n\r\n" % (head.get("attempt-id", ""), self.quiet)).encode())
         elif mode == "fail":
             conn.sendall(self.answer(head, b"failed", 500))
         elif mode == "short":
@@ -410,7 +419,7 @@
             conn.sendall(whole + self.answer(head, b"second"))
         elif mode == "extra-late":
             conn.sendall(late + whole)
-            return self.answer(head, b"late answer of before")
+            return self.answer(head, b"late answer of before", more=self.said_late)
         elif mode == "reset":
             return None
         elif mode in ("refuse-again", "refuse-again-bare"):
@@ -424,6 +433,8 @@
             conn.sendall(late + whole)
         elif mode == "large":
             conn.sendall(self.answer(head, bytes(1 << 20)))
+        elif mode == "huge":
+            conn.sendall(self.answer(head, bytes(8 << 20)))
         elif mode == "endless":
             conn.sendall(whole[:whole.index(b"Content-Length")] + b"\r\n")
             while True:
@@ -433,8 +444,6 @@
         return b""
 
 
-        elif mode == "huge":
-            conn.sendall(self.answer(head, bytes(8 << 20)))
 class Caller:
     """One connection of a caller."""
 
@@ -466,6 +475,12 @@
         self.sock.close()
 
 
+def peak_mb(vm):
+    """Most memory that the process of a VM has held, in MB."""
+    with open("/proc/%d/status" % vm.process.pid) as f:
+        return next(int(x.split()[1]) / 1024 for x in f if x.startswith("VmHWM"))
+
+
 def ask(addr, path, **more):
     caller = Caller(addr)
     try:
@@ -475,12 +490,6 @@
         caller.close()
 
 
-def peak_mb(vm):
-    """Most memory that the process of a VM has held, in MB."""
-    with open("/proc/%d/status" % vm.process.pid) as f:
-        return next(int(x.split()[1]) / 1024 for x in f if x.startswith("VmHWM"))
-
-
 class Steerd:
     """A pst-steerd process. lines() returns the log lines that contain all given words."""
 
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -174,6 +174,19 @@
 }
 END_TEST
 
+START_TEST(reads_that_an_upstream_leaves)
+{
+	struct answer_meta marks = {.cold_for = -1};
+
+	plt_answer_header(STR_LIT("Server-Leaving"), STR_LIT("0"), &marks);
+	ck_assert(!marks.leaving);
+	plt_answer_header(STR_LIT("Server-Leaving"), STR_LIT("yes"), &marks);
+	ck_assert(!marks.leaving);
+	plt_answer_header(STR_LIT("server-leaving"), STR_LIT("1"), &marks);
+	ck_assert(marks.leaving);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("messages");
@@ -185,5 +198,6 @@
 	tcase_add_test(tc, refuses_messages_over_the_limits);
 	tcase_add_test(tc, recognizes_hop_by_hop_headers);
 	tcase_add_test(tc, reads_headers_of_answers);
+	tcase_add_test(tc, reads_that_an_upstream_leaves);
 	return fix_run("msg", tc);
 }
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -214,6 +215,51 @@
 }
 END_TEST
 
+/* An entry says ready again, lapses and comes back: the word holds. */
+START_TEST(leaving_holds_for_the_incarnation)
+{
+	struct registry_entry entry = place_entry("u1", "n1");
+	struct up *up = place_add(&place, "u1", "n1");
+
+	ck_assert(up_note_leaving(up));
+	ck_assert(!up_note_leaving(up));
+	ck_assert(!up_is_usable(up, place.now));
+	entry.revision = 5;
+	ck_assert_int_eq(place_put(&place, &entry), REGISTRY_SAME);
+	ck_assert(!up_is_usable(up, place.now));
+	ck_assert(registry_remove(&place.registry, entry.id, 0));
+	entry.revision = 6;
+	ck_assert_int_eq(place_put(&place, &entry), REGISTRY_ADDED);
+	up = registry_find(&place.registry, entry.id);
+	ck_assert(!up_is_usable(up, place.now));
+	entry.revision = 7;
+	entry.born_ms = 2;
+	ck_assert_int_eq(place_put(&place, &entry), REGISTRY_RESTARTED);
+	up = registry_find(&place.registry, entry.id);
+	ck_assert(up_is_usable(up, place.now));
+}
+END_TEST
+
+/* Its entry lapsed, and perhaps came back, while it ran a request. */
+START_TEST(words_after_the_entry_lapsed)
+{
+	struct registry_entry entry = place_entry("u1", "n1");
+	struct up *up = place_add(&place, "u1", "n1");
+
+	ref_get(&up->ref);
+	registry_remove(&place.registry, entry.id, 0);
+	if (_i)
+		place_put(&place, &entry);
+	up_note_leaving(up);
+	registry_keep_words(&place.registry, up);
+	ref_put(&up->ref);
+	if (!_i)
+		place_put(&place, &entry);
+	up = registry_find(&place.registry, entry.id);
+	ck_assert_int_eq(up->state, UP_DRAINING);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("upstreams");
@@ -228,5 +274,7 @@
 	tcase_add_test(tc, load_is_own_plus_reported);
 	tcase_add_test(tc, measures_run_times_by_route);
 	tcase_add_test(tc, decodes_or_rejects_entries);
+	tcase_add_test(tc, leaving_holds_for_the_incarnation);
+	tcase_add_loop_test(tc, words_after_the_entry_lapsed, 0, 2);
 	return fix_run("upl", tc);
 }
