steerd: upstreams that ask for quiet get no requests

Cause: the header was not read; a refusal only made the upstream look full for a second or so. Ruled out: probes, of which this VM makes none.

It is no fault: health and warm objects stay. If all are quiet, callers are told at once when the first opens.

--- a/policy/marks.h
+++ b/policy/marks.h
@@ -41,6 +41,8 @@
 	struct up_load_report load;
 	/* The upstream says that it is leaving. */
 	bool leaving;
+	/* It wants nothing from this VM for so long; 0: not said. */
+	apr_interval_time_t retry_after;
 	/* Rest of the upstream's cold start; negative: not given. */
 	apr_interval_time_t cold_for;
 };
--- a/policy/placement.c
+++ b/policy/placement.c
@@ -54,12 +54,14 @@
 #define DEFAULT_TARGET_US 500000.0
 
 /*
- * Bounds of the time that a refused caller is told to wait. The minimum is
+ * Bounds of the time that a refused caller is told to wait, but for upstreams
+ * that have themselves asked for a longer time. The minimum is
  * about one run: a slot becomes free when a run ends, and load reports are no
  * fresher than that.
  */
 #define RETRY_AFTER_MIN_US 100000
 #define RETRY_AFTER_MAX_US 1000000
+#define NO_ROOM_AHEAD	   APR_INT64_MAX
 
 /*
  * Number of VMs that may send to one cold upstream, and the fraction of its
@@ -339,21 +341,27 @@
 		choose_region(ask, GEO_NONE, out);
 }
 
-/* Time until an upstream has room, or its ejection after failures ends. */
+/*
+ * Time until an upstream has room, the time ends for which it wants no request,
+ * or its ejection after failures ends; NO_ROOM_AHEAD if none of these is known.
+ */
 static apr_interval_time_t time_until_room(const struct placement_request *ask,
 					   const struct up *up)
 {
 	const double load = up_current_load(up, ask->now);
 	const double slots = up->slots ? up->slots : 1;
+	apr_interval_time_t room = 0;
 
 	if (up->state != UP_READY || is_evacuated(ask, up))
-		return RETRY_AFTER_MAX_US;
+		return NO_ROOM_AHEAD;
+	if (up->quiet_until > ask->now)
+		return up->quiet_until - ask->now;
 	if (up->ejected_until > ask->now)
-		return up->ejected_until - ask->now;
-	if (load < slots)
-		return 0;
-	return (apr_interval_time_t)((load - slots + 1) / slots *
-				     warm_run_time(ask));
+		room = up->ejected_until - ask->now;
+	else if (load >= slots)
+		room = (apr_interval_time_t)((load - slots + 1) / slots *
+					     warm_run_time(ask));
+	return room < RETRY_AFTER_MAX_US ? room : RETRY_AFTER_MAX_US;
 }
 
 /* Whether this VM's region has upstreams of the service that take requests. */
@@ -362,7 +370,7 @@
 	for (size_t i = 0; i < ask->svc->count; i++) {
 		const struct up *up = ask->svc->ups[i];
 
-		if (up->region == ask->region && up->state == UP_READY &&
+		if (up->region == ask->region && up_accepts(up, ask->now) &&
 		    !is_evacuated(ask, up))
 			return true;
 	}
@@ -372,7 +380,7 @@
 apr_interval_time_t placement_retry_after(const struct placement_request *ask)
 {
 	const bool local_only = has_local_upstreams(ask);
-	apr_interval_time_t shortest = RETRY_AFTER_MAX_US;
+	apr_interval_time_t shortest = NO_ROOM_AHEAD;
 
 	for (size_t i = 0; i < ask->svc->count; i++) {
 		const struct up *up = ask->svc->ups[i];
@@ -381,5 +389,7 @@
 		    time_until_room(ask, up) < shortest)
 			shortest = time_until_room(ask, up);
 	}
+	if (shortest == NO_ROOM_AHEAD)
+		return RETRY_AFTER_MAX_US;
 	return shortest > RETRY_AFTER_MIN_US ? shortest : RETRY_AFTER_MIN_US;
 }
--- a/policy/registry.c
+++ b/policy/registry.c
@@ -40,6 +40,9 @@
 #define EJECTION_MIN_US	       200000
 #define EJECTION_MAX_DOUBLINGS 4
 
+/* Longest time over which the ends of quiet times are spread. */
+#define QUIET_SPREAD_MAX_US 1000000
+
 static void up_release(struct ref *ref)
 {
 	free(REF_CONTAINER(ref, struct up, ref));
@@ -107,7 +110,7 @@
 /* Remembers what an incarnation said that may be listed again. */
 static void keep_words(struct registry *registry, const struct up *up)
 {
-	if (!up->born_ms || !up->leaving)
+	if (!up->born_ms || (!up->leaving && !up->quiet_until))
 		return;
 	registry->words[registry->next_words++ % REGISTRY_WORDS] =
 		(struct registry_words){
@@ -115,6 +118,7 @@
 			.addr = up->addr,
 			.born_ms = up->born_ms,
 			.leaving = up->leaving,
+			.quiet_until = up->quiet_until,
 		};
 }
 
@@ -128,7 +132,9 @@
 		    words->hash != up->hash ||
 		    !same_addr(&words->addr, &up->addr))
 			continue;
-		up->leaving = true;
+		up->leaving = up->leaving || words->leaving;
+		if (words->quiet_until > up->quiet_until)
+			up->quiet_until = words->quiet_until;
 	}
 }
 
@@ -404,6 +410,9 @@
 		break;
 	case UP_OUTCOME_SHED:
 		up->consecutive_failures = 0;
+		/* Asking for quiet is no fault. */
+		if (up->quiet_until > now)
+			break;
 		note_failure(up, 0.5, now);
 		if (up->others_load + up->in_flight < 2 * up->slots)
 			up->others_load = 2.0 * up->slots - up->in_flight;
@@ -464,14 +473,29 @@
 	return is_news;
 }
 
-bool up_accepts(const struct up *up)
+void up_note_quiet(struct up *up, apr_interval_time_t quiet, uint64_t vm,
+		   apr_time_t now)
+{
+	const double spread = quiet < QUIET_SPREAD_MAX_US ? (double)quiet
+							  : QUIET_SPREAD_MAX_US;
+	const uint64_t draw = (up->hash ^ vm) * UINT64_C(0x9e3779b97f4a7c15);
+	const apr_time_t until =
+		now + quiet +
+		(apr_interval_time_t)(spread * (double)(draw >> 40) /
+				      (double)(1 << 24));
+
+	if (until > up->quiet_until)
+		up->quiet_until = until;
+}
+
+bool up_accepts(const struct up *up, apr_time_t now)
 {
-	return up->state == UP_READY;
+	return up->state == UP_READY && up->quiet_until <= now;
 }
 
 bool up_is_usable(const struct up *up, apr_time_t now)
 {
-	return up_accepts(up) && up->ejected_until <= now &&
+	return up_accepts(up, now) && up->ejected_until <= now &&
 	       (!up->hold_until || now < up->hold_until);
 }
 
--- a/policy/registry.h
+++ b/policy/registry.h
@@ -79,6 +79,8 @@
 	uint64_t revision;
 	/* It said in an answer that it leaves; holds until it has ended. */
 	bool leaving;
+	/* It asked this VM for no requests until then; 0: not. */
+	apr_time_t quiet_until;
 	/* Removed from the list while the store failed: used until then. */
 	apr_time_t hold_until;
 	/* End of the cold start, during which it is slow and fragile. */
@@ -128,6 +130,7 @@
 	struct sockaddr_in addr;
 	int64_t born_ms;
 	bool leaving;
+	apr_time_t quiet_until;
 };
 
 struct registry_service {
@@ -256,14 +259,22 @@
  */
 bool up_note_leaving(struct up *up);
 
+/*
+ * Records that the upstream wants no request of this VM for so long. A shorter
+ * time does not end a longer one. vm is the hash of this VM's name: the return
+ * of many upstreams that end at the same time is spread over a part of it.
+ */
+void up_note_quiet(struct up *up, apr_interval_time_t quiet, uint64_t vm,
+		   apr_time_t now);
+
 /*
  * Takes what an upstream said that was dropped meanwhile over to the one that
  * is listed now, or may be listed later, as the same incarnation.
  */
 void registry_keep_words(struct registry *registry, const struct up *up);
 
-/* Whether the upstream takes requests, by its own word and its entry. */
-bool up_accepts(const struct up *up);
+/* Whether the upstream, by its own word and its entry, takes requests. */
+bool up_accepts(const struct up *up, apr_time_t now);
 
 /* Treats the upstream as cold until its next update is due. */
 void up_assume_cold(struct up *up, apr_time_t now);
--- a/steerd/said.c
+++ b/steerd/said.c
@@ -27,6 +27,19 @@
 	upclient_close_idle(up);
 }
 
+static void record_quiet(const struct st *st, struct up *up,
+			 apr_interval_time_t quiet, struct str req,
+			 apr_time_t now)
+{
+	up_note_quiet(up, quiet, vms_hash(st->set->vm.id), now);
+	evt_log(UPSTREAM_QUIET, "req=%.*s upstream=%s quiet_ms=%lld",
+		STR_ARG(req), up->id.ptr,
+		(long long)(up->quiet_until - now) / 1000);
+	ctr_add(ctr_get("pst_upstreams_quiet_total", "",
+			"Refusals that asked for a time without requests."),
+		1);
+}
+
 void said_record(struct st *st, const struct upclient_call *call, struct up *up,
 		 struct str req, apr_time_t now)
 {
@@ -38,5 +51,7 @@
 		return;
 	if (marks->leaving)
 		record_leaving(up, req);
+	if (marks->retry_after && call->answer->parser.status_code == 503)
+		record_quiet(st, up, marks->retry_after, req, now);
 	registry_keep_words(&st->registry, up);
 }
--- a/steerd/said.h
+++ b/steerd/said.h
@@ -1,4 +1,4 @@
-/* What an upstream says of itself in its answers: load, leaving. */
+/* What an upstream says of itself in its answers: load, leaving, quiet. */
 #ifndef STEERD_SAID_H
 #define STEERD_SAID_H
 
--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -435,7 +435,7 @@
 		/* A shorter time weighs more: longer ones include waiting. */
 		*d += elapsed < *d ? (elapsed - *d) / 4 : (elapsed - *d) / 64;
 	}
-	if (!up_accepts(conn->pool->up)) {
+	if (!up_accepts(conn->pool->up, clk_now(upclient->clk))) {
 		conn_fail(conn, UPCLIENT_WITHHELD);
 		return;
 	}
--- a/tests/test_msg.c
+++ b/tests/test_msg.c
@@ -174,6 +174,36 @@
 }
 END_TEST
 
+static apr_interval_time_t quiet_of(const char *value)
+{
+	struct answer_meta marks = {.cold_for = -1};
+
+	plt_answer_header(STR_LIT("Retry-After"), str_from_c(value), &marks);
+	return marks.retry_after;
+}
+
+START_TEST(reads_times_without_requests)
+{
+	static const char *const none[] = {
+		"",	 "0",	"0.0", "-1",  "-0.5",
+		"soon",	 "4 s", "nan", "inf", "0x4",
+		"1.2.3", "1e",	"+3",  "1,5", "Sun, 06 Nov 1994 08:49:37 GMT",
+	};
+	const apr_interval_time_t longest = 600 * APR_USEC_PER_SEC;
+
+	for (size_t i = 0; i < sizeof(none) / sizeof(none[0]); i++)
+		ck_assert_msg(!quiet_of(none[i]), "%s", none[i]);
+	ck_assert_int_eq(quiet_of("4"), 4000000);
+	ck_assert_int_eq(quiet_of("4.0"), 4000000);
+	ck_assert_int_eq(quiet_of("0.25"), 250000);
+	ck_assert_int_eq(quiet_of(".5"), 500000);
+	ck_assert_int_eq(quiet_of("1e2"), 100000000);
+	ck_assert_int_eq(quiet_of("601"), longest);
+	ck_assert_int_eq(quiet_of("1e300"), longest);
+	ck_assert_int_eq(quiet_of("1e999"), longest);
+}
+END_TEST
+
 START_TEST(reads_that_an_upstream_leaves)
 {
 	struct answer_meta marks = {.cold_for = -1};
@@ -198,6 +228,7 @@
 	tcase_add_test(tc, refuses_messages_over_the_limits);
 	tcase_add_test(tc, recognizes_hop_by_hop_headers);
 	tcase_add_test(tc, reads_headers_of_answers);
+	tcase_add_test(tc, reads_times_without_requests);
 	tcase_add_test(tc, reads_that_an_upstream_leaves);
 	return fix_run("msg", tc);
 }
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -345,6 +345,34 @@
 }
 END_TEST
 
+/* No object and no attempt finds a way to an upstream that wants none. */
+START_TEST(quiet_upstreams_are_never_chosen)
+{
+	struct placement_request ask;
+	struct up *quiet;
+
+	add_many("n1", 4);
+	add_many("s1", 2);
+	quiet = registry_find(&place.registry, STR_LIT("n1-2"));
+	up_note_quiet(quiet, CLK_SEC(2), 1, place.now);
+	for (unsigned o = 0; o < OBJECTS; o++) {
+		const struct placement_pick pick = choose(object(o));
+
+		ck_assert_ptr_nonnull(pick.up);
+		ck_assert_ptr_ne(pick.up, quiet);
+	}
+	for (size_t i = 0; i < quiet->svc->count; i++)
+		up_note_quiet(quiet->svc->ups[i], CLK_SEC(3), 1, place.now);
+	ck_assert_ptr_null(choose(object(1)).up);
+	ask = place_ask(&place, object(1));
+	ck_assert_int_ge(placement_retry_after(&ask), CLK_SEC(3));
+	ck_assert_int_le(placement_retry_after(&ask), CLK_SEC(4));
+	/* With one that may open any time, the caller comes back soon. */
+	quiet->quiet_until = 0;
+	ck_assert_int_le(placement_retry_after(&ask), CLK_SEC(1));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("placement");
@@ -364,5 +392,6 @@
 	tcase_add_test(tc, retry_after_counts_other_regions);
 	tcase_add_test(tc, evacuation_of_a_domain_changes_the_split);
 	tcase_add_test(tc, split_changes_within_its_cap);
+	tcase_add_test(tc, quiet_upstreams_are_never_chosen);
 	return fix_run("plc", tc);
 }
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -251,12 +251,78 @@
 	if (_i)
 		place_put(&place, &entry);
 	up_note_leaving(up);
+	up_note_quiet(up, CLK_SEC(2), 1, place.now);
 	registry_keep_words(&place.registry, up);
 	ref_put(&up->ref);
 	if (!_i)
 		place_put(&place, &entry);
 	up = registry_find(&place.registry, entry.id);
 	ck_assert_int_eq(up->state, UP_DRAINING);
+	ck_assert_int_ge(up->quiet_until, place.now + CLK_SEC(2));
+}
+END_TEST
+
+START_TEST(quiet_is_not_cut_short)
+{
+	struct registry_entry entry = place_entry("u1", "n1");
+	struct up *up = place_add(&place, "u1", "n1");
+	const apr_time_t end = place.now + CLK_SEC(4);
+
+	up_note_quiet(up, CLK_SEC(4), 1, place.now);
+	up_note_quiet(up, CLK_MS(100), 1, place.now + CLK_SEC(1));
+	ck_assert(!up_is_usable(up, end - 1));
+	ck_assert(up_is_usable(up, end + CLK_SEC(1)));
+	up_note_quiet(up, CLK_SEC(8), 1, place.now);
+	ck_assert(!up_is_usable(up, place.now + CLK_SEC(8) - 1));
+	registry_remove(&place.registry, entry.id, 0);
+	place_put(&place, &entry);
+	up = registry_find(&place.registry, entry.id);
+	ck_assert(!up_is_usable(up, place.now + CLK_SEC(8) - 1));
+	ck_assert(up_is_usable(up, place.now + CLK_SEC(9)));
+}
+END_TEST
+
+START_TEST(quiet_is_no_fault)
+{
+	struct up *up = place_add(&place, "u1", "n1");
+	const double rate = up->failure_rate;
+
+	up_note_object(up, 77, place.now);
+	up_note_sent(up);
+	up_note_quiet(up, CLK_SEC(2), 1, place.now);
+	up_note_outcome(up, UP_OUTCOME_SHED, 0, 0, place.now);
+	ck_assert(up->failure_rate <= rate);
+	ck_assert(up_is_warm_for(up, 77, place.now + CLK_SEC(3)));
+	ck_assert(up_is_usable(up, place.now + CLK_SEC(3)));
+	ck_assert_uint_eq(up->in_flight, 0);
+	ck_assert(up_current_load(up, place.now) < 1);
+}
+END_TEST
+
+/* Quiet times of many that end in the same 100 ms do not end for all at once.
+ */
+START_TEST(ends_of_quiet_are_spread)
+{
+	static const int counts[] = {8, 40, 300};
+	const int count = counts[_i];
+	int opened[20] = {0};
+
+	for (int i = 0; i < count; i++) {
+		char name[16];
+		struct up *up;
+		apr_interval_time_t later;
+
+		snprintf(name, sizeof(name), "q%d", i);
+		up = place_add(&place, name, "n1");
+		up_note_quiet(up, CLK_SEC(3) + CLK_MS(i % 100), 12345,
+			      place.now);
+		later = up->quiet_until - place.now - CLK_SEC(3);
+		ck_assert_int_ge(later, CLK_MS(i % 100));
+		ck_assert_int_lt(later, CLK_MS(1200));
+		opened[later / CLK_MS(100)]++;
+	}
+	for (size_t i = 0; i < sizeof(opened) / sizeof(opened[0]); i++)
+		ck_assert_int_le(opened[i], count / 5 + 2);
 }
 END_TEST
 
@@ -276,5 +342,8 @@
 	tcase_add_test(tc, decodes_or_rejects_entries);
 	tcase_add_test(tc, leaving_holds_for_the_incarnation);
 	tcase_add_loop_test(tc, words_after_the_entry_lapsed, 0, 2);
+	tcase_add_test(tc, quiet_is_not_cut_short);
+	tcase_add_test(tc, quiet_is_no_fault);
+	tcase_add_loop_test(tc, ends_of_quiet_are_spread, 0, 3);
 	return fix_run("upl", tc);
 }
