soak: upstreams that say they leave, and that want quiet

Cause: the soak had no upstream that says anything of itself.

Two checks, from what upstreams received: none past the bound after the word was passed on, at most two in each quiet time.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -8,6 +8,7 @@
 CALM_S = 4.0
 APPLY_S, ROLLBACK_S = 4.0, 0.25
 EVACUATION_S = 5.0
+QUIET_FROM_S, QUIET_MOST = 0.5, 2
 GONE_S, ANSWER_SLACK_S = 0.5, 0.5
 COLD_OVERAGE, COLD_SLACK = 1.5, 8
 PROMISES = (408, 421, 429, 503)
@@ -152,6 +153,41 @@
                 yield "%.2f s after %s left: %s" % (n["at"] - at, worker.name, r)
 
 
+def said_leaving(seen):
+    """After an answer that says that its upstream leaves, a life of a VM sends nothing there past the bound."""
+    workers = {w.name: w for p in seen.stage.posts for w in p.workers}
+    words = {}
+    for r in seen.requests:
+        name = r.answer.decode(errors="replace").split(":")[0]
+        if r.outcome == "answer" and r.head.get("server-leaving") == "1" and name in workers:
+            key = (name, r.vm.name, r.number)
+            words[key] = min(words.get(key, r.done), r.done)
+    for (name, vm, number), at in words.items():
+        for n in workers[name].notes:
+            r = seen.by_id.get(n["id"])
+            if not r or not n["known"] or (r.vm.name, r.number) != (vm, number) or r.began <= at + LEAVE_S:
+                continue
+            if seen.troubles.calm((vm,), at, n["at"]):
+                yield "%.2f s after %s said that it leaves: %s" % (r.began - at, name, r)
+
+
+def wanted_quiet(seen):
+    """At most two requests of a VM reach an upstream from half a second after it asked for quiet until its end."""
+    for worker in (w for p in seen.stage.posts for w in p.workers):
+        by_vm = collections.defaultdict(list)
+        for n in worker.notes:
+            r = seen.by_id.get(n["id"])
+            if r and n["known"]:
+                by_vm[r.vm.name, r.number].append(n)
+        for (vm, _), notes in by_vm.items():
+            for word in (n for n in notes if n["quiet"]):
+                since, until = word["at"] + QUIET_FROM_S, word["at"] + word["quiet"]
+                within = [n for n in notes if since < n["at"] < until]
+                if len(within) > QUIET_MOST and seen.troubles.calm((vm,), word["at"], until):
+                    yield "%d requests within %.1f s that %s wanted without: %s" % (
+                        len(within), word["quiet"], worker.name, within[0])
+
+
 def evacuated(seen):
     events = seen.stage.evacuations
     for i, (at, domain, on) in enumerate(events):
@@ -253,7 +289,8 @@
             yield "no line: %s" % r
 
 
-CHECKS = (whole, once, promises, denied, in_force, leaving, evacuated, stops, lost, gone, in_time, budget, cold, logged)
+CHECKS = (whole, once, promises, denied, in_force, leaving, said_leaving, wanted_quiet, evacuated, stops, lost, gone,
+          in_time, budget, cold, logged)
 
 
 def judge(stage, requests):
--- a/tests/soak/soak_faults.py
+++ b/tests/soak/soak_faults.py
@@ -1,4 +1,5 @@
 """The faults of a soak, drawn from a seed: each begins at its time, lasts, and may come again while others last."""
+import random
 import signal
 import threading
 
@@ -46,8 +47,18 @@
         if storms:
             drawn = [p for p in self.plan if p[1] in ("store_history", "manifest", "vm_settings")]
             self.plan = drawn + [(at, kind, rng.random(), rng.random(), rng.random()) for kind, at in STORMS]
+        self.plan += self.words(random.Random(rng.random()), seconds)
         self.plan = sorted(p for p in self.plan if p[0] < seconds)
 
+    @staticmethod
+    def words(rng, seconds):
+        """What upstreams say of themselves; drawn last, so that the rest of a seed's plan stands as it was."""
+        at, plan = 0.5, []
+        while at < seconds:
+            plan.append((at, rng.choice(["up_say_leaving", "up_want_quiet"]), rng.random(), rng.random(), rng.random()))
+            at += rng.uniform(0.5, 3.0)
+        return plan
+
     def run(self):
         waited = 0.0
         for at, kind, *draws in self.plan:
@@ -251,6 +262,37 @@
         self.give(post)
         return "%s %s" % (worker.name, "draining" if draw < 0.5 else "entry gone")
 
+    def up_say_leaving(self, draw, long, which):
+        """Says so in its answers, and its entry stays as it is until it ends."""
+        post = self.take_post(which, long)
+        if not post:
+            return None
+        worker = post.worker
+        worker.said = "Server-Leaving: 1\r\n"
+        # At times it refuses as well.
+        worker.mode = "quiet" if draw < 0.2 else "ok"
+        self.last(4.0 + 2 * long)
+        post.strike()
+        span = self.stage.troubles.begin(post.name)
+        worker.end()
+        self.last(0.3)
+        post.arrive(COLD_MS)
+        self.stage.troubles.end(span)
+        self.give(post)
+        return "%s" % worker.name
+
+    def up_want_quiet(self, draw, long, which):
+        post = self.take_post(which, long)
+        if not post:
+            return None
+        worker = post.worker
+        worker.quiet, worker.mode = "%.1f" % (1 + 2 * draw), "quiet"
+        self.last(0.5 + 2 * long)
+        worker.mode = "ok"
+        self.last(0.3)
+        self.give(post)
+        return "%s %s s" % (worker.name, worker.quiet)
+
     def all_shed(self, *_):
         return self.storm("shed", 0.0)
 
--- a/tests/soak/soak_stage.py
+++ b/tests/soak/soak_stage.py
@@ -55,7 +55,8 @@
         method, path, _ = line.decode().split()
         known = head.get("expect-instance") == self.name
         self.notes.append({"at": now(), "id": head.get("attempt-id", ""), "method": method, "path": path,
-                           "bytes": len(body), "known": known, "ran": known and self.mode != "shed",
+                           "bytes": len(body), "known": known, "ran": known and self.mode not in ("shed", "quiet"),
+                           "quiet": float(self.quiet) if self.mode == "quiet" else 0.0,
                            "deadline": int(head.get("deadline-ms", -1)), "mode": self.mode, "worker": self})
 
 
