steerd: logged results of attempts keep their numbers

Cause: UPCLIENT_WITHHELD was put before others whose numbers stand in lines 'try_ended end=N', which operators and OPERATIONS.md read.

Seen: t_steer_explain truncated_answer, 'end=3 is missing', end=4 instead.

After: t_steer_explain passes, 6 checks.

--- a/steerd/upclient.h
+++ b/steerd/upclient.h
@@ -20,18 +20,18 @@
 struct upclient;
 struct upclient_call;
 
-/* How an attempt ended. */
+/* How an attempt ended; the numbers stand in log lines. */
 enum upclient_result {
 	/* A complete answer, in call->answer and call->marks. */
 	UPCLIENT_ANSWERED,
 	/* No byte left this VM: the request was not run. */
 	UPCLIENT_UNSENT,
-	/* The same: the upstream stopped taking requests while connecting. */
-	UPCLIENT_WITHHELD,
 	/* The upstream had closed a reused connection; may have run. */
 	UPCLIENT_STALE,
 	/* The connection broke, or the answer is invalid; may have run. */
 	UPCLIENT_BROKEN,
+	/* As unsent: the upstream stopped taking requests meanwhile. */
+	UPCLIENT_WITHHELD,
 };
 
 /* One attempt of a request at an upstream. */
