pstctl: explain upstream

Cause: an operator who asks why nothing goes to an upstream had to know which lines to look for.

Change: 'pstctl explain upstream ID PATH' prints, by VM, the last line of each kind on it from collected logs, and what it means. 'explain logs' shows the words of the upstreams that were tried, too.

--- a/pstctl/cmd.h
+++ b/pstctl/cmd.h
@@ -31,6 +31,8 @@
 int cmd_explain(struct cmd *cmd, const char *id);
 /* Reads collected logs: a file, or each file of a directory. */
 int cmd_explain_logs(const char *id, const char *path);
+/* As cmd_explain_logs(), for the id of an upstream. */
+int cmd_explain_upstream(const char *id, const char *path);
 
 /*
  * Waits until a written edit is accepted and prints the result. began is when
--- a/pstctl/cmd_logs.c
+++ b/pstctl/cmd_logs.c
@@ -1,4 +1,7 @@
-/* explain logs: explains a request from collected logs of pst-steerd. */
+/*
+ * explain logs, explain upstream: explain a request, or why an upstream gets
+ * nothing, from collected logs of pst-steerd.
+ */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -99,6 +102,8 @@
 	switch (logline->event) {
 	case EVT_ID_UPSTREAM_LISTED:
 	case EVT_ID_UPSTREAM_LEFT:
+	case EVT_ID_UPSTREAM_LEAVING:
+	case EVT_ID_UPSTREAM_QUIET:
 		about = logline_field(logline, STR_LIT("upstream"));
 		return is_attempted(search, about)
 			       ? apr_psprintf(search->pool, "upstream %.*s",
@@ -128,21 +133,12 @@
 	}
 }
 
-static void on_state_line(struct search *search, struct str vm,
-			  const struct logline *logline)
+/* Keeps a line in place of the last one on its subject. */
+static void keep_last(struct search *search, const char *subject, struct str vm,
+		      const struct logline *logline)
 {
-	const struct log_match *last = &APR_ARRAY_IDX(
-		search->request_lines, search->request_lines->nelts - 1,
-		struct log_match);
-	const char *subject;
 	struct log_match *log_match;
 
-	if (!str_eq(vm, last->vm) ||
-	    str_cmp(logline->stamp, last->logline.stamp) > 0)
-		return;
-	subject = subject_of(search, logline);
-	if (!subject)
-		return;
 	for (int i = 0; i < search->state_lines->nelts; i++) {
 		log_match = &APR_ARRAY_IDX(search->state_lines, i,
 					   struct log_match);
@@ -156,6 +152,22 @@
 	copy_line(search, log_match, vm, logline);
 }
 
+static void on_state_line(struct search *search, struct str vm,
+			  const struct logline *logline)
+{
+	const struct log_match *last = &APR_ARRAY_IDX(
+		search->request_lines, search->request_lines->nelts - 1,
+		struct log_match);
+	const char *subject;
+
+	if (!str_eq(vm, last->vm) ||
+	    str_cmp(logline->stamp, last->logline.stamp) > 0)
+		return;
+	subject = subject_of(search, logline);
+	if (subject)
+		keep_last(search, subject, vm, logline);
+}
+
 /* Returns 0 or PST_ERR_NOTFOUND. */
 static int read_lines(struct search *search, const char *path, const char *name,
 		      line_fn *fn)
@@ -264,7 +276,62 @@
 	return CLI_EXIT_OK;
 }
 
-int cmd_explain_logs(const char *id, const char *path)
+static const char *meaning_of(const struct logline *logline)
+{
+	switch (logline->event) {
+	case EVT_ID_UPSTREAM_LISTED:
+		return "as its entry in the store says; draining=1: no "
+		       "requests";
+	case EVT_ID_UPSTREAM_LEFT:
+		return "it has no entry";
+	case EVT_ID_UPSTREAM_LEAVING:
+		return "its answer to req said that it leaves; holds until it "
+		       "has ended";
+	case EVT_ID_UPSTREAM_QUIET:
+		return "its refusal of req asked for no requests for quiet_ms";
+	default:
+		return NULL;
+	}
+}
+
+static void on_upstream_line(struct search *search, struct str vm,
+			     const struct logline *logline)
+{
+	if (!meaning_of(logline) ||
+	    !str_eq(logline_field(logline, STR_LIT("upstream")), search->id))
+		return;
+	keep_last(search,
+		  apr_psprintf(search->pool, "%.*s %u", STR_ARG(vm),
+			       (unsigned)logline->event),
+		  vm, logline);
+}
+
+static int explain_upstream(struct search *search, const char *path)
+{
+	if (read_logs(search, path, on_upstream_line)) {
+		fprintf(stderr, "pstctl: %s cannot be read\n", path);
+		return CLI_EXIT_UNAVAILABLE;
+	}
+	if (!search->state_lines->nelts) {
+		printf("no line of %zu names the upstream: it was never "
+		       "listed\n",
+		       search->lines);
+		return CLI_EXIT_FAILED;
+	}
+	printf("the last line of each kind, by VM:\n");
+	print_lines(search->state_lines);
+	for (int i = 0; i < search->state_lines->nelts; i++) {
+		const struct logline *line =
+			&APR_ARRAY_IDX(search->state_lines, i, struct log_match)
+				 .logline;
+
+		printf("%.*s: %s\n", STR_ARG(line->name), meaning_of(line));
+	}
+	return CLI_EXIT_OK;
+}
+
+static int run_search(const char *id, const char *path,
+		      int (*fn)(struct search *search, const char *path))
 {
 	struct search search = {.id = str_from_c(id)};
 	int status;
@@ -275,8 +342,18 @@
 		apr_array_make(search.pool, 8, sizeof(struct log_match));
 	search.state_lines =
 		apr_array_make(search.pool, 16, sizeof(struct log_match));
-	status = explain(&search, path);
+	status = fn(&search, path);
 	apr_pool_destroy(search.pool);
 	apr_terminate();
 	return status;
 }
+
+int cmd_explain_logs(const char *id, const char *path)
+{
+	return run_search(id, path, explain);
+}
+
+int cmd_explain_upstream(const char *id, const char *path)
+{
+	return run_search(id, path, explain_upstream);
+}
--- a/pstctl/main.c
+++ b/pstctl/main.c
@@ -68,6 +68,12 @@
 	return cmd_explain_logs(args[0], args[1]);
 }
 
+static int explain_upstream(struct cmd *cmd, const char **args)
+{
+	(void)cmd;
+	return cmd_explain_upstream(args[0], args[1]);
+}
+
 static int drain(struct cmd *cmd, const char **args)
 {
 	return cmd_drain(cmd, args[0], true);
@@ -107,6 +113,11 @@
 	 true,
 	 explain_logs,
 	 "ID PATH: the same from collected logs of pst-steerd"},
+	{{"explain", "upstream"},
+	 2,
+	 true,
+	 explain_upstream,
+	 "ID PATH: why an upstream gets nothing, from the same logs"},
 	{{"drain"}, 1, false, drain, "VM: give it no new work"},
 	{{"undrain"}, 1, false, undrain, "VM: give it work again"},
 };
