soak: a refusal counts as said when it has been sent

No VM's log has a line upstream_quiet of that upstream: it was in a storm of 5 s runs, so its refusal was noted on arrival, and the VM gave up before it was sent. Both are faults of the stand-in.

Ruled out: the product, by these logs.

Change: a note has the mode in which the request is answered, and a quiet time begins when the refusal has been sent. The bounds stay.

--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -338,7 +338,8 @@
         finally:
             self.open.discard(conn)
 
-    def note(self, line, head, body):
+    def note(self, line, head, body, mode):
+        """Called with each request, and the mode in which it is answered."""
         self.seen.append((line.decode().split()[0], line.decode().split()[1], head, body))
 
     def serve_all(self, conn):
@@ -357,7 +358,7 @@
                 if mode == "early":
                     conn.sendall(self.answer(head, b"early", 503))
                 body = file.read(int(head.get("content-length", 0)))
-                self.note(line, head, body)
+                self.note(line, head, body, mode)
                 if mode == "early":
                     continue
                 if self.queue and not self.queue.acquire():
@@ -380,6 +381,9 @@
             except OSError:
                 return conn.close()
 
+    def note_quiet(self, head):
+        """Called when a refusal has been sent that asks for a time without requests."""
+
     def answer(self, head, body, status=200, more=""):
         return ("HTTP/1.1 %d X\r\nAttempt-Id: %s\r\nResponse-Seal: seal-%s\r\nServer-Load: %s\r\n"
                 "Content-Length: %d\r\n%s\r\n" % (status, head.get("attempt-id", ""), self.name,
@@ -401,6 +405,7 @@
         elif mode == "quiet":
             conn.sendall(("HTTP/1.1 503 X\r\nAttempt-Id: %s\r\nNot-Executed: 1\r\nRetry-After: %s\r\n"
                           "Content-Length: 0\r\n\r\n" % (head.get("attempt-id", ""), self.quiet)).encode())
+            self.note_quiet(head)
         elif mode == "fail":
             conn.sendall(self.answer(head, b"failed", 500))
         elif mode == "short":
--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -179,13 +179,15 @@
             r = seen.by_id.get(n["id"])
             if r and n["known"]:
                 by_vm[r.vm.name, r.number].append(n)
-        for (vm, _), notes in by_vm.items():
-            for word in (n for n in notes if n["quiet"]):
-                since, until = word["at"] + QUIET_FROM_S, word["at"] + word["quiet"]
-                within = [n for n in notes if since < n["at"] < until]
-                if len(within) > QUIET_MOST and seen.troubles.calm((vm,), word["at"], until):
-                    yield "%d requests within %.1f s that %s wanted without: %s" % (
-                        len(within), word["quiet"], worker.name, within[0])
+        for at, ident, quiet in worker.quiets:
+            r = seen.by_id.get(ident)
+            if not r:
+                continue
+            notes = by_vm[r.vm.name, r.number]
+            within = [n for n in notes if at + QUIET_FROM_S < n["at"] < at + quiet]
+            if len(within) > QUIET_MOST and seen.troubles.calm((r.vm.name,), at, at + quiet):
+                yield "%d requests within %.1f s that %s wanted without: %s" % (
+                    len(within), quiet, worker.name, within[0])
 
 
 def evacuated(seen):
--- a/tests/soak/soak_stage.py
+++ b/tests/soak/soak_stage.py
@@ -48,16 +48,20 @@
     def __init__(self, post, number):
         self.post, self.service = post, post.service
         self.notes = []
+        # (time, id of the request, seconds) of each refusal that asked for a time without requests.
+        self.quiets = []
         super().__init__("i-%d-%d" % (post.index, number), work=post.work)
         self.began = now()
 
-    def note(self, line, head, body):
+    def note_quiet(self, head):
+        self.quiets.append((now(), head.get("attempt-id", ""), float(self.quiet)))
+
+    def note(self, line, head, body, mode):
         method, path, _ = line.decode().split()
         known = head.get("expect-instance") == self.name
         self.notes.append({"at": now(), "id": head.get("attempt-id", ""), "method": method, "path": path,
-                           "bytes": len(body), "known": known, "ran": known and self.mode not in ("shed", "quiet"),
-                           "quiet": float(self.quiet) if self.mode == "quiet" else 0.0,
-                           "deadline": int(head.get("deadline-ms", -1)), "mode": self.mode, "worker": self})
+                           "bytes": len(body), "known": known, "ran": known and mode not in ("shed", "quiet"),
+                           "deadline": int(head.get("deadline-ms", -1)), "mode": mode, "worker": self})
 
 
 class Post:
