soak: an upload that a crash cuts has not run

By the plan that upstream crashed in that moment (up_crash post-11), and the VM's log has end=2, the connection was closed, and 502 for the caller: the stand-in read what had come by then and noted the request as run.

Ruled out: the product, which sent no answer of an upstream; the body's length is stated, so no upstream takes the part for the whole.

Change: the stand-in closes when the body is not whole. The check stays.

--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -357,7 +357,10 @@
                 mode = self.mode
                 if mode == "early":
                     conn.sendall(self.answer(head, b"early", 503))
-                body = file.read(int(head.get("content-length", 0)))
+                size = int(head.get("content-length", 0))
+                body = file.read(size)
+                if len(body) < size:
+                    return conn.close()
                 self.note(line, head, body, mode)
                 if mode == "early":
                     continue
