steerd: the end of a connection has a cause, and so has a request that it cuts

Cause: request_done said why=caller_gone for every request whose connection ended without its answer: the end of the grace period, no memory, a failed write, an answer before it that was the last. An answer that was logged as answered and then lost with its connection had no line at all, nor had a request that was read and not passed on.

Change: close_conn() and conn_free() take an enum srv_end (srv.h), which goes to ops->gone and is the why of request_done: caller_gone only where the caller closed. ops->gone is also called for complete requests that were not passed on. request_cut tells passed_on, when the request was read and cut after the order to stop, and how long it ran; answer_unsent names an answer whose bytes were not written or acknowledged when its connection ended, also one that was dropped behind the last answer or was waiting for its turn. pst_requests_cut_total and pst_answers_unsent_total count by cause. Callers get what they got before.

Moved, in conn.c: the loops over conn->reqs of close_conn() and send_ready() are conn_end_drop(); what is noted at an end is conn_end_record(), called first in close_conn(); both in conn_end.c.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -7,6 +7,7 @@
 #include "common/err.h"
 #include "common/evt.h"
 #include "entryd/headcheck.h"
+#include "steerd/conn_end.h"
 #include "steerd/sock.h"
 
 #define LOG_MODULE "conn"
@@ -48,24 +49,19 @@
 }
 
 /* Closes, and tells the handler; conn_leave() frees it later. */
-static void close_conn(struct srv_conn *conn)
+static void close_conn(struct srv_conn *conn, enum srv_end end)
 {
 	struct srv *srv = conn->srv;
-	struct srv_req *req;
 
 	conn->dead = true;
 	if (conn->fd >= 0) {
+		conn_end_record(conn, end);
 		ev_io_stop(srv->loop, &conn->io);
 		ev_timer_stop(srv->loop, &conn->timer);
 		close(conn->fd);
 		conn->fd = -1;
 	}
-	while ((req = TAILQ_FIRST(&conn->reqs))) {
-		TAILQ_REMOVE(&conn->reqs, req, link);
-		if (req->dispatched && !req->answered)
-			srv->ops->gone(srv->ctx, req);
-		req_free(req);
-	}
+	conn_end_drop(conn, end, req_free);
 }
 
 /* Ends a use of the connection; frees it if it is dead and this is the last. */
@@ -85,10 +81,10 @@
 	free(conn);
 }
 
-void conn_free(struct srv_conn *conn)
+void conn_free(struct srv_conn *conn, enum srv_end end)
 {
 	conn->users++;
-	close_conn(conn);
+	close_conn(conn, end);
 	conn_leave(conn);
 }
 
@@ -120,7 +116,7 @@
 	if (conn->lingering)
 		return;
 	if (conn->caller_closes && !conn->in.len) {
-		close_conn(conn);
+		close_conn(conn, SRV_END_ANSWERED);
 		return;
 	}
 	conn->lingering = true;
@@ -139,7 +135,7 @@
 		return;
 	}
 	if (conn_idle(conn)) {
-		conn_free(conn);
+		conn_free(conn, SRV_END_STOP_IDLE);
 		return;
 	}
 	conn->draining = true;
@@ -155,10 +151,11 @@
 		if (n == PST_ERR_AGAIN)
 			break;
 		if (n < 0) {
-			close_conn(conn);
+			close_conn(conn, SRV_END_CALLER_RESET);
 			return;
 		}
 		buf_consume(&conn->out, (size_t)n);
+		conn->written += (size_t)n;
 		conn->last_byte_at = clk_now(conn->srv->clk);
 	}
 	if (!conn->out.len && conn->read_ended && TAILQ_EMPTY(&conn->reqs))
@@ -177,9 +174,10 @@
 		const bool asked = !msg_keep_alive(&req->msg);
 
 		if (buf_add(&conn->out, buf_str(&req->answer))) {
-			close_conn(conn);
+			close_conn(conn, SRV_END_NO_MEMORY);
 			return;
 		}
+		conn_end_track(conn, req);
 		TAILQ_REMOVE(&conn->reqs, req, link);
 		conn->pending--;
 		req_free(req);
@@ -188,12 +186,7 @@
 		conn->read_ended = true;
 		conn->caller_closes = asked;
 		/* Requests after the last answer count as not read. */
-		while ((req = TAILQ_FIRST(&conn->reqs))) {
-			TAILQ_REMOVE(&conn->reqs, req, link);
-			if (req->dispatched && !req->answered)
-				conn->srv->ops->gone(conn->srv->ctx, req);
-			req_free(req);
-		}
+		conn_end_drop(conn, SRV_END_BEHIND_LAST, req_free);
 	}
 	flush(conn);
 }
@@ -220,7 +213,8 @@
 		err = buf_add(&req->answer, body);
 	if (err) {
 		/* Closes without an answer instead of sending part of it. */
-		evt_log(SRV_NO_MEMORY, "bytes=%zu", body.len);
+		evt_log(SRV_NO_MEMORY, "bytes=%zu req=%s", body.len,
+			req->id.ptr);
 		buf_reset(&req->answer);
 		req->close = true;
 	}
@@ -380,7 +374,7 @@
 		if (!req) {
 			req = conn->reading = new_req(conn);
 			if (!req) {
-				close_conn(conn);
+				close_conn(conn, SRV_END_NO_MEMORY);
 				return;
 			}
 		}
@@ -440,6 +434,16 @@
 		 buf_str(&conn->in).len != before);
 }
 
+/* Why a connection ends when a read returned n, which is 0 or an error. */
+static enum srv_end read_end(const struct srv_conn *conn, int n)
+{
+	if (n == PST_ERR_NOMEM)
+		return SRV_END_NO_MEMORY;
+	if (n < 0)
+		return SRV_END_CALLER_RESET;
+	return conn->lingering ? SRV_END_LINGER_PEER : SRV_END_CALLER_CLOSED;
+}
+
 static void on_readable(struct srv_conn *conn)
 {
 	const int n = sock_read(conn->fd, &conn->in, READ_BYTES);
@@ -447,7 +451,7 @@
 	if (n == PST_ERR_AGAIN)
 		return;
 	if (n <= 0) {
-		close_conn(conn);
+		close_conn(conn, read_end(conn, n));
 		return;
 	}
 	conn->last_byte_at = clk_now(conn->srv->clk);
@@ -493,11 +497,11 @@
 	if (conn->lingering) {
 		/* Callers that read slowly get the rest of their answer. */
 		if (now >= at || !sock_unsent(conn->fd))
-			conn_free(conn);
+			conn_free(conn, SRV_END_LINGER_TIME);
 		return;
 	}
 	if (!(conn->events & EV_READ) && sock_peer_closed(conn->fd)) {
-		conn_free(conn);
+		conn_free(conn, SRV_END_CALLER_CLOSED);
 		return;
 	}
 	if (!conn->reading && !TAILQ_EMPTY(&conn->reqs)) {
@@ -519,7 +523,7 @@
 	if (!conn->dead && conn->reading == NULL && conn->read_ended)
 		send_ready(conn);
 	else if (!conn->dead)
-		close_conn(conn);
+		close_conn(conn, SRV_END_IDLE_TIMEOUT);
 	conn_leave(conn);
 }
 
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -7,6 +7,16 @@
 
 #include "steerd/srv.h"
 
+/* Latest answers of a connection that are known by their requests' ids. */
+#define CONN_ANSWERS 8
+
+struct conn_answer {
+	struct strbuf id;
+	size_t bytes;
+	/* Where its last byte is among all bytes of the connection's output. */
+	uint64_t end;
+};
+
 struct srv_conn {
 	struct ev_io io;
 	struct ev_timer timer;
@@ -35,6 +45,11 @@
 	int users;
 	/* When a byte was last read or written. */
 	apr_time_t last_byte_at;
+	/* Bytes written so far. */
+	uint64_t written;
+	/* The latest answers, a ring; answer_count counts all. */
+	struct conn_answer answers[CONN_ANSWERS];
+	unsigned answer_count;
 	TAILQ_HEAD(, srv_req) reqs;
 	TAILQ_ENTRY(srv_conn) link;
 };
@@ -42,8 +57,8 @@
 /* Takes ownership of a new connection; closes fd when there is no memory. */
 void conn_new(struct srv *srv, int fd);
 
-/* Closes at once, and tells the handler that the callers are gone. */
-void conn_free(struct srv_conn *conn);
+/* Closes at once, and tells the handler of open requests. */
+void conn_free(struct srv_conn *conn, enum srv_end end);
 
 /*
  * Reads no further request, but the one whose bytes are arriving; closes after
--- a/steerd/endpoint.c
+++ b/steerd/endpoint.c
@@ -74,10 +74,11 @@
 }
 
 /* Requests are answered at once, so there is nothing to cancel. */
-static void on_gone(void *ctx, struct srv_req *req)
+static void on_gone(void *ctx, struct srv_req *req, enum srv_end end)
 {
 	(void)ctx;
 	(void)req;
+	(void)end;
 }
 
 const struct srv_ops endpoint_directory = {
--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -13,6 +13,7 @@
 #include "steerd/pass.h"
 #include "steerd/refuse.h"
 #include "steerd/said.h"
+#include "steerd/stoplog.h"
 #include "steerd/verdict.h"
 
 #define LOG_MODULE "flow"
@@ -91,14 +92,10 @@
 	free(flow);
 }
 
-/* The caller's id of the request, cut to STR_ID_MAX for a log line. */
+/* The caller's id of the request, cut for a log line. */
 static struct str log_id(const struct flow *flow)
 {
-	struct str id = flow->marks.id;
-
-	if (id.len > STR_ID_MAX)
-		id.len = STR_ID_MAX;
-	return id;
+	return strbuf_str(&flow->req->id);
 }
 
 /* Source of the load report that the last choice of an upstream used. */
@@ -545,6 +542,7 @@
 	for (unsigned i = 0; i < req->msg.field_count; i++)
 		plt_request_header(msg_name(&req->msg, i),
 				   msg_value(&req->msg, i), &flow->marks);
+	stoplog_set_id(req, flow->marks.id);
 	ev_timer_init(&flow->timer, on_timeout, 0, 0);
 	flow->timer.data = flow;
 	if (match_route(flow, &cause)) {
@@ -561,14 +559,15 @@
 	dispatch(flow);
 }
 
-static void on_caller_gone(void *ctx, struct srv_req *req)
+static void on_gone(void *ctx, struct srv_req *req, enum srv_end end)
 {
 	struct st *st = ctx;
 	struct flow *flow = req->user;
 
+	stoplog_request_cut(st, req, end);
 	if (!flow)
 		return;
-	log_done(flow, 0, "caller_gone");
+	log_done(flow, 0, srv_end_name(end));
 	up_note_outcome(flow->pick.up, UP_OUTCOME_ABANDONED, 0, 0,
 			clk_now(st->clk));
 	upclient_cancel(&flow->call);
@@ -577,5 +576,6 @@
 
 const struct srv_ops flow_ops = {
 	.request = on_request,
-	.gone = on_caller_gone,
+	.gone = on_gone,
+	.logs_answers = true,
 };
--- a/steerd/relay.c
+++ b/steerd/relay.c
@@ -176,8 +176,9 @@
 	try_answer(relay, watch);
 }
 
-static void on_gone(void *ctx, struct srv_req *req)
+static void on_gone(void *ctx, struct srv_req *req, enum srv_end end)
 {
+	(void)end;
 	if (req->user)
 		watch_free(ctx, req->user);
 }
--- a/steerd/sock.c
+++ b/steerd/sock.c
@@ -161,11 +161,21 @@
 		recvfrom(fd, out, size, 0, (struct sockaddr *)from, &len));
 }
 
-size_t sock_unsent(int fd)
+static size_t queue_size(int fd, unsigned long request)
 {
 	int count = 0;
 
-	return ioctl(fd, SIOCOUTQ, &count) || count < 0 ? 0 : (size_t)count;
+	return ioctl(fd, request, &count) || count < 0 ? 0 : (size_t)count;
+}
+
+size_t sock_unsent(int fd)
+{
+	return queue_size(fd, SIOCOUTQ);
+}
+
+size_t sock_unread(int fd)
+{
+	return queue_size(fd, SIOCINQ);
 }
 
 bool sock_peer_closed(int fd)
--- a/steerd/sock.h
+++ b/steerd/sock.h
@@ -48,6 +48,9 @@
 /* Bytes written that the peer has not acknowledged; 0 if not known. */
 size_t sock_unsent(int fd);
 
+/* Bytes received that were not read; 0 if not known. */
+size_t sock_unread(int fd);
+
 /* Whether the peer has closed its side, also behind bytes not yet read. */
 bool sock_peer_closed(int fd);
 
--- a/steerd/srv.c
+++ b/steerd/srv.c
@@ -20,7 +20,7 @@
 	TAILQ_FOREACH(conn, &srv->conns, link)
 	{
 		if (conn_idle(conn)) {
-			conn_free(conn);
+			conn_free(conn, SRV_END_NO_ROOM);
 			return;
 		}
 	}
@@ -105,6 +105,6 @@
 	srv_stop_accept(srv);
 	for (conn = TAILQ_FIRST(&srv->conns); conn; conn = next) {
 		next = TAILQ_NEXT(conn, link);
-		conn_free(conn);
+		conn_free(conn, SRV_END_STOP_CUT);
 	}
 }
--- a/steerd/srv.h
+++ b/steerd/srv.h
@@ -22,6 +22,32 @@
 struct srv;
 struct srv_conn;
 
+/* Why a connection ends, or why a request on it is not answered. */
+enum srv_end {
+	SRV_END_CALLER_CLOSED,
+	/* A read or write failed: a reset, or no acknowledgement in time. */
+	SRV_END_CALLER_RESET,
+	SRV_END_IDLE_TIMEOUT,
+	/* Idle, and closed to make room for a new one. */
+	SRV_END_NO_ROOM,
+	SRV_END_NO_MEMORY,
+	/* After an answer that the caller had asked to be the last. */
+	SRV_END_ANSWERED,
+	/* Of requests only: an answer to an earlier one was the last. */
+	SRV_END_BEHIND_LAST,
+	/* All was written and the output closed; then the caller closed too. */
+	SRV_END_LINGER_PEER,
+	/* As before, but the caller did not close in time. */
+	SRV_END_LINGER_TIME,
+	SRV_END_STOP_IDLE,
+	/* The server was closed. */
+	SRV_END_STOP_CUT,
+	SRV_ENDS,
+};
+
+/* The name of a cause in log lines and counters. */
+const char *srv_end_name(enum srv_end end);
+
 struct srv_req {
 	struct srv_conn *conn;
 	struct srv *srv;
@@ -31,6 +57,8 @@
 	apr_time_t read_at;
 	/* For the handler. */
 	void *user;
+	/* Names the request in log lines; set by the handler, or empty. */
+	struct strbuf id;
 	/* The fields below are private to the server. */
 	bool dispatched;
 	bool answered;
@@ -42,8 +70,26 @@
 struct srv_ops {
 	/* Handles a complete request: calls srv_answer(), now or later. */
 	void (*request)(void *ctx, struct srv_req *req);
-	/* The caller is gone; the request must not be used afterwards. */
-	void (*gone)(void *ctx, struct srv_req *req);
+	/*
+	 * A complete request will not be answered; it must not be used
+	 * afterwards. Also for requests that were not passed to the handler,
+	 * whose user is NULL.
+	 */
+	void (*gone)(void *ctx, struct srv_req *req, enum srv_end end);
+	/* Answers that callers may not have got are logged. */
+	bool logs_answers;
+};
+
+/* What ended since the server's stop began. */
+struct srv_ends {
+	unsigned conns[SRV_ENDS];
+	/* Requests without an answer: passed to the handler, or only read. */
+	unsigned passed_on;
+	unsigned not_passed_on;
+	/* Connections that ended amid a request. */
+	unsigned reading;
+	/* Bytes of answers that were not written or not acknowledged. */
+	size_t unsent;
 };
 
 struct srv {
@@ -58,6 +104,10 @@
 	unsigned max_conns;
 	/* Every answer closes its connection. */
 	bool stopping;
+	struct srv_ends ends;
+	/* Lines on unsent answers in the current second. */
+	apr_time_t unsent_second;
+	unsigned unsent_lines;
 	struct ev_io accept_io;
 	/* accept_io has a socket: from srv_listen() to srv_stop_accept(). */
 	bool listening;
--- /dev/null
+++ b/steerd/stoplog.h
@@ -0,0 +1,14 @@
+/* Log lines and counters of requests that end unanswered. */
+#ifndef STEERD_STOPLOG_H
+#define STEERD_STOPLOG_H
+
+#include "steerd/st.h"
+
+/* Sets the id that names a request in log lines: its caller's, cut. */
+void stoplog_set_id(struct srv_req *req, struct str id);
+
+/* Records a request that ends unanswered, whether it was passed on or not. */
+void stoplog_request_cut(const struct st *st, struct srv_req *req,
+			 enum srv_end end);
+
+#endif
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -21,6 +21,8 @@
 	int open_count;
 	int taken;
 	int gone;
+	/* Why the last one was gone. */
+	enum srv_end end;
 	int most_open;
 	/* What the caller has received. */
 	char got[MAX_REQS * 128];
@@ -38,10 +40,11 @@
 		w->most_open = w->open_count;
 }
 
-static void on_gone(void *ctx, struct srv_req *req)
+static void on_gone(void *ctx, struct srv_req *req, enum srv_end end)
 {
 	struct world *w = ctx;
 
+	w->end = end;
 	for (int i = 0; i < w->open_count; i++) {
 		if (w->open[i] == req)
 			w->open[i] = w->open[--w->open_count];
@@ -80,7 +83,7 @@
 	struct srv_conn *conn = TAILQ_FIRST(&w->srv.conns);
 
 	if (conn)
-		conn_free(conn);
+		conn_free(conn, SRV_END_STOP_CUT);
 	close(w->fd);
 	ev_loop_destroy(w->srv.loop);
 }
