steerd: a quota for answers that wait for their callers to read

Cause: answers that had been read whole waited in their connections' buffers without a bound on their sum, and an idle connection kept the buffer of its largest answer.

Change: policy/outquota. Over an eighth of the memory, requests that have not run are refused with 503 unread, and connections whose callers have taken nothing for half a second are closed, largest first; answers that have come may take twice that. An answer moves to the output instead of being copied, and the output's memory is freed when all is written.

--- a/pstctl/cmd_logs.c
+++ b/pstctl/cmd_logs.c
@@ -51,6 +51,7 @@
 		     "store was unavailable"},
 	{"no_route", "no route of the manifest is a prefix of the path"},
 	{"stopping", "the VM was stopping"},
+	{"unread", "answers that callers did not read took the memory"},
 	{"upstream", "an attempt may have run but gave no complete answer"},
 	{"timeout",
 	 "the route's time-out passed while an upstream was working"},
--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -8,6 +8,7 @@
 #include "common/evt.h"
 #include "entryd/headcheck.h"
 #include "steerd/conn_end.h"
+#include "steerd/conn_out.h"
 #include "steerd/sock.h"
 
 #define LOG_MODULE "conn"
@@ -62,6 +63,7 @@
 		conn->fd = -1;
 	}
 	conn_end_drop(conn, end, req_free);
+	conn_out_free(conn);
 }
 
 /* Ends a use of the connection; frees it if it is dead and this is the last. */
@@ -154,10 +156,10 @@
 			close_conn(conn, SRV_END_CALLER_RESET);
 			return;
 		}
-		buf_consume(&conn->out, (size_t)n);
-		conn->written += (size_t)n;
+		conn_out_written(conn, (size_t)n);
 		conn->last_byte_at = clk_now(conn->srv->clk);
 	}
+	conn_out_account(conn);
 	if (!conn->out.len && conn->read_ended && TAILQ_EMPTY(&conn->reqs))
 		end_sending(conn);
 	if (!conn->dead)
@@ -173,11 +175,13 @@
 		const bool last = req->close;
 		const bool asked = !msg_keep_alive(&req->msg);
 
-		if (buf_add(&conn->out, buf_str(&req->answer))) {
+		const size_t bytes = req->answer.len;
+
+		if (conn_out_add(conn, req)) {
 			close_conn(conn, SRV_END_NO_MEMORY);
 			return;
 		}
-		conn_end_track(conn, req);
+		conn_end_track(conn, req, bytes);
 		TAILQ_REMOVE(&conn->reqs, req, link);
 		conn->pending--;
 		req_free(req);
@@ -245,6 +249,8 @@
 	put_answer(req, status, reason, fields, body);
 	account_held(req, before);
 	req->answered = true;
+	conn_out_account(conn);
+	conn_out_enforce(conn);
 	if (conn->users)
 		return;
 	conn->users++;
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -45,6 +45,10 @@
 	int users;
 	/* When a byte was last read or written. */
 	apr_time_t last_byte_at;
+	/* When the caller last took a byte, or output began to wait. */
+	apr_time_t taken_at;
+	/* Part of srv->outquota. */
+	size_t out_held;
 	/* Bytes written so far. */
 	uint64_t written;
 	/* The latest answers, a ring; answer_count counts all. */
--- a/steerd/conn_end.c
+++ b/steerd/conn_end.c
@@ -24,6 +24,7 @@
 		[SRV_END_LINGER_PEER] = "linger_peer",
 		[SRV_END_LINGER_TIME] = "linger_time",
 		[SRV_END_STOP_IDLE] = "stop_idle",
+		[SRV_END_NOT_READ] = "not_read",
 		[SRV_END_STOP_CUT] = "stop_cut",
 	};
 
@@ -88,7 +89,8 @@
 		unsent->unwritten, unsent->unacked, unsent->unread);
 }
 
-void conn_end_track(struct srv_conn *conn, const struct srv_req *req)
+void conn_end_track(struct srv_conn *conn, const struct srv_req *req,
+		    size_t bytes)
 {
 	struct conn_answer *answer;
 
@@ -96,7 +98,7 @@
 		return;
 	answer = &conn->answers[conn->answer_count++ % CONN_ANSWERS];
 	answer->id = req->id;
-	answer->bytes = req->answer.len;
+	answer->bytes = bytes;
 	answer->end = conn->written + conn->out.len;
 }
 
--- a/steerd/conn_end.h
+++ b/steerd/conn_end.h
@@ -9,7 +9,8 @@
 #include "steerd/conn.h"
 
 /* Notes an answer as the last in the output; call it after adding its bytes. */
-void conn_end_track(struct srv_conn *conn, const struct srv_req *req);
+void conn_end_track(struct srv_conn *conn, const struct srv_req *req,
+		    size_t bytes);
 
 /* Records the end of a connection whose descriptor is still open. */
 void conn_end_record(struct srv_conn *conn, enum srv_end end);
--- /dev/null
+++ b/steerd/conn_out.c
@@ -0,0 +1,99 @@
+#include "steerd/conn_out.h"
+
+#include "common/evt.h"
+
+#define LOG_MODULE "conn"
+
+void conn_out_account(struct srv_conn *conn)
+{
+	struct outquota *quota = &conn->srv->outquota;
+	size_t bytes = conn->out.cap;
+	struct srv_req *req;
+
+	TAILQ_FOREACH(req, &conn->reqs, link)
+	{
+		if (req->answered)
+			bytes += req->answer.cap;
+	}
+	quota->used += bytes - conn->out_held;
+	conn->out_held = bytes;
+}
+
+int conn_out_add(struct srv_conn *conn, struct srv_req *req)
+{
+	if (conn->out.len)
+		return buf_add(&conn->out, buf_str(&req->answer));
+	conn->taken_at = clk_now(conn->srv->clk);
+	buf_free(&conn->out);
+	conn->srv->held -= req->answer.cap;
+	conn->out = req->answer;
+	req->answer = (struct buf){0};
+	return 0;
+}
+
+void conn_out_written(struct srv_conn *conn, size_t count)
+{
+	buf_consume(&conn->out, count);
+	conn->written += count;
+	conn->taken_at = clk_now(conn->srv->clk);
+	if (!conn->out.len)
+		buf_free(&conn->out);
+}
+
+void conn_out_free(struct srv_conn *conn)
+{
+	buf_free(&conn->out);
+	conn_out_account(conn);
+}
+
+static struct outquota_conn as_item(const struct srv_conn *conn, apr_time_t now)
+{
+	return (struct outquota_conn){
+		.bytes = conn->out_held,
+		.stalled = conn->out.len ? now - conn->taken_at : 0,
+	};
+}
+
+/* Closes a connection other than the given one; returns whether it did. */
+static bool evict_one(struct srv *srv, const struct srv_conn *kept)
+{
+	const apr_time_t now = clk_now(srv->clk);
+	struct srv_conn *victim = NULL;
+	struct outquota_conn chosen;
+	struct srv_conn *conn;
+
+	TAILQ_FOREACH(conn, &srv->conns, link)
+	{
+		const struct outquota_conn item = as_item(conn, now);
+
+		if (conn == kept || conn->dead ||
+		    !outquota_evicts(&srv->outquota, &item,
+				     victim ? &chosen : NULL))
+			continue;
+		victim = conn;
+		chosen = item;
+	}
+	if (!victim)
+		return false;
+	evt_log(CONN_EVICTED, "bytes=%zu stalled_ms=%lld sum=%zu", chosen.bytes,
+		(long long)chosen.stalled / 1000, srv->outquota.used);
+	conn_free(victim, SRV_END_NOT_READ);
+	return true;
+}
+
+void conn_out_enforce(struct srv_conn *conn)
+{
+	while (outquota_is_exhausted(&conn->srv->outquota)) {
+		if (!evict_one(conn->srv, conn))
+			return;
+	}
+}
+
+bool srv_admits(struct srv_req *req, size_t expected)
+{
+	while (!outquota_admits(&req->srv->outquota, expected)) {
+		if (!evict_one(req->srv, req->conn))
+			return false;
+	}
+	return true;
+}
--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -41,6 +41,9 @@
 /* Delay after which a caller turns from a VM that stops to another one. */
 #define STOP_RETRY_AFTER_US 50000
 
+/* Delay after which answers that are not read may have made room. */
+#define UNREAD_RETRY_AFTER_US 500000
+
 /* An attempt is made only if at least this much time is left. */
 #define MIN_TIME_LEFT_US 20000
 
@@ -440,6 +443,11 @@
 		refuse(flow, REFUSE_STOPPING, STOP_RETRY_AFTER_US);
 		return;
 	}
+	if (!flow->may_have_run &&
+	    !srv_admits(flow->req, (size_t)flow->run->answer_bytes)) {
+		refuse(flow, REFUSE_UNREAD, UNREAD_RETRY_AFTER_US);
+		return;
+	}
 	if (refused_admission(flow, ask.now))
 		return;
 	if (!flow->may_have_run &&
--- a/steerd/main.c
+++ b/steerd/main.c
@@ -159,6 +159,7 @@
 	srv->ops = ops;
 	srv->ctx = st;
 	srv->max_conns = max_conns;
+	srv->outquota.limit = (size_t)st->set->steer.memory_mb << 17;
 	srv->max_held = (size_t)st->set->steer.memory_mb << 18;
 	srv->limits = (struct routing_limits){
 		.max_header = DEFAULT_MAX_HEADER_BYTES,
--- a/steerd/refuse.c
+++ b/steerd/refuse.c
@@ -22,6 +22,7 @@
 	[REFUSE_YIELDS] = {"yields", 503, STR_LIT("Service Unavailable"), "no"},
 	[REFUSE_STOPPING] = {"stopping", 503, STR_LIT("Service Unavailable"),
 			     "no"},
+	[REFUSE_UNREAD] = {"unread", 503, STR_LIT("Service Unavailable"), "no"},
 	[REFUSE_NO_ROUTE] = {"no_route", 404, STR_LIT("Not Found"), "no"},
 	[REFUSE_UPSTREAM] = {"upstream", 502, STR_LIT("Bad Gateway"),
 			     "unknown"},
--- a/steerd/refuse.h
+++ b/steerd/refuse.h
@@ -16,6 +16,7 @@
 	REFUSE_PAST_AIM,
 	REFUSE_YIELDS,
 	REFUSE_STOPPING,
+	REFUSE_UNREAD,
 	REFUSE_NO_ROUTE,
 	/* The request may have been run. */
 	REFUSE_UPSTREAM,
--- a/steerd/srv.h
+++ b/steerd/srv.h
@@ -16,6 +16,7 @@
 #include <apr_time.h>
 
 #include "common/clk.h"
+#include "policy/outquota.h"
 #include "policy/routing.h"
 #include "steerd/msg.h"
 
@@ -40,6 +41,8 @@
 	/* As before, but the caller did not close in time. */
 	SRV_END_LINGER_TIME,
 	SRV_END_STOP_IDLE,
+	/* Closed for memory: the caller did not read its answers. */
+	SRV_END_NOT_READ,
 	/* The server was closed. */
 	SRV_END_STOP_CUT,
 	SRV_ENDS,
@@ -101,6 +104,8 @@
 	/* Bytes of requests and answers in memory, and their limit. */
 	size_t held;
 	size_t max_held;
+	/* Answers that wait for their callers to read. */
+	struct outquota outquota;
 	unsigned max_conns;
 	/* Every answer closes its connection. */
 	bool stopping;
@@ -145,4 +150,10 @@
 void srv_answer(struct srv_req *req, unsigned status, struct str reason,
 		struct str fields, struct str body);
 
+/*
+ * Whether a request may run whose answer is expected to take so many bytes.
+ * May close other connections, whose callers do not read.
+ */
+bool srv_admits(struct srv_req *req, size_t expected);
+
 #endif
