steerd: a stop allows second tries that can end in time

Callers saw: from SIGTERM on, 502 for safe requests whose upstream broke off or had closed its kept connection, with most of the grace period left; in calm these are answered by a second upstream.

Cause: take_retry() refused every second try while stopping. The rest of a stop measures by the time that a request is expected to take (shutdown_admits()).

Ruled out: the retry budget and the time left; the same requests are answered 200 once placement has turned from the upstreams that break off.

Evidence, t_steer_close second_try_while_stopping, two upstreams of four reset: before "answers after 2 tries that broke off: [502, 502, 200, ...]" (two runs), after 0 failed in 5 runs.

Why it works: a second try now has the bound that first ones have, so it is expected to end in half of the time left.

--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -199,7 +199,8 @@
 	const struct retrycap_rules rules = budget_rules(flow->st);
 	const apr_time_t now = clk_now(flow->st->clk);
 
-	return !flow->st->stopping && time_left(flow, now) > MIN_TIME_LEFT_US &&
+	return !st_would_cut(flow->st, flow->pick.expected) &&
+	       time_left(flow, now) > MIN_TIME_LEFT_US &&
 	       flow->attempts_made < flow->route->max_attempts &&
 	       flow->tried_count < PLACEMENT_MAX_TRIED &&
 	       retrycap_take(&flow->svc->budget, &rules, now);
