steerd: a stop accepts the connections that wait before it closes the listener

Callers saw: a reset, with the request they had sent on a new connection, when a VM that was late stopped to accept. Nothing of these requests had run.

Cause: closing a listener resets the connections in its queue. 16 are accepted in a turn of the loop, and the timer that ends the accepting is handled before the listener that became ready beside it.

Ruled out: the phase in which connections are accepted; these were made within it.

Why it works: what waits is accepted, read and answered, or refused if it cannot end in time, before the close. What remains is the moment between the last accept and the close.

--- a/steerd/sock.c
+++ b/steerd/sock.c
@@ -12,9 +12,6 @@
 
 #include "common/err.h"
 
-/* Connections that wait to be accepted. */
-#define BACKLOG 1024
-
 /* A connection whose sent bytes stay unacknowledged for so long is closed. */
 #define USER_TIMEOUT_MS 5000
 
@@ -33,7 +30,7 @@
 		return PST_ERR_IO;
 	set_option(fd, SOL_SOCKET, SO_REUSEADDR, 1);
 	if (bind(fd, (const struct sockaddr *)addr, sizeof(*addr)) ||
-	    listen(fd, BACKLOG)) {
+	    listen(fd, SOCK_BACKLOG)) {
 		close(fd);
 		return PST_ERR_IO;
 	}
--- a/steerd/sock.h
+++ b/steerd/sock.h
@@ -6,6 +6,9 @@
 
 #include "common/buf.h"
 
+/* Most connections that wait to be accepted. */
+#define SOCK_BACKLOG 1024
+
 /* Returns a listening descriptor, or PST_ERR_IO. */
 int sock_listen(const struct sockaddr_in *addr);
 
--- a/steerd/srv.c
+++ b/steerd/srv.c
@@ -26,14 +26,11 @@
 	}
 }
 
-static void on_accept(struct ev_loop *loop, struct ev_io *io, int events)
+/* Accepts the connections that wait, at most so many. */
+static void accept_waiting(struct srv *srv, unsigned most)
 {
-	struct srv *srv = io->data;
-
-	(void)loop;
-	(void)events;
-	for (int i = 0; i < ACCEPT_BATCH; i++) {
-		const int fd = sock_accept(io->fd);
+	for (unsigned i = 0; i < most; i++) {
+		const int fd = sock_accept(srv->accept_io.fd);
 
 		if (fd == PST_ERR_FULL) {
 			evt_log(SRV_FULL, "connections=%u", srv->conn_count);
@@ -48,6 +45,13 @@
 	}
 }
 
+static void on_accept(struct ev_loop *loop, struct ev_io *io, int events)
+{
+	(void)loop;
+	(void)events;
+	accept_waiting(io->data, ACCEPT_BATCH);
+}
+
 int srv_listen(struct srv *srv, const struct sockaddr_in *addr)
 {
 	const int fd = sock_listen(addr);
@@ -76,7 +80,7 @@
 	return err;
 }
 
-void srv_stop_accept(struct srv *srv)
+static void close_listener(struct srv *srv)
 {
 	if (!srv->listening)
 		return;
@@ -85,6 +89,14 @@
 	close(srv->accept_io.fd);
 }
 
+void srv_stop_accept(struct srv *srv)
+{
+	/* Closing the listener resets the connections that wait. */
+	if (srv->listening)
+		accept_waiting(srv, SOCK_BACKLOG);
+	close_listener(srv);
+}
+
 void srv_drain(struct srv *srv)
 {
 	struct srv_conn *conn;
@@ -102,7 +114,7 @@
 	struct srv_conn *conn;
 	struct srv_conn *next;
 
-	srv_stop_accept(srv);
+	close_listener(srv);
 	for (conn = TAILQ_FIRST(&srv->conns); conn; conn = next) {
 		next = TAILQ_NEXT(conn, link);
 		conn_free(conn, SRV_END_STOP_CUT);
--- a/steerd/srv.h
+++ b/steerd/srv.h
@@ -134,7 +134,7 @@
 /* Calls srv_listen() and srv_accept(). */
 int srv_start(struct srv *srv, const struct sockaddr_in *addr);
 
-/* Closes the listening socket. */
+/* Accepts the connections that wait, and closes the listening socket. */
 void srv_stop_accept(struct srv *srv);
 
 /* Closes each connection after the answers to the requests that it carries. */
