steerd: SIGTERM during the start is handled once the loop runs

Nothing had been accepted.

Cause: until the handlers are installed, after the settings are read and the libraries initialised, the signals have their default action. The older daemons block theirs first in main().

Ruled out: a crash; the status is that of the signal.

Why it works: main() blocks the signals first and unblocks them when the loop has its handlers, so one that came before is handled as any other.

--- a/steerd/main.c
+++ b/steerd/main.c
@@ -368,6 +368,18 @@
 	reload(steerd);
 }
 
+/* Blocks or unblocks the signals that are handled. */
+static void mask_signals(int how)
+{
+	sigset_t set;
+
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(how, &set, NULL);
+}
+
 static void watch_signals(struct steerd *steerd)
 {
 	struct ev_loop *loop = steerd->st.loop;
@@ -381,6 +393,7 @@
 	ev_signal_start(loop, &steerd->term);
 	ev_signal_start(loop, &steerd->intr);
 	ev_signal_start(loop, &steerd->hup);
+	mask_signals(SIG_UNBLOCK);
 	ev_timer_init(&steerd->log_timer, on_log, LOG_INTERVAL_S,
 		      LOG_INTERVAL_S);
 	ev_timer_start(loop, &steerd->log_timer);
@@ -426,6 +439,8 @@
 	static struct steerd steerd;
 	int status;
 
+	/* A process that is told to stop while it starts stops as planned. */
+	mask_signals(SIG_BLOCK);
 	if (cli_start("pst-steerd",
 		      "Steers requests on a platform with a metadata store.",
 		      argc, argv, &steerd.st.set, &status) == CLI_DONE)
