--- a/tests/test_outquota.c
+++ b/tests/test_outquota.c
@@ -4,7 +4,7 @@
 #include "policy/outquota.h"
 #include "tests/fix_run.h"
 
-#define LIMIT	1000000
+#define LIMIT	1000000UL
 #define CALLERS 50
 #define ANSWER	80000
 #define TICK_US (APR_USEC_PER_SEC / 10)
