steerd: a stop logs what is open when it begins to end it, and what it ended

Cause: a connection that ended during a stop had no line, and process_exit told only how long the stop took: its requests= is counted after all are freed. A process that was told to stop before it could serve did not say so.

Change: process_drain (connections, idle, with requests, amid one, lingering) when the listener closes; process_exit has connections by how they ended, requests without an answer by passed on or not, and unsent bytes; process_stop has ready= and accepting=. The existing keys stay. The log is flushed before the last line, so that many lines of cut requests do not crowd it out. During a stop a close that resets the connection names its last answer even if all of it was acknowledged.

--- a/steerd/conn_end.c
+++ b/steerd/conn_end.c
@@ -77,7 +77,8 @@
 	const bool orderly = end == SRV_END_ANSWERED && !unsent->unwritten &&
 			     !unsent->unread;
 
-	count_unsent(end);
+	if (unsent->unwritten || unsent->unacked)
+		count_unsent(end);
 	if (srv->stopping)
 		srv->ends.unsent += unsent->unwritten + unsent->unacked;
 	if ((orderly && !srv->stopping) || !take_line(srv))
@@ -117,13 +118,17 @@
 	const unsigned first = conn->answer_count > CONN_ANSWERS
 				       ? conn->answer_count - CONN_ANSWERS
 				       : 0;
+	const size_t unread = sock_unread(conn->fd);
+	/* A reset may destroy even what the caller's kernel has acknowledged.
+	 */
+	const bool resets = unread && conn->srv->stopping;
 	size_t unacked = sock_unsent(conn->fd);
 	uint64_t acked;
 
 	/* The end of the stream counts as one byte. */
 	if (conn->lingering && unacked)
 		unacked--;
-	if (!unacked && !conn->out.len)
+	if (!unacked && !conn->out.len && !resets)
 		return;
 	acked = unacked < conn->written ? conn->written - unacked : 0;
 	for (unsigned i = first; i < conn->answer_count; i++) {
@@ -137,10 +142,11 @@
 					     answer->end),
 			.unacked = overlap(begin, answer->end, acked,
 					   conn->written),
-			.unread = sock_unread(conn->fd),
+			.unread = unread,
 		};
 
-		if (unsent.unwritten || unsent.unacked)
+		if (unsent.unwritten || unsent.unacked ||
+		    (resets && i + 1 == conn->answer_count))
 			record_unsent(conn->srv, &unsent, end);
 	}
 }
--- a/steerd/main.c
+++ b/steerd/main.c
@@ -16,6 +16,7 @@
 #include "steerd/flow.h"
 #include "steerd/self.h"
 #include "steerd/state.h"
+#include "steerd/stoplog.h"
 
 #define LOG_MODULE "steerd"
 
@@ -298,6 +299,8 @@
 	(void)events;
 	if (shutdown_accepts(&shutdown))
 		return;
+	if (st->front.listening)
+		stoplog_drain(&st->front);
 	srv_stop_accept(&st->front);
 	srv_drain(&st->front);
 	if (st->front.conn_count && !shutdown_is_over(&shutdown))
@@ -309,6 +312,7 @@
 {
 	struct steerd *steerd = signal->data;
 	struct st *st = &steerd->st;
+	const bool ready = st_ready(st);
 
 	(void)events;
 	if (st->stopping)
@@ -317,8 +321,10 @@
 	st->stopping_since = clk_now(st->clk);
 	st->front.stopping = true;
 	evt_log(PROCESS_STOP,
-		"program=pst-steerd reason=signal requests=%u connections=%u",
-		st->front.req_count, st->front.conn_count);
+		"program=pst-steerd reason=signal requests=%u connections=%u "
+		"ready=%d accepting=%d",
+		st->front.req_count, st->front.conn_count, ready,
+		ev_is_active(&st->front.accept_io));
 	self_leave(&steerd->self);
 	ev_timer_init(&steerd->stop_timer, on_stop_check, STOP_CHECK_INTERVAL_S,
 		      STOP_CHECK_INTERVAL_S);
@@ -427,9 +433,9 @@
 		STR_ARG(st->set->vm.id), STR_ARG(st->set->vm.failure_domain));
 	ev_run(st->loop, 0);
 	srv_close(&st->front);
-	evt_log(PROCESS_EXIT, "program=pst-steerd requests=%u drain_ms=%lld",
-		st->front.req_count,
-		(long long)(clk_now(st->clk) - st->stopping_since) / 1000);
+	/* Leaves room for the last line. */
+	evt_flush();
+	stoplog_exit(st);
 	evt_flush();
 	return CLI_EXIT_OK;
 }
--- a/steerd/stoplog.c
+++ b/steerd/stoplog.c
@@ -4,6 +4,7 @@
 
 #include "common/evt.h"
 #include "platform/plt_headers.h"
+#include "steerd/conn.h"
 #include "steerd/reqstats.h"
 
 #define LOG_MODULE "stop"
@@ -58,3 +59,50 @@
 		req->id.ptr, srv_end_name(end), req->dispatched, read_at,
 		cut_at, (long long)(now - req->read_at) / 1000);
 }
+
+void stoplog_drain(const struct srv *srv)
+{
+	const struct srv_conn *conn;
+	unsigned idle = 0;
+	unsigned busy = 0;
+	unsigned reading = 0;
+	unsigned lingering = 0;
+
+	TAILQ_FOREACH(conn, &srv->conns, link)
+	{
+		if (conn->lingering)
+			lingering++;
+		else if (conn_idle(conn))
+			idle++;
+		else if (!TAILQ_EMPTY(&conn->reqs))
+			busy++;
+		else if (conn->reading)
+			reading++;
+	}
+	evt_log(PROCESS_DRAIN,
+		"program=pst-steerd connections=%u idle=%u with_requests=%u "
+		"reading=%u lingering=%u requests=%u",
+		srv->conn_count, idle, busy, reading, lingering,
+		srv->req_count);
+}
+
+void stoplog_exit(const struct st *st)
+{
+	const struct srv_ends *ends = &st->front.ends;
+	const unsigned *conns = ends->conns;
+
+	evt_log(PROCESS_EXIT,
+		"program=pst-steerd requests=%u drain_ms=%lld idle=%u "
+		"last_answer=%u linger_peer=%u linger_time=%u callers=%u "
+		"others=%u cut=%u cut_reading=%u unanswered_passed_on=%u "
+		"unanswered_not_passed_on=%u unsent_bytes=%zu",
+		st->front.req_count,
+		(long long)(clk_now(st->clk) - st->stopping_since) / 1000,
+		conns[SRV_END_STOP_IDLE], conns[SRV_END_ANSWERED],
+		conns[SRV_END_LINGER_PEER], conns[SRV_END_LINGER_TIME],
+		conns[SRV_END_CALLER_CLOSED] + conns[SRV_END_CALLER_RESET],
+		conns[SRV_END_IDLE_TIMEOUT] + conns[SRV_END_NO_ROOM] +
+			conns[SRV_END_NO_MEMORY],
+		conns[SRV_END_STOP_CUT], ends->reading, ends->passed_on,
+		ends->not_passed_on, ends->unsent);
+}
