pstctl: explain logs says what cut a request, and what kept its answer back

Change: words for the new causes of request_done and request_cut, and for the end in answer_unsent; process_drain among the state lines. OPERATIONS: how to tell apart, for an id, a request that the end of the grace period cut, an answer that was lost on its way, a request behind a last answer, a caller that left, and a process that was killed or told to stop before it was ready.

--- a/pstctl/cmd_logs.c
+++ b/pstctl/cmd_logs.c
@@ -37,10 +37,12 @@
 typedef void line_fn(struct search *search, struct str vm,
 		     const struct logline *logline);
 
-static const struct {
-	const char *why;
+struct meaning {
+	const char *name;
 	const char *text;
-} causes[] = {
+};
+
+static const struct meaning causes[] = {
 	{"answered", "an upstream's answer was passed on; see status and us"},
 	{"shed", "every upstream that was tried had no slot"},
 	{"past_aim", "it would have been late, and no slot was free"},
@@ -56,6 +58,32 @@
 	{"timeout",
 	 "the route's time-out passed while an upstream was working"},
 	{"caller_gone", "the caller closed its connection first"},
+	{"caller_reset", "the caller's connection was reset, or acknowledged "
+			 "nothing for too long"},
+	{"idle_timeout", "nothing was read or sent on the caller's connection "
+			 "for the idle time-out"},
+	{"no_memory", "the VM had no memory to go on with the connection"},
+	{"behind_last_answer",
+	 "the answer to an earlier request closed the connection"},
+	{"stop_cut", "the VM's process ended while the request was open; see "
+		     "passed_on, read_ms and cut_ms of request_cut"},
+};
+
+/* Ways in which a connection ends that can leave an answer behind. */
+static const struct meaning ends[] = {
+	{"caller_gone", "the caller closed its connection first"},
+	{"caller_reset", "the caller's connection was reset, or acknowledged "
+			 "nothing for too long"},
+	{"idle_timeout", "the caller read nothing for the idle time-out"},
+	{"no_memory", "the VM had no memory to go on with the connection"},
+	{"last_answer", "the connection was closed as the caller had asked, "
+			"before all bytes were acknowledged"},
+	{"behind_last_answer",
+	 "the answer to an earlier request closed the connection"},
+	{"linger_peer", "the caller closed its connection after the last "
+			"answer, before all bytes were acknowledged"},
+	{"linger_time", "the caller had the idle time-out to read the answer"},
+	{"stop_cut", "the VM's process ended"},
 };
 
 static struct str copy(const struct search *search, struct str text)
@@ -127,6 +155,8 @@
 	case EVT_ID_PROCESS_READY:
 	case EVT_ID_PROCESS_STOP:
 		return "process";
+	case EVT_ID_PROCESS_DRAIN:
+		return "drain";
 	case EVT_ID_LOG_LOST:
 		return "log";
 	default:
@@ -238,18 +268,35 @@
 	}
 }
 
+static void print_meaning(const char *title, const struct meaning *meanings,
+			  size_t count, struct str name)
+{
+	for (size_t i = 0; i < count; i++) {
+		if (str_eq(name, str_from_c(meanings[i].name)))
+			printf("%s: %s: %s\n", title, meanings[i].name,
+			       meanings[i].text);
+	}
+}
+
 static void print_cause(const struct search *search)
 {
-	const struct log_match *last = &APR_ARRAY_IDX(
-		search->request_lines, search->request_lines->nelts - 1,
-		struct log_match);
-	const struct str why = logline_field(&last->logline, STR_LIT("why"));
+	struct str why = {0};
+
+	for (int i = 0; i < search->request_lines->nelts; i++) {
+		const struct logline *line =
+			&APR_ARRAY_IDX(search->request_lines, i,
+				       struct log_match)
+				 .logline;
 
-	for (size_t i = 0; i < sizeof(causes) / sizeof(*causes); i++) {
-		if (str_eq(why, str_from_c(causes[i].why)))
-			printf("cause: %s: %s\n", causes[i].why,
-			       causes[i].text);
+		/* A try that failed takes a later line, which is missing. */
+		if (line->event != EVT_ID_ANSWER_UNSENT)
+			why = logline_field(line, STR_LIT("why"));
+		else
+			print_meaning("answer not delivered whole", ends,
+				      sizeof(ends) / sizeof(*ends),
+				      logline_field(line, STR_LIT("end")));
 	}
+	print_meaning("cause", causes, sizeof(causes) / sizeof(*causes), why);
 	if (!why.len)
 		printf("cause: unknown: its last line was not logged; the VM "
 		       "ended, or lines were lost\n");
