--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -1,6 +1,7 @@
 /* Requests sent ahead on one connection, cut and answered in many ways. */
 #include <check.h>
 #include <fcntl.h>
+#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -8,6 +9,7 @@
 #include <unistd.h>
 
 #include "common/clk.h"
+#include "common/evt.h"
 #include "steerd/conn.h"
 #include "tests/fix_run.h"
 
@@ -311,6 +313,204 @@
 }
 END_TEST
 
+/* A server that stops, on a TCP socket, with one connection of a caller. */
+static void stop_world_init(struct world *w, unsigned max_conns)
+{
+	static const struct srv_ops logging = {
+		.request = on_request,
+		.gone = on_gone,
+		.logs_answers = true,
+	};
+	const struct sockaddr_in any = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+
+	world_init(w);
+	conn_free(TAILQ_FIRST(&w->srv.conns), SRV_END_STOP_CUT);
+	close(w->fd);
+	w->srv.ops = &logging;
+	w->srv.max_conns = max_conns;
+	w->srv.limits.header_timeout = CLK_MS(100);
+	w->srv.limits.idle_timeout = CLK_MS(100);
+	ck_assert_int_eq(srv_start(&w->srv, &any), 0);
+	w->srv.stopping = true;
+}
+
+/* Returns a new caller's descriptor. */
+static int call(struct world *w)
+{
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+	const int size = 4096;
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+
+	getsockname(w->srv.accept_io.fd, (struct sockaddr *)&addr, &len);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, len), 0);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	return fd;
+}
+
+#define GET(target, more) "GET " target " HTTP/1.1\r\nHost: h\r\n" more "\r\n"
+
+/* Why the connection ended, which has to be the only one that did. */
+static enum srv_end wait_end(struct world *w)
+{
+	const apr_time_t begun = clk_now(clk_system());
+	enum srv_end found = SRV_ENDS;
+
+	while (found == SRV_ENDS &&
+	       clk_now(clk_system()) - begun < CLK_SEC(5)) {
+		ev_run(w->srv.loop, EVRUN_NOWAIT);
+		usleep(1000);
+		for (int i = 0; i < SRV_ENDS; i++)
+			found = w->srv.ends.conns[i] ? (enum srv_end)i : found;
+	}
+	return found;
+}
+
+static void reset(struct world *w)
+{
+	const struct linger none = {.l_onoff = 1};
+
+	setsockopt(w->fd, SOL_SOCKET, SO_LINGER, &none, sizeof(none));
+	close(w->fd);
+	w->fd = -1;
+}
+
+static void leave(struct world *w)
+{
+	close(w->fd);
+	w->fd = -1;
+}
+
+static void answer_first(struct world *w)
+{
+	answer(w, 0);
+	turn(w);
+}
+
+static void answer_and_leave(struct world *w)
+{
+	answer_first(w);
+	leave(w);
+}
+
+static void call_again(struct world *w)
+{
+	close(call(w));
+}
+
+static void do_nothing(struct world *w)
+{
+	(void)w;
+}
+
+static void drain(struct world *w)
+{
+	srv_drain(&w->srv);
+}
+
+static void close_server(struct world *w)
+{
+	srv_close(&w->srv);
+}
+
+START_TEST(each_way_of_ending_has_its_cause)
+{
+	static const struct {
+		const char *input;
+		void (*act)(struct world *w);
+		enum srv_end end;
+		enum srv_end request_end;
+		unsigned passed_on;
+		unsigned not_passed_on;
+	} cases[] = {
+		{GET("/0", "") GET("/1", ""), leave, SRV_END_CALLER_CLOSED,
+		 SRV_END_CALLER_CLOSED, 2, 0},
+		{GET("/0", "") "POST", reset, SRV_END_CALLER_RESET,
+		 SRV_END_CALLER_RESET, 1, 0},
+		{"", do_nothing, SRV_END_IDLE_TIMEOUT, SRV_ENDS, 0, 0},
+		{"", call_again, SRV_END_NO_ROOM, SRV_ENDS, 0, 0},
+		{GET("/0", "Connection: close\r\n"), answer_first,
+		 SRV_END_ANSWERED, SRV_ENDS, 0, 0},
+		{GET("/0", ""), answer_first, SRV_END_LINGER_TIME, SRV_ENDS, 0,
+		 0},
+		{GET("/0", ""), answer_and_leave, SRV_END_LINGER_PEER, SRV_ENDS,
+		 0, 0},
+		{GET("/0", "Connection: close\r\n") GET("/1", ""), answer_first,
+		 SRV_END_ANSWERED, SRV_END_BEHIND_LAST, 0, 1},
+		{"", drain, SRV_END_STOP_IDLE, SRV_ENDS, 0, 0},
+		{GET("/0", "") "POST /1 HTTP/1.1\r\nHost: h\r\n"
+			       "Content-Length: 0\r\n\r\n",
+		 close_server, SRV_END_STOP_CUT, SRV_END_STOP_CUT, 1, 1},
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		struct world w;
+
+		stop_world_init(&w, 1);
+		w.end = SRV_ENDS;
+		w.fd = call(&w);
+		put_all(&w, cases[i].input, strlen(cases[i].input));
+		cases[i].act(&w);
+		ck_assert_msg(wait_end(&w) == cases[i].end, "case %zu: %s", i,
+			      srv_end_name(wait_end(&w)));
+		ck_assert_msg(w.end == cases[i].request_end, "case %zu", i);
+		ck_assert_uint_eq(w.srv.ends.passed_on, cases[i].passed_on);
+		ck_assert_uint_eq(w.srv.ends.not_passed_on,
+				  cases[i].not_passed_on);
+		ck_assert_uint_eq(w.srv.ends.unsent, 0);
+		srv_close(&w.srv);
+		world_free(&w);
+	}
+}
+END_TEST
+
+/* Of three answers the caller has read nothing of the last two. */
+START_TEST(answers_that_were_not_sent_are_named)
+{
+	static char body[4 << 20];
+	static char lines[4096];
+	char got[1024];
+	struct world w;
+
+	stop_world_init(&w, 4);
+	w.srv.max_held = SIZE_MAX;
+	w.fd = call(&w);
+	put_all(&w, GET("/0", "") GET("/1", "") GET("/2", ""),
+		strlen(GET("/0", "")) * 3);
+	ck_assert_int_eq(w.open_count, 3);
+	for (int i = 0; i < 3; i++) {
+		char id[8];
+
+		snprintf(id, sizeof(id), "u%d", i);
+		(void)strbuf_set(&w.open[i]->id, str_from_c(id));
+	}
+	answer(&w, 0);
+	turn(&w);
+	/* Requests that open[] holds now: /2 and /1. */
+	srv_answer(w.open[1], 200, STR_LIT("OK"), STR_LIT(""),
+		   (struct str){.ptr = body, .len = sizeof(body)});
+	w.open_count = 0;
+	for (int i = 0; i < 4; i++)
+		ev_run(w.srv.loop, EVRUN_NOWAIT);
+	ck_assert_int_eq((int)read(w.fd, got, sizeof(got)), (int)sizeof(got));
+	put(&w, "GET", 3);
+	srv_close(&w.srv);
+	evt_recent(STR_LIT("answer_unsent req=u"), lines, sizeof(lines));
+	ck_assert_ptr_null(strstr(lines, "req=u0"));
+	ck_assert_ptr_nonnull(strstr(lines, "req=u1 end=stop_cut bytes=419"));
+	ck_assert_ptr_null(strstr(lines, "unwritten=0 "));
+	ck_assert_ptr_nonnull(strstr(lines, "unread=3\n"));
+	ck_assert_uint_gt(w.srv.ends.unsent, sizeof(body) / 2);
+	ck_assert_uint_lt(w.srv.ends.unsent, sizeof(body) + 256);
+	ck_assert_int_eq(w.end, SRV_END_STOP_CUT);
+	world_free(&w);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("conn");
@@ -323,5 +523,7 @@
 	tcase_add_test(tc, input_is_bounded);
 	tcase_add_test(tc, caller_leaves_while_many_are_pending);
 	tcase_add_test(tc, stop_while_many_are_pending);
+	tcase_add_test(tc, each_way_of_ending_has_its_cause);
+	tcase_add_test(tc, answers_that_were_not_sent_are_named);
 	return fix_run("conn", tc);
 }
