tests: a stop names the answer that its reset may destroy; lines are bounded

Each of five trial changes of conn.c and conn_end.c (no bound on lines, no line at a reset, a reset taken for a close, requests not passed on left out, answers that arrived named) makes at least one check fail.

--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -511,6 +511,80 @@
 }
 END_TEST
 
+static unsigned lines_of(const char *id)
+{
+	static char lines[1 << 17];
+	unsigned count = 0;
+
+	evt_recent(str_from_c(id), lines, sizeof(lines));
+	for (const char *at = lines; (at = strstr(at, id)); at++)
+		count++;
+	return count;
+}
+
+/* Returns after an answer to a request of this id; the caller has read it. */
+static void serve_one(struct world *w, const char *id)
+{
+	stop_world_init(w, 4);
+	w->srv.stopping = false;
+	w->fd = call(w);
+	put_all(w, GET("/0", ""), strlen(GET("/0", "")));
+	(void)strbuf_set(&w->open[0]->id, str_from_c(id));
+	answer(w, 0);
+	while (!w->got_len)
+		turn(w);
+}
+
+/* Closing with unread input resets the connection behind its last answer. */
+START_TEST(stop_that_resets_a_connection_names_its_last_answer)
+{
+	for (int unread = 0; unread < 2; unread++) {
+		struct world w;
+
+		serve_one(&w, unread ? "reset" : "clean");
+		w.srv.stopping = true;
+		put(&w, "GET", unread ? 3 : 0);
+		srv_close(&w.srv);
+		ck_assert_uint_eq(w.srv.ends.unsent, 0);
+		world_free(&w);
+	}
+	ck_assert_uint_eq(lines_of("answer_unsent req=reset "), 1);
+	ck_assert_uint_eq(lines_of("answer_unsent req=clean "), 0);
+}
+END_TEST
+
+START_TEST(lines_on_unsent_answers_are_bounded)
+{
+	const apr_time_t begun = clk_now(clk_system());
+	unsigned most;
+	struct world w;
+
+	for (int i = 0; i < 300; i++) {
+		if (!i)
+			serve_one(&w, "many");
+		else
+			conn_new(&w.srv, dup(TAILQ_FIRST(&w.srv.conns)->fd));
+	}
+	w.srv.stopping = true;
+	put(&w, "GET", 3);
+	for (int i = 0; i < 300; i++) {
+		struct srv_conn *conn = TAILQ_FIRST(&w.srv.conns);
+
+		conn->answers[0] = (struct conn_answer){0};
+		(void)strbuf_set(&conn->answers[0].id, STR_LIT("many"));
+		conn->answer_count = 1;
+		conn_free(conn, SRV_END_STOP_CUT);
+	}
+	most = 100 *
+	       (unsigned)((clk_now(clk_system()) - begun) / APR_USEC_PER_SEC +
+			  2);
+	ck_assert_uint_ge(lines_of("answer_unsent req=many "), 100);
+	ck_assert_uint_le(lines_of("answer_unsent req=many "), most);
+	srv_close(&w.srv);
+	world_free(&w);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("conn");
@@ -525,5 +599,7 @@
 	tcase_add_test(tc, stop_while_many_are_pending);
 	tcase_add_test(tc, each_way_of_ending_has_its_cause);
 	tcase_add_test(tc, answers_that_were_not_sent_are_named);
+	tcase_add_test(tc, stop_that_resets_a_connection_names_its_last_answer);
+	tcase_add_test(tc, lines_on_unsent_answers_are_bounded);
 	return fix_run("conn", tc);
 }
