--- a/pstctl/cmd_logs.c
+++ b/pstctl/cmd_logs.c
@@ -65,6 +65,8 @@
 	{"no_memory", "the VM had no memory to go on with the connection"},
 	{"behind_last_answer",
 	 "the answer to an earlier request closed the connection"},
+	{"not_read", "its connection was closed for memory: the caller had "
+		     "not read earlier answers"},
 	{"stop_cut", "the VM's process ended while the request was open; see "
 		     "passed_on, read_ms and cut_ms of request_cut"},
 };
@@ -83,6 +85,7 @@
 	{"linger_peer", "the caller closed its connection after the last "
 			"answer, before all bytes were acknowledged"},
 	{"linger_time", "the caller had the idle time-out to read the answer"},
+	{"not_read", "the caller did not read, and the VM needed the memory"},
 	{"stop_cut", "the VM's process ended"},
 };
 
