steerd: connections end in one way, and no longer with a reset

Callers saw: part of an answer, or none, then a reset, though the whole answer was written and logged as answered. In a planned stop, where a request crossed the end of an idle connection and a middlebox held the answer before it; and at any time, where bytes came behind a request that asked to close the connection.

Cause: close() with unread input, or with input that comes later, resets the connection. Idle connections were closed so once their peer had acknowledged all, and the connection of a caller that had asked for it without a look at either side.

Ruled out: the process's own write buffer, which was empty (request_done status=200); the caller's kernel, which keeps what it has got: the first case needs something between that drops what it holds.

Why it works: the output ends, the caller's end is awaited, for a second after all is acknowledged, then the socket is closed (RFC 9112, 9.6). Input behind an answer that says close is discarded, so nothing is left to reset; input that crosses the end of an idle connection stays unread, so its caller may send it again. The causes of ends in the log stay: stop_idle, idle_timeout and last_answer now mean that the caller closed its side in time.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -19,11 +19,11 @@
 /* Most bytes read at a time. */
 #define READ_BYTES 16384
 
-/* Time between two checks whether a caller that isn't read from has left. */
+/* Time between two checks of a caller that isn't read from, or lingers. */
 #define PAUSE_CHECK_S 0.2
 
-/* Longest wait for a caller to close its side. */
-#define LINGER_S 1.0
+/* Longest wait for a caller that has acknowledged all to close its side. */
+#define LINGER_US APR_USEC_PER_SEC
 
 static void dispatch(struct srv_conn *conn);
 static void advance(struct srv_conn *conn);
@@ -90,10 +90,21 @@
 	conn_leave(conn);
 }
 
+/*
+ * Whether input stays in the socket: it came behind an answer that does not say
+ * that what follows counts as not read.
+ */
+static bool leaves_input(const struct srv_conn *conn)
+{
+	return conn->read_ended && !conn->said_close &&
+	       TAILQ_EMPTY(&conn->reqs);
+}
+
 static void set_events(struct srv_conn *conn)
 {
-	const int events = (conn->pending < MAX_PENDING ? EV_READ : 0) |
-			   (conn->out.len ? EV_WRITE : 0);
+	const bool reads = conn->pending < MAX_PENDING && !leaves_input(conn);
+	const int events =
+		(reads ? EV_READ : 0) | (conn->out.len ? EV_WRITE : 0);
 
 	if (conn->dead || events == conn->events)
 		return;
@@ -112,37 +123,45 @@
 	return !conn->reading && TAILQ_EMPTY(&conn->reqs) && !conn->out.len;
 }
 
-/* A close with unread input would send a reset, which can lose the answer. */
-static void end_sending(struct srv_conn *conn)
+/*
+ * Ends the output, and waits for the caller to end its side (RFC 9112, 9.6):
+ * closing at once can reset the connection and lose an answer on its way.
+ */
+static void end_sending(struct srv_conn *conn, enum srv_end end)
 {
 	if (conn->lingering)
 		return;
-	if (conn->caller_closes && !conn->in.len) {
-		close_conn(conn, SRV_END_ANSWERED);
-		return;
-	}
 	conn->lingering = true;
+	conn->linger_end = end;
+	conn->linger_until = clk_now(conn->srv->clk) + LINGER_US;
 	shutdown(conn->fd, SHUT_WR);
-	conn->timer.repeat = LINGER_S;
+	conn->timer.repeat = PAUSE_CHECK_S;
 	ev_timer_again(conn->srv->loop, &conn->timer);
 }
 
-void conn_drain(struct srv_conn *conn)
+/* Ends an idle connection. */
+static void end_idle(struct srv_conn *conn, enum srv_end end)
 {
 	if (conn->lingering)
 		return;
-	if (conn_idle(conn) && sock_unsent(conn->fd)) {
-		conn->read_ended = true;
-		end_sending(conn);
-		return;
-	}
-	if (conn_idle(conn)) {
-		conn_free(conn, SRV_END_STOP_IDLE);
+	conn->read_ended = true;
+	end_sending(conn, end);
+	set_events(conn);
+}
+
+void conn_drain(struct srv_conn *conn)
+{
+	if (conn->draining)
 		return;
-	}
+	conn->users++;
+	if (conn_idle(conn))
+		end_idle(conn, SRV_END_STOP_IDLE);
 	conn->draining = true;
 	if (!conn->reading)
 		conn->read_ended = true;
+	if (!conn->dead)
+		set_events(conn);
+	conn_leave(conn);
 }
 
 static void flush(struct srv_conn *conn)
@@ -161,7 +180,8 @@
 	}
 	conn_out_account(conn);
 	if (!conn->out.len && conn->read_ended && TAILQ_EMPTY(&conn->reqs))
-		end_sending(conn);
+		end_sending(conn, conn->caller_closes ? SRV_END_ANSWERED
+						      : SRV_END_LINGER_PEER);
 	if (!conn->dead)
 		set_events(conn);
 }
@@ -188,6 +208,7 @@
 		if (!last)
 			continue;
 		conn->read_ended = true;
+		conn->said_close = true;
 		conn->caller_closes = asked;
 		/* Requests after the last answer count as not read. */
 		conn_end_drop(conn, SRV_END_BEHIND_LAST, req_free);
@@ -447,7 +468,7 @@
 		return SRV_END_NO_MEMORY;
 	if (n < 0)
 		return SRV_END_CALLER_RESET;
-	return conn->lingering ? SRV_END_LINGER_PEER : SRV_END_CALLER_CLOSED;
+	return conn->lingering ? conn->linger_end : SRV_END_CALLER_CLOSED;
 }
 
 static void on_readable(struct srv_conn *conn)
@@ -493,6 +514,20 @@
 	return conn->last_byte_at + limits->idle_timeout;
 }
 
+static void check_linger(struct srv_conn *conn, apr_time_t now)
+{
+	/* Callers that read slowly get the rest of their answer. */
+	if (sock_unsent(conn->fd)) {
+		conn->linger_until = now + LINGER_US;
+		if (now >= conn->last_byte_at + conn->srv->limits.idle_timeout)
+			conn_free(conn, SRV_END_LINGER_TIME);
+	} else if (sock_peer_closed(conn->fd)) {
+		conn_free(conn, conn->linger_end);
+	} else if (now >= conn->linger_until) {
+		conn_free(conn, SRV_END_LINGER_TIME);
+	}
+}
+
 static void on_timer(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
 	struct srv_conn *conn = timer->data;
@@ -501,9 +536,7 @@
 
 	(void)events;
 	if (conn->lingering) {
-		/* Callers that read slowly get the rest of their answer. */
-		if (now >= at || !sock_unsent(conn->fd))
-			conn_free(conn, SRV_END_LINGER_TIME);
+		check_linger(conn, now);
 		return;
 	}
 	if (!(conn->events & EV_READ) && sock_peer_closed(conn->fd)) {
@@ -528,6 +561,8 @@
 		refuse_input(conn, 408, STR_LIT("Request Timeout"));
 	if (!conn->dead && conn->reading == NULL && conn->read_ended)
 		send_ready(conn);
+	else if (!conn->dead && conn_idle(conn))
+		end_idle(conn, SRV_END_IDLE_TIMEOUT);
 	else if (!conn->dead)
 		close_conn(conn, SRV_END_IDLE_TIMEOUT);
 	conn_leave(conn);
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -36,8 +36,14 @@
 	bool draining;
 	/* No further request is read. */
 	bool read_ended;
-	/* All is sent; input is discarded until the caller closes its side. */
+	/* An answer told the caller that the connection closes after it. */
+	bool said_close;
+	/* All is written and the output ended; the caller's end is awaited. */
 	bool lingering;
+	/* The cause once the caller has ended its side, and how long to wait.
+	 */
+	enum srv_end linger_end;
+	apr_time_t linger_until;
 	/* The caller's last request asked to close the connection. */
 	bool caller_closes;
 	bool dead;
@@ -65,8 +71,8 @@
 void conn_free(struct srv_conn *conn, enum srv_end end);
 
 /*
- * Reads no further request, but the one whose bytes are arriving; closes after
- * the answers to those that were read, or at once if there are none.
+ * Reads no further request, but those that have arrived and the one whose bytes
+ * are arriving; ends after the answers to these, or now if there are none.
  */
 void conn_drain(struct srv_conn *conn);
 
