steerd: what has arrived on an idle connection is served before it ends

Callers saw: a reset, or the end of the stream, in place of an answer, for requests that had arrived on kept connections before a VM that was late ended these. Nothing had run, but all callers of that VM had to send again.

Cause: the timers of a stop and of the idle time-out are handled before sockets that became readable beside them, and ended the connections without a look at these.

Ruled out: the end of the connection itself; with the fix of it alone the callers still get no answer ("answers: [0, 0, 0, 0, 0, 0, 0, 0]").

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -27,6 +27,7 @@
 
 static void dispatch(struct srv_conn *conn);
 static void advance(struct srv_conn *conn);
+static void on_readable(struct srv_conn *conn);
 
 static double seconds(apr_interval_time_t t)
 {
@@ -139,11 +140,14 @@
 	ev_timer_again(conn->srv->loop, &conn->timer);
 }
 
-/* Ends an idle connection. */
+/* Ends an idle connection; what has arrived on it by now is still served. */
 static void end_idle(struct srv_conn *conn, enum srv_end end)
 {
 	if (conn->lingering)
 		return;
+	on_readable(conn);
+	if (conn->dead || !conn_idle(conn))
+		return;
 	conn->read_ended = true;
 	end_sending(conn, end);
 	set_events(conn);
