steerd: the idle time-out waits for answers that the kernel still sends

What callers saw: of an answer that they read for longer than the idle time-out, 413,591 of 1,048,576 bytes and then a reset, once they sent another request.

Cause: on_timer() counted from the last byte that the process had read or written, and the kernel held the rest. close_idle() closed such connections as well; that is read from the code and was not run. Ruled out: the caller's small buffer (without another request it gets all), a stop.

Change: bytes that the caller's kernel takes count as traffic, in the idle time-out and while a connection that has ended its output lingers.

Before: t_steer_idle_close failed, as above. After: passes, as do test_conn, t_steer_close and t_steer_stop. conn_out_write() was put_answer() of conn.c.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -220,35 +220,6 @@
 	flush(conn);
 }
 
-static void put_answer(struct srv_req *req, unsigned status, struct str reason,
-		       struct str fields, struct str body)
-{
-	const bool head = req->msg.parser.method == HTTP_HEAD;
-	int err;
-
-	err = buf_addf(&req->answer, "HTTP/1.1 %u %.*s\r\n", status,
-		       STR_ARG(reason));
-	if (!err)
-		err = buf_add(&req->answer, fields);
-	if (!err && status != 204 && status != 304)
-		err = buf_addf(&req->answer, "Content-Length: %zu\r\n",
-			       body.len);
-	if (!err)
-		err = buf_add(&req->answer, req->close
-						    ? STR_LIT("Connection: "
-							      "close\r\n\r\n")
-						    : STR_LIT("\r\n"));
-	if (!err && !head)
-		err = buf_add(&req->answer, body);
-	if (err) {
-		/* Closes without an answer instead of sending part of it. */
-		evt_log(SRV_NO_MEMORY, "bytes=%zu req=%s", body.len,
-			req->id.ptr);
-		buf_reset(&req->answer);
-		req->close = true;
-	}
-}
-
 /* Whether the connection closes after this request's answer. */
 static bool is_last(const struct srv_req *req)
 {
@@ -271,7 +242,7 @@
 
 	if (is_last(req) || (conn->srv->stopping && !next_is_running(req)))
 		req->close = true;
-	put_answer(req, status, reason, fields, body);
+	conn_out_write(req, status, reason, fields, body);
 	account_held(req, before);
 	req->answered = true;
 	conn_out_account(conn);
@@ -521,7 +492,9 @@
 static void check_linger(struct srv_conn *conn, apr_time_t now)
 {
 	/* Callers that read slowly get the rest of their answer. */
-	if (sock_unsent(conn->fd)) {
+	if (conn_out_is_taken(conn))
+		conn->last_byte_at = now;
+	if (conn->unsent) {
 		conn->linger_until = now + LINGER_US;
 		if (now >= conn->last_byte_at + conn->srv->limits.idle_timeout)
 			conn_free(conn, SRV_END_LINGER_TIME);
@@ -536,7 +509,7 @@
 {
 	struct srv_conn *conn = timer->data;
 	const apr_time_t now = clk_now(conn->srv->clk);
-	const apr_time_t at = times_out_at(conn);
+	apr_time_t at = times_out_at(conn);
 
 	(void)events;
 	if (conn->lingering) {
@@ -555,6 +528,10 @@
 		ev_timer_again(loop, timer);
 		return;
 	}
+	if (now >= at && conn_idle(conn) && conn_out_is_taken(conn)) {
+		conn->last_byte_at = now;
+		at = times_out_at(conn);
+	}
 	if (now < at) {
 		timer->repeat = seconds(at - now) + 0.001;
 		ev_timer_again(loop, timer);
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -53,6 +53,8 @@
 	apr_time_t last_byte_at;
 	/* When the caller last took a byte, or output began to wait. */
 	apr_time_t taken_at;
+	/* Bytes that the kernel had to send at the last look. */
+	size_t unsent;
 	/* Part of srv->outquota. */
 	size_t out_held;
 	/* Bytes written so far. */
--- a/steerd/conn_out.c
+++ b/steerd/conn_out.c
@@ -1,6 +1,7 @@
 #include "steerd/conn_out.h"
 
 #include "common/evt.h"
+#include "steerd/sock.h"
 
 #define LOG_MODULE "conn"
 
@@ -19,6 +20,35 @@
 	conn->out_held = bytes;
 }
 
+void conn_out_write(struct srv_req *req, unsigned status, struct str reason,
+		    struct str fields, struct str body)
+{
+	const bool head = req->msg.parser.method == HTTP_HEAD;
+	int err;
+
+	err = buf_addf(&req->answer, "HTTP/1.1 %u %.*s\r\n", status,
+		       STR_ARG(reason));
+	if (!err)
+		err = buf_add(&req->answer, fields);
+	if (!err && status != 204 && status != 304)
+		err = buf_addf(&req->answer, "Content-Length: %zu\r\n",
+			       body.len);
+	if (!err)
+		err = buf_add(&req->answer, req->close
+						    ? STR_LIT("Connection: "
+							      "close\r\n\r\n")
+						    : STR_LIT("\r\n"));
+	if (!err && !head)
+		err = buf_add(&req->answer, body);
+	if (err) {
+		/* Closes without an answer instead of sending part of it. */
+		evt_log(SRV_NO_MEMORY, "bytes=%zu req=%s", body.len,
+			req->id.ptr);
+		buf_reset(&req->answer);
+		req->close = true;
+	}
+}
+
 int conn_out_add(struct srv_conn *conn, struct srv_req *req)
 {
 	if (conn->out.len)
@@ -46,6 +76,15 @@
 	conn_out_account(conn);
 }
 
+bool conn_out_is_taken(struct srv_conn *conn)
+{
+	const size_t unsent = sock_unsent(conn->fd);
+	const bool taken = unsent && unsent != conn->unsent;
+
+	conn->unsent = unsent;
+	return taken;
+}
+
 static struct outquota_conn as_item(const struct srv_conn *conn, apr_time_t now)
 {
 	return (struct outquota_conn){
--- a/steerd/srv.c
+++ b/steerd/srv.c
@@ -19,7 +19,7 @@
 
 	TAILQ_FOREACH(conn, &srv->conns, link)
 	{
-		if (conn_idle(conn)) {
+		if (conn_idle(conn) && !sock_unsent(conn->fd)) {
 			conn_free(conn, SRV_END_NO_ROOM);
 			return;
 		}
