--- a/tests/fix_cut.c
+++ b/tests/fix_cut.c
@@ -39,6 +39,13 @@
 	return false;
 }
 
+/* Whether the answer ends before its connection does. */
+static bool has_length(struct str answer)
+{
+	return memmem(answer.ptr, answer.len, "Content-Length", 14) ||
+	       memmem(answer.ptr, answer.len, "chunked", 7);
+}
+
 static void *serve(void *arg)
 {
 	const int fd = (int)(intptr_t)arg;
@@ -55,9 +62,9 @@
 		pthread_mutex_unlock(&lock);
 		send(fd, cut.answer.ptr, whole ? cut.answer.len : cut.bytes,
 		     MSG_NOSIGNAL);
-		if (whole)
+		if (whole && has_length(cut.answer))
 			continue;
-		if (cut.reset)
+		if (cut.reset && !whole)
 			setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset,
 				   sizeof(reset));
 		break;
--- a/tests/fix_cut.h
+++ b/tests/fix_cut.h
@@ -16,8 +16,7 @@
 	size_t bytes;
 	/* The connection ends by a reset, not by a close. */
 	bool reset;
-	/* Answers that are sent whole first, each on a connection that stays.
-	 */
+	/* Answers sent whole before; those with a length keep it open. */
 	unsigned whole;
 };
 
--- a/tests/test_plt_store.c
+++ b/tests/test_plt_store.c
@@ -81,6 +81,10 @@
 	 HEAD "Content-Length: 24\r\n\r\n"
 	      "{\"lease\":4,\"ttlMs\":5000}"},
 	{"renewal", renew, HEAD "Content-Length: 14\r\n\r\n{\"ttlMs\":5000}"},
+	{"list without a length", list, HEAD "\r\n" LIST},
+	{"watch without a length", watch, HEAD "\r\n" WATCH},
+	{"write without a length", put, HEAD "\r\n{\"revision\":9}"},
+	{"lease without a length", grant, HEAD "\r\n{\"lease\":4}"},
 	{"end of a lease", end_lease, HEAD "Content-Length: 2\r\n\r\n{}"},
 	{"end of a lease, empty", end_lease, HEAD "Content-Length: 0\r\n\r\n"},
 };
