agent: "not modified" that was cut in its head is no list

Seen: a 304 whose connection closed after its status line confirmed the VM list that vmreader holds, so an old list counted as read just now.

Ruled out by the same test: all other answers of the older daemons' store and list, cut after each byte, closed and reset, on new and kept connections: with status 200 they need a JSON object, which an empty body is not, and a write that was cut is "possibly executed". pstctl reads and writes through these clients.

Fix: vmreader uses curlhead too.

Evidence: test_curl_cut.

--- a/agent/vmreader.c
+++ b/agent/vmreader.c
@@ -7,6 +7,7 @@
 #include <curl/curl.h>
 
 #include "agent/bodybuf.h"
+#include "common/curlhead.h"
 #include "common/err.h"
 #include "common/wire.h"
 
@@ -85,11 +86,13 @@
 		 struct bodybuf *body, long *status)
 {
 	struct curl_slist *headers = if_none_match(vmreader);
+	struct curlhead head;
 	CURLcode code;
 
 	set_options(easy, vmreader->set, body);
 	curl_easy_setopt(easy, CURLOPT_HTTPHEADER, headers);
-	code = curl_easy_perform(easy);
+	curlhead_watch(&head, easy);
+	code = curlhead_result(&head, curl_easy_perform(easy));
 	curl_slist_free_all(headers);
 	if (code != CURLE_OK)
 		return PST_ERR_UNAVAILABLE;
--- /dev/null
+++ b/tests/test_curl_cut.c
@@ -0,0 +1,159 @@
+/* Answers that end with their connection, at the clients of the older daemons.
+ */
+#include <check.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "agent/kvclient.h"
+#include "agent/vmreader.h"
+#include "common/err.h"
+#include "tests/fix_cut.h"
+#include "tests/fix_run.h"
+
+#define PORT  18431
+
+#define HEAD  "HTTP/1.1 200 OK\r\nServer: s\r\nETag: \"a\"\r\n"
+#define KEYS  "{\"header\":{\"revision\":\"4\"},\"kvs\":[]}"
+#define SWAP  "{\"header\":{\"revision\":\"4\"},\"succeeded\":true}"
+#define GRANT "{\"ID\":\"77\",\"TTL\":\"5\"}"
+#define KEEP  "{\"result\":{\"ID\":\"77\",\"TTL\":\"5\"}}"
+#define LIST  "{\"revision\":7,\"vms\":[]}"
+
+static struct settings set;
+static struct kvclient *kvclient;
+static struct vmreader *vmreader;
+
+static int read_keys(void)
+{
+	struct kvclient_list list;
+	const int err = kvclient_read(kvclient, STR_LIT("/"), &list);
+
+	if (!err)
+		kvclient_list_free(&list);
+	return err;
+}
+
+static int write_key(void)
+{
+	uint64_t revision;
+
+	return kvclient_swap(kvclient, STR_LIT("k"), 3, STR_LIT("v"), 0,
+			     &revision);
+}
+
+static int grant_lease(void)
+{
+	uint64_t lease;
+
+	return kvclient_lease_grant(kvclient, 5, &lease);
+}
+
+static int keep_lease(void)
+{
+	return kvclient_lease_keepalive(kvclient, 77);
+}
+
+static int end_lease(void)
+{
+	return kvclient_lease_revoke(kvclient, 77);
+}
+
+static int read_vms(void)
+{
+	struct vmlist *list = NULL;
+	long status;
+	const int err = vmreader_fetch(vmreader, &list, &status);
+
+	if (!err)
+		vmlist_put(list);
+	return err;
+}
+
+static const struct call {
+	const char *name;
+	int (*run)(void);
+	const char *answer;
+} calls[] = {
+	{"read", read_keys, HEAD "Content-Length: 36\r\n\r\n" KEYS},
+	{"write", write_key, HEAD "Content-Length: 44\r\n\r\n" SWAP},
+	{"write without a length", write_key, HEAD "\r\n" SWAP},
+	{"lease", grant_lease, HEAD "Content-Length: 21\r\n\r\n" GRANT},
+	{"renewal", keep_lease, HEAD "Content-Length: 32\r\n\r\n" KEEP},
+	{"end of a lease", end_lease, HEAD "Content-Length: 2\r\n\r\n{}"},
+	{"VM list", read_vms, HEAD "Content-Length: 23\r\n\r\n" LIST},
+	{"VM list without a length", read_vms, HEAD "\r\n" LIST},
+};
+
+static const struct call *call;
+
+static void check_cut(const struct fix_cut *cut)
+{
+	int err;
+
+	ck_assert_int_eq(kvclient_create(&kvclient, &set, clk_system()), 0);
+	ck_assert_int_eq(vmreader_create(&vmreader, &set), 0);
+	for (unsigned i = 0; i < cut->whole; i++)
+		ck_assert_int_eq(call->run(), 0);
+	err = call->run();
+	ck_assert_msg(!err == (cut->bytes == cut->answer.len),
+		      "%s: %zu of %zu bytes, %s: %s", call->name, cut->bytes,
+		      cut->answer.len, cut->reset ? "reset" : "closed",
+		      err_name(err));
+	/* A write that the store may have made is not known as not made. */
+	ck_assert(call->run != write_key || !err || err == PST_ERR_TIMEOUT);
+	kvclient_destroy(kvclient);
+	vmreader_destroy(vmreader);
+}
+
+START_TEST(answer_cut_in_its_head_is_no_success)
+{
+	call = &calls[_i];
+	fix_cut_each(str_from_c(call->answer), check_cut);
+}
+END_TEST
+
+START_TEST(unchanged_list_cut_in_its_head_is_no_list)
+{
+	const char *unchanged =
+		"HTTP/1.1 304 Not Modified\r\nServer: s\r\n\r\n";
+	struct fix_cut cut = {.answer = str_from_c(calls[6].answer)};
+
+	for (cut.bytes = 0; cut.bytes <= strlen(unchanged); cut.bytes++) {
+		ck_assert_int_eq(vmreader_create(&vmreader, &set), 0);
+		cut.whole = 1;
+		cut.answer = str_from_c(calls[6].answer);
+		fix_cut_set(&cut);
+		ck_assert_int_eq(read_vms(), 0);
+		cut.whole = 0;
+		cut.answer = str_from_c(unchanged);
+		fix_cut_set(&cut);
+		ck_assert_msg(!read_vms() == (cut.bytes == cut.answer.len),
+			      "%zu of %zu bytes", cut.bytes, cut.answer.len);
+		vmreader_destroy(vmreader);
+	}
+}
+END_TEST
+
+static void start_server(void)
+{
+	static char url[64];
+
+	fix_cut_start(fix_ip(), PORT);
+	snprintf(url, sizeof(url), "http://%s:%d", fix_ip().ptr, PORT);
+	set.vm.address = fix_ip();
+	set.platform.store_url = str_from_c(url);
+	set.platform.list_url = str_from_c(url);
+	set.platform.call_timeout_ms = 2000;
+}
+
+int main(void)
+{
+	TCase *tc = tcase_create("curl_cut");
+
+	tcase_add_unchecked_fixture(tc, start_server, NULL);
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, answer_cut_in_its_head_is_no_success, 0,
+			    sizeof(calls) / sizeof(calls[0]));
+	tcase_add_test(tc, unchanged_list_cut_in_its_head_is_no_list);
+	return fix_run("curl_cut", tc);
+}
