tests: answers of upstreams, cut at each byte

Looked for: "a target stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole".

Found: it cannot happen with answers of upstreams, neither at pst-steerd (http-parser takes the end of the connection within a head as an error) nor at pst-entryd (a head counts once the blank line behind it has come).

Left open, in both: the body of an answer without any length that ends by a close is passed on as whole, as HTTP has it; a reset there is noticed, and with a Content-Digest pst-entryd notices a close too.

--- a/tests/fix_upstream.c
+++ b/tests/fix_upstream.c
@@ -18,6 +18,7 @@
 
 atomic_uint fix_upstream_runs;
 atomic_uint fix_upstream_connections;
+atomic_size_t fix_upstream_withheld;
 atomic_uint_fast64_t fix_upstream_heads;
 
 static atomic_uint sheds;
@@ -152,6 +153,50 @@
 	send_all(fd, text, (size_t)n);
 }
 
+static void send_cut(int fd, const struct request *r)
+{
+	static const struct {
+		const char *form;
+		const char *before;
+		const char *fields;
+		const char *body;
+	} forms[] = {
+		{"length", "", "Content-Length: 5\r\n", "hello"},
+		{"chunked", "", "Transfer-Encoding: chunked\r\n",
+		 "5\r\nhello\r\n0\r\nX-Trailer: t\r\n\r\n"},
+		{"interim", "HTTP/1.1 103 X\r\nLink: x\r\n\r\n",
+		 "Content-Length: 5\r\n", "hello"},
+		{"digest", "",
+		 "Content-Digest: sha-256="
+		 ":LPJNul+wow4m6DsqxbninhsWHlwfp0JecwQzYpOLmCQ=:\r\n",
+		 "hello"},
+		{"open", "", "", "hello"},
+	};
+	const struct linger reset = {.l_onoff = 1};
+	char form[16] = "";
+	char how[16] = "";
+	char text[512];
+	size_t count = 0;
+	size_t len = 0;
+
+	sscanf(r->path, "/cut/%15[^/]/%zu/%15s", form, &count, how);
+	for (size_t i = 0; i < sizeof(forms) / sizeof(forms[0]); i++) {
+		if (!strcmp(form, forms[i].form))
+			len = (size_t)snprintf(
+				text, sizeof(text),
+				"%sHTTP/1.1 200 X\r\nX-Request-Id: %s\r\n"
+				"%s\r\n%s",
+				forms[i].before, r->id, forms[i].fields,
+				forms[i].body);
+	}
+	if (count > len)
+		count = len;
+	fix_upstream_withheld = len - count;
+	send_all(fd, text, count);
+	if (!strcmp(how, "reset"))
+		setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof(reset));
+}
+
 /* Returns whether the connection stays open. */
 static bool answer(int fd, const struct request *r, unsigned request_count)
 {
@@ -180,6 +225,9 @@
 	} else if (!strcmp(path, "/digest")) {
 		send_head(fd, 200, r->id, 5, wrong);
 		send_all(fd, "hello", 5);
+	} else if (!strncmp(path, "/cut/", 5)) {
+		send_cut(fd, r);
+		return false;
 	} else if (!strcmp(path, "/drop")) {
 		return false;
 	} else if (!strcmp(path, "/silent") ||
--- a/tests/fix_upstream.h
+++ b/tests/fix_upstream.h
@@ -12,6 +12,9 @@
  *   /shedonce  as /shed for the first request, then as /ok
  *   /drop      reads the request and closes without an answer
  *   /silent    reads the request and never answers
+ *   /cut/FORM/N/HOW  sends N bytes of an answer "hello" (length, chunked,
+ *              interim, digest or open: without a length) and ends the
+ *              connection, with HOW "reset" by a reset
  *   CONNECT    502, as a proxy that cannot reach the other side
  *   /later     answers only the first request of a connection
  */
@@ -29,6 +32,9 @@
 extern atomic_uint fix_upstream_runs;
 extern atomic_uint fix_upstream_connections;
 
+/* Bytes that the last /cut did not send. */
+extern atomic_size_t fix_upstream_withheld;
+
 /* Bytes of heads read and sent. */
 extern atomic_uint_fast64_t fix_upstream_heads;
 
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -104,6 +104,61 @@
 }
 END_TEST
 
+static const struct cut {
+	const char *form;
+	/* Bytes at its end without which the body is known to be whole. */
+	size_t spare;
+	/* Bytes at its end that a close, unlike a reset, may cut unnoticed. */
+	size_t unnoticed;
+} cuts[] = {
+	{"length", 0, 0},
+	{"chunked", 1, 0},
+	{"interim", 0, 0},
+	{"digest", 0, 0},
+	/* HTTP has no sign of the end of such a body but the close. */
+	{"open", 0, 5},
+};
+
+static void cut_answer(const struct cut *cut, const char *method,
+		       const char *how, bool kept)
+{
+	size_t withheld = 1;
+
+	for (size_t i = 0; withheld && i < 512; i++) {
+		struct fix_caller c;
+		char path[64];
+		bool success;
+
+		if (kept)
+			fix_entry_call("GET", "/s/svc/ok", NULL, 0, false);
+		snprintf(path, sizeof(path), "/s/svc/cut/%s/%zu/%s", cut->form,
+			 i, how);
+		c = fix_entry_call(method, path, NULL, 0, false);
+		withheld = fix_upstream_withheld;
+		success = c.code == CURLE_OK && c.status == 200;
+		if (*how == 'c' && withheld <= cut->unnoticed)
+			continue;
+		ck_assert_msg(withheld > cut->spare ? !success
+						    : !success || c.bytes == 5,
+			      "%s %s, %zu bytes, %zu withheld: %ld, %zu bytes",
+			      method, path, i, withheld, c.status, c.bytes);
+		ck_assert_msg(withheld || success || *how == 'r',
+			      "%s %s: whole, but %ld", method, path, c.status);
+	}
+	ck_assert_uint_eq(withheld, 0);
+}
+
+START_TEST(answer_cut_at_any_byte_is_no_success)
+{
+	static const char *const methods[] = {"GET", "POST"};
+
+	for (int i = 0; i < 8; i++)
+		cut_answer(&cuts[_i], methods[i & 1], i & 2 ? "reset" : "close",
+			   i & 4);
+	fix_entry_wait_idle();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("entry");
@@ -116,5 +171,7 @@
 	tcase_add_test(tc,
 		       answer_with_a_wrong_digest_is_not_forwarded_complete);
 	tcase_add_test(tc, connection_stays_open_between_requests);
+	tcase_add_loop_test(tc, answer_cut_at_any_byte_is_no_success, 0,
+			    sizeof(cuts) / sizeof(cuts[0]));
 	return fix_entry_run("entry", tc);
 }
