tests: answers of RPC servers, cut at each byte

Looked for: an answer of another process that ends with its connection taken as whole (permits, tickets, lending, table status).

Found: it cannot happen: libtirpc's record has its length in front, and the call ends with an error.

--- a/tests/test_rpc.c
+++ b/tests/test_rpc.c
@@ -1,10 +1,14 @@
+#include <arpa/inet.h>
 #include <check.h>
+#include <pthread.h>
 #include <stdatomic.h>
 #include <stdio.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "common/ctr.h"
 #include "common/err.h"
+#include "common/net.h"
 #include "common/rpcc.h"
 #include "common/rpcs.h"
 #include "tests/fix_run.h"
@@ -196,6 +200,69 @@
 }
 END_TEST
 
+#define CUT_PORT 18398
+
+/* Answers one call after another with its first bytes, 1 more each time. */
+static void *answer_cut(void *arg)
+{
+	const int listener = (int)(intptr_t)arg;
+	const struct linger reset = {.l_onoff = 1};
+
+	for (size_t i = 0; i < 2 * ANSWER_BYTES - 1; i++) {
+		const int fd = accept(listener, NULL, NULL);
+		uint32_t call[CALL_BYTES / 4];
+		uint32_t answer[ANSWER_BYTES / 4] = {
+			htonl(0x80000000U | (ANSWER_BYTES - 4)),
+			0,
+			htonl(1),
+		};
+
+		recv(fd, call, sizeof(call), MSG_WAITALL);
+		answer[1] = call[1];
+		answer[ANSWER_BYTES / 4 - 1] = htonl(42);
+		send(fd, answer, i / 2 + (i == 2 * ANSWER_BYTES - 2),
+		     MSG_NOSIGNAL);
+		if (i & 1)
+			setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset,
+				   sizeof(reset));
+		close(fd);
+	}
+	return NULL;
+}
+
+START_TEST(answer_cut_at_any_byte_is_an_error)
+{
+	const int listener = net_listen(fix_ip(), CUT_PORT);
+	struct net_addr peer;
+	pthread_t thread;
+
+	ck_assert_int_ge(listener, 0);
+	set.vm.address = fix_ip();
+	set.net.rpc_timeout_ms = 500;
+	net_addr_make(&peer, fix_ip(), CUT_PORT);
+	pthread_create(&thread, NULL, answer_cut, (void *)(intptr_t)listener);
+	for (size_t i = 0; i < 2 * ANSWER_BYTES - 1; i++) {
+		const bool whole = i == 2 * ANSWER_BYTES - 2;
+		struct rpcc *c = NULL;
+		u_int arg = 21;
+		u_int res = 0;
+		int err;
+
+		ck_assert_int_eq(rpcc_create(&c, &set, clk_system(),
+					     STR_LIT(""), &peer, PROG, 1),
+				 0);
+		err = rpcc_call(c, PROC_DOUBLE, (xdrproc_t)xdr_u_int, &arg,
+				(xdrproc_t)xdr_u_int, &res, CLK_MS(500));
+		ck_assert_msg(!err == whole && (!whole || res == 42),
+			      "%zu of %u bytes: %s", i / 2 + whole,
+			      ANSWER_BYTES, err_name(err));
+		rpcc_destroy(c);
+	}
+	pthread_join(thread, NULL);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("rpc");
@@ -204,5 +271,6 @@
 	tcase_add_test(tc, bytes_of_both_sides_are_counted);
 	tcase_add_test(tc, peer_that_is_not_allowed_gets_an_error);
 	tcase_add_test(tc, absent_peer_is_a_connect_error);
+	tcase_add_test(tc, answer_cut_at_any_byte_is_an_error);
 	return fix_run("rpc", tc);
 }
