entryd: a stop loses no answer that the kernel still sends

Callers saw: a part of a large answer and then a reset, if the answer closed the connection (in a planned stop all do), its caller read slowly, and another request of that caller came in the meantime.

Cause: libmicrohttpd closes the descriptor once all is written to the kernel; a request that arrives at a closed socket resets the connection, and what the kernel still held is lost.

Fix: a copy of the descriptor keeps a connection with unacknowledged bytes until its peer has them, at most for the callers' idle time-out; what arrives is discarded. It counts as open until then, so descriptors stay bounded. The end of a stop waits for such connections.

--- a/entryd/callers.c
+++ b/entryd/callers.c
@@ -1,10 +1,15 @@
 #include "entryd/callers.h"
 
+#include <fcntl.h>
+#include <linux/sockios.h>
 #include <linux/tcp.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdlib.h>
+#include <sys/ioctl.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "common/err.h"
 #include "common/evt.h"
@@ -14,6 +19,9 @@
 /* Interval between two checks for the start of a head: one system call each. */
 #define HEAD_PROBE_INTERVAL CLK_MS(500)
 
+/* Interval between two checks of lingering connections at the end. */
+#define LINGER_INTERVAL CLK_MS(10)
+
 /* Number of connections scanned before the lock is released. */
 #define SCAN_SLICE 64
 
@@ -26,6 +34,11 @@
 	/* Answered on the socket; shut down after CALLERS_LINGER. */
 	STATE_ANSWERED,
 	STATE_SHUT,
+	/*
+	 * Closed by libmicrohttpd, but the kernel still sends: fd is a copy.
+	 * A request that arrives at a closed socket would reset it.
+	 */
+	STATE_LINGERING,
 };
 
 struct callers_conn {
@@ -74,12 +87,6 @@
 	return 0;
 }
 
-void callers_destroy(struct callers *callers)
-{
-	pthread_mutex_destroy(&callers->lock);
-	free(callers);
-}
-
 /* Returns the bytes received from the peer so far, or 0 if unknown. */
 static uint64_t bytes_received(int fd)
 {
@@ -113,15 +120,47 @@
 	return conn;
 }
 
-void callers_close(struct callers *callers, struct callers_conn *conn)
+/* Whether the peer may still get bytes that were written. */
+static bool has_unsent(int fd)
+{
+	struct pollfd poller = {.fd = fd};
+	int count = 0;
+
+	return !ioctl(fd, SIOCOUTQ, &count) && count > 0 &&
+	       (poll(&poller, 1, 0) <= 0 ||
+		!(poller.revents & (POLLERR | POLLHUP)));
+}
+
+/* Called with the lock held. */
+static void conn_free(struct callers *callers, struct callers_conn *conn)
 {
-	pthread_mutex_lock(&callers->lock);
 	TAILQ_REMOVE(&callers->conns, conn, link);
 	callers->count--;
-	pthread_mutex_unlock(&callers->lock);
 	free(conn);
 }
 
+/* Keeps the connection after its descriptor is closed; false if it can't. */
+static bool begin_linger(struct callers *callers, struct callers_conn *conn)
+{
+	if (conn->state == STATE_SHUT || !has_unsent(conn->fd))
+		return false;
+	conn->fd = fcntl(conn->fd, F_DUPFD_CLOEXEC, 0);
+	if (conn->fd < 0)
+		return false;
+	shutdown(conn->fd, SHUT_WR);
+	conn->state = STATE_LINGERING;
+	conn->since = clk_now(callers->clk);
+	return true;
+}
+
+void callers_close(struct callers *callers, struct callers_conn *conn)
+{
+	pthread_mutex_lock(&callers->lock);
+	if (!begin_linger(callers, conn))
+		conn_free(callers, conn);
+	pthread_mutex_unlock(&callers->lock);
+}
+
 size_t callers_count(const struct callers *callers)
 {
 	return callers->count;
@@ -291,6 +330,21 @@
 	router_caller_gone(callers->router, req);
 }
 
+static void scan_linger(struct callers *callers, struct callers_conn *conn,
+			apr_time_t now)
+{
+	char unwanted[4096];
+
+	while (recv(conn->fd, unwanted, sizeof(unwanted), MSG_DONTWAIT) > 0)
+		;
+	if (has_unsent(conn->fd) &&
+	    now - conn->since < CLK_MS(callers->set->entry.idle_timeout_ms))
+		return;
+	close(conn->fd);
+	conn_free(callers, conn);
+}
+
+/* May free conn. */
 static void scan_one(struct callers *callers, struct callers_conn *conn,
 		     apr_time_t now)
 {
@@ -307,6 +361,9 @@
 		shutdown(conn->fd, SHUT_RDWR);
 		conn->state = STATE_SHUT;
 		break;
+	case STATE_LINGERING:
+		scan_linger(callers, conn, now);
+		break;
 	case STATE_SERVED:
 	case STATE_SHUT:
 		break;
@@ -317,9 +374,22 @@
 {
 	const apr_time_t now = clk_now(callers->clk);
 	struct callers_conn *conn;
+	struct callers_conn *next;
 
 	pthread_mutex_lock(&callers->lock);
-	TAILQ_FOREACH(conn, &callers->conns, link)
-	scan_one(callers, conn, now);
+	for (conn = TAILQ_FIRST(&callers->conns); conn; conn = next) {
+		next = TAILQ_NEXT(conn, link);
+		scan_one(callers, conn, now);
+	}
 	pthread_mutex_unlock(&callers->lock);
 }
+
+void callers_destroy(struct callers *callers)
+{
+	while (callers->count) {
+		callers_scan(callers);
+		apr_sleep(LINGER_INTERVAL);
+	}
+	pthread_mutex_destroy(&callers->lock);
+	free(callers);
+}
--- a/entryd/callers.h
+++ b/entryd/callers.h
@@ -26,16 +26,21 @@
 		   const struct clk *clk, struct router *router,
 		   struct forwarder *forwarder);
 
-/* To be called once every connection is closed. */
+/*
+ * To be called once every connection is closed. Waits until the kernel has sent
+ * their answers, at most for the callers' idle time-out.
+ */
 void callers_destroy(struct callers *callers);
 
 /*
  * Adds a new connection, which waits for a head. Returns NULL if out of memory.
  */
 struct callers_conn *callers_open(struct callers *callers, int fd);
+
+/* To be called before the connection's descriptor is closed. */
 void callers_close(struct callers *callers, struct callers_conn *conn);
 
-/* Number of open connections. */
+/* Number of open connections, also of those whose answer is being sent. */
 size_t callers_count(const struct callers *callers);
 
 /* Records that a request has ended and the next head is awaited. */
--- a/tests/fix_entry.c
+++ b/tests/fix_entry.c
@@ -24,6 +24,8 @@
 
 struct settings fix_entry_set;
 
+static struct frontend *frontend;
+
 static void load_table(void)
 {
 	const struct tbl_part parts[] = {
@@ -53,7 +55,6 @@
 static void start_entry(void)
 {
 	struct router_deps deps = {0};
-	struct frontend *frontend = NULL;
 
 	fix_entry_set.vm.id = STR_LIT("e1");
 	fix_entry_set.vm.region = STR_LIT("r1");
@@ -168,6 +169,16 @@
 	return c;
 }
 
+void fix_entry_drain(void)
+{
+	frontend_drain(frontend);
+}
+
+void fix_entry_stop(void)
+{
+	frontend_stop(frontend);
+}
+
 void fix_entry_wait_idle(void)
 {
 	for (int i = 0; i < 500 && router_in_progress(stub_rte); i++)
--- a/tests/fix_entry.h
+++ b/tests/fix_entry.h
@@ -38,6 +38,10 @@
 /* Collects an answer's body; a CURLOPT_WRITEFUNCTION. */
 size_t fix_entry_collect(char *bytes, size_t size, size_t count, void *ctx);
 
+/* Begins a planned stop, as far as callers see it, and ends it. */
+void fix_entry_drain(void);
+void fix_entry_stop(void);
+
 /* Waits until no request is in progress; checks that no permit is held. */
 void fix_entry_wait_idle(void);
 
