lookupd: a stop answers look-ups that come on open connections

Callers saw: a look-up on a kept connection that arrived while pst-lookupd stopped got no answer; the connection ended.

Cause: a stop waited for the look-ups in progress alone. Between two look-ups of a caller none is, so the process ended at once.

Ruled out: answers cut in the middle: those in progress were waited for.

Fix: a stop leaves open connections half a second for another look-up, whose answer closes them, and ends sooner when none is open.

Evidence: t_planned_stop look_ups_on_kept_connections. After: 0 of 28 connections on four VMs.

--- a/lookupd/lookupsrv.c
+++ b/lookupd/lookupsrv.c
@@ -30,7 +30,13 @@
 /* Time between two checks for unfinished requests while stopping. */
 #define STOP_POLL_MS 10
 
-#define PROBLEM_MAX  256
+/*
+ * Longest time in which a stop leaves connections open for a next look-up,
+ * whose answer closes them: callers cannot know that an idle one will close.
+ */
+#define STOP_GRACE  CLK_MS(500)
+
+#define PROBLEM_MAX 256
 
 struct lookupsrv {
 	const struct settings *set;
@@ -243,19 +249,37 @@
 	return 0;
 }
 
+static bool has_connections(const struct lookupsrv *lookupsrv)
+{
+	const union MHD_DaemonInfo *info = MHD_get_daemon_info(
+		lookupsrv->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+
+	return info && info->num_connections;
+}
+
+/* Whether a look-up is in progress, or may still come within the grace. */
+static bool awaits_lookups(const struct lookupsrv *lookupsrv,
+			   apr_interval_time_t elapsed)
+{
+	return atomic_load(&lookupsrv->in_progress) ||
+	       (elapsed < STOP_GRACE && has_connections(lookupsrv));
+}
+
 void lookupsrv_stop(struct lookupsrv *lookupsrv, apr_interval_time_t timeout)
 {
-	apr_time_t end;
+	apr_interval_time_t elapsed = 0;
+	apr_time_t began;
 	int fd;
 
 	if (!lookupsrv)
 		return;
-	end = clk_now(lookupsrv->clk) + timeout;
+	began = clk_now(lookupsrv->clk);
 	lookupsrv->stopping = true;
 	fd = MHD_quiesce_daemon(lookupsrv->daemon);
-	while (atomic_load(&lookupsrv->in_progress) &&
-	       clk_now(lookupsrv->clk) < end)
+	while (elapsed < timeout && awaits_lookups(lookupsrv, elapsed)) {
 		usleep(STOP_POLL_MS * 1000);
+		elapsed = clk_now(lookupsrv->clk) - began;
+	}
 	MHD_stop_daemon(lookupsrv->daemon);
 	if (fd >= 0)
 		close(fd);
--- a/lookupd/lookupsrv.h
+++ b/lookupd/lookupsrv.h
@@ -21,7 +21,8 @@
 
 /*
  * Stops accepting connections, waits at most timeout until every look-up in
- * progress is answered, then stops. NULL is allowed.
+ * progress is answered, then stops. Open connections first have half a second
+ * for another look-up, whose answer closes them. NULL is allowed.
  */
 void lookupsrv_stop(struct lookupsrv *lookupsrv, apr_interval_time_t timeout);
 
