steerd: from SIGTERM on, answers to look-ups, checks and metrics close their connections

What callers saw: a reset in place of the answer to a look-up, a readiness check or a request for metrics on a kept connection, when a planned stop ended.

Cause: only the server for callers was told of a stop. Ruled out: answers cut in the middle; what is lost is the last question.

Before: t_steer_stop_look_ups, 6 of 6 connections cut. After: none of 12. t_steer_path and t_steer_changes pass. The server for other VMs stays as it is: its followers turn to another VM or the store.

--- a/steerd/main.c
+++ b/steerd/main.c
@@ -320,6 +320,9 @@
 	st->stopping = true;
 	st->stopping_since = clk_now(st->clk);
 	st->front.stopping = true;
+	st->ready.stopping = true;
+	st->directory.stopping = true;
+	st->metrics.stopping = true;
 	evt_log(PROCESS_STOP,
 		"program=pst-steerd reason=signal requests=%u connections=%u "
 		"ready=%d accepting=%d",
