steerd: a stop no longer uses a connection that its own requests closed

A planned stop of a VM could end with a crash, and with it every request in progress, safe or not: exit -11, no process_drain or process_exit line.

Cause: srv_drain() kept the next connection while it drained one. An idle connection is read once before it ends, and a request found there may close other connections for the memory of their unread answers (srv_admits()). If that was the next one, it had been freed. Ruled out: the quota alone, as the handlers of sockets hold only their own connection, and srv_close(), where no request is passed on.

conn_drain() now returns the next connection, which it looks up after the last request was passed on and before its own connection may be freed.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -153,10 +153,12 @@
 	set_events(conn);
 }
 
-void conn_drain(struct srv_conn *conn)
+struct srv_conn *conn_drain(struct srv_conn *conn)
 {
+	struct srv_conn *next;
+
 	if (conn->draining)
-		return;
+		return TAILQ_NEXT(conn, link);
 	conn->users++;
 	if (conn_idle(conn))
 		end_idle(conn, SRV_END_STOP_IDLE);
@@ -165,7 +167,9 @@
 		conn->read_ended = true;
 	if (!conn->dead)
 		set_events(conn);
+	next = TAILQ_NEXT(conn, link);
 	conn_leave(conn);
+	return next;
 }
 
 static void flush(struct srv_conn *conn)
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -75,8 +75,10 @@
 /*
  * Reads no further request, but those that have arrived and the one whose bytes
  * are arriving; ends after the answers to these, or now if there are none.
+ * Returns the next connection of the server, or NULL: a request that is passed
+ * on can close other connections.
  */
-void conn_drain(struct srv_conn *conn);
+struct srv_conn *conn_drain(struct srv_conn *conn);
 
 /* Whether no request is being read or pending, and nothing is left to send. */
 bool conn_idle(const struct srv_conn *conn);
--- a/steerd/srv.c
+++ b/steerd/srv.c
@@ -109,14 +109,11 @@
 
 void srv_drain(struct srv *srv)
 {
-	struct srv_conn *conn;
-	struct srv_conn *next;
+	struct srv_conn *conn = TAILQ_FIRST(&srv->conns);
 
 	srv->stopping = true;
-	for (conn = TAILQ_FIRST(&srv->conns); conn; conn = next) {
-		next = TAILQ_NEXT(conn, link);
-		conn_drain(conn);
-	}
+	while (conn)
+		conn = conn_drain(conn);
 }
 
 void srv_close(struct srv *srv)
--- /dev/null
+++ b/tests/test_conn_out.c
@@ -0,0 +1,140 @@
+/* Connections whose callers read large answers slowly, or not at all. */
+#include <check.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "common/clk.h"
+#include "steerd/conn.h"
+#include "tests/fix_run.h"
+
+#define ANSWER_BYTES (16UL << 20)
+#define LIMIT	     (8UL << 20)
+
+#define GET	     "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+
+static char body[ANSWER_BYTES];
+
+/* Answers each request at once, or refuses it for want of room. */
+static void on_request(void *ctx, struct srv_req *req)
+{
+	int *refused = ctx;
+
+	if (srv_admits(req, 1000)) {
+		srv_answer(req, 200, STR_LIT("OK"), STR_LIT(""),
+			   (struct str){.ptr = body, .len = sizeof(body)});
+		return;
+	}
+	(*refused)++;
+	srv_answer(req, 503, STR_LIT("Service Unavailable"), STR_LIT(""),
+		   STR_LIT(""));
+}
+
+static void on_gone(void *ctx, struct srv_req *req, enum srv_end end)
+{
+	(void)ctx;
+	(void)req;
+	(void)end;
+}
+
+static void server_init(struct srv *srv, int *refused)
+{
+	static const struct srv_ops ops = {
+		.request = on_request,
+		.gone = on_gone,
+		.logs_answers = true,
+	};
+	const struct sockaddr_in any = {
+		.sin_family = AF_INET,
+		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
+	};
+
+	*refused = 0;
+	*srv = (struct srv){
+		.loop = ev_loop_new(0),
+		.clk = clk_system(),
+		.ops = &ops,
+		.ctx = refused,
+		.limits = {.max_header = 4096,
+			   .max_body = 65536,
+			   .header_timeout = CLK_SEC(1),
+			   .idle_timeout = CLK_SEC(1)},
+		.max_held = SIZE_MAX,
+		.outquota = {.limit = LIMIT},
+		.max_conns = 8,
+	};
+	ck_assert_int_eq(srv_start(srv, &any), 0);
+}
+
+static void server_free(struct srv *srv)
+{
+	srv_close(srv);
+	ck_assert_uint_eq(srv->conn_count, 0);
+	ck_assert_uint_eq(srv->req_count, 0);
+	ck_assert_uint_eq(srv->held, 0);
+	ck_assert_uint_eq(srv->outquota.used, 0);
+	ev_loop_destroy(srv->loop);
+}
+
+static int call(struct srv *srv, const char *text)
+{
+	const int fd = socket(AF_INET, SOCK_STREAM, 0);
+	const int size = 65536;
+	struct sockaddr_in addr;
+	socklen_t len = sizeof(addr);
+
+	getsockname(srv->accept_io.fd, (struct sockaddr *)&addr, &len);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, len), 0);
+	fcntl(fd, F_SETFL, O_NONBLOCK);
+	ck_assert_int_eq((int)write(fd, text, strlen(text)), (int)strlen(text));
+	return fd;
+}
+
+static void turn(struct srv *srv, apr_interval_time_t time)
+{
+	const apr_time_t begun = clk_now(srv->clk);
+
+	do {
+		ev_run(srv->loop, EVRUN_NOWAIT);
+		usleep(1000);
+	} while (clk_now(srv->clk) - begun < time);
+}
+
+/* The first connection's request evicts the one that the stop drains next. */
+START_TEST(stop_evicts_the_connection_that_it_drains_next)
+{
+	struct srv srv;
+	int refused;
+	int idle;
+	int stalled;
+
+	server_init(&srv, &refused);
+	idle = call(&srv, "");
+	turn(&srv, CLK_MS(20));
+	stalled = call(&srv, GET);
+	turn(&srv, CLK_MS(700));
+	ck_assert_uint_gt(srv.outquota.used, LIMIT);
+	ck_assert_int_eq((int)write(idle, GET, strlen(GET)), (int)strlen(GET));
+	usleep(1000);
+	srv_drain(&srv);
+	turn(&srv, CLK_MS(20));
+	ck_assert_int_eq(refused, 0);
+	ck_assert_uint_eq(srv.conn_count, 1);
+	close(idle);
+	close(stalled);
+	server_free(&srv);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("conn_out");
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, stop_evicts_the_connection_that_it_drains_next);
+	return fix_run("conn_out", tc);
+}
