steerd: the idle time-out also waits for answers that are not all written

A caller that reads a large answer slowly gets part of it and a closed connection, though it reads all the time: of 16 MB read at some 400 kB/s with an idle time-out of 1 s, 3.9 MB arrive.

What the kernel sends counts as traffic only once all of an answer is written. Before that, only a write counts, and a socket takes one again when a third of its buffer is free, which is more than a megabyte on a fast link. Ruled out: the quota for unread answers (one connection, no conn_evicted) and TCP_USER_TIMEOUT (the end is idle_timeout).

The time-out now asks conn_out_is_taken() for any connection without a request in progress. Those that send a request keep their time-out.

Evidence: test_conn_out large_answer_read_slowly_is_not_idle, before: "3904956 of bytes" in 3 runs of 3; after: all of them in 3 of 3. test_conn: 12 of 12.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -534,7 +534,7 @@
 		ev_timer_again(loop, timer);
 		return;
 	}
-	if (now >= at && conn_idle(conn) && conn_out_is_taken(conn)) {
+	if (now >= at && !conn->reading && conn_out_is_taken(conn)) {
 		conn->last_byte_at = now;
 		at = times_out_at(conn);
 	}
--- a/tests/test_conn_out.c
+++ b/tests/test_conn_out.c
@@ -130,11 +130,44 @@
 }
 END_TEST
 
+/* The kernel's buffer empties too slowly for a write in each idle time-out. */
+START_TEST(large_answer_read_slowly_is_not_idle)
+{
+	static char part[8192];
+	struct srv srv;
+	int refused;
+	size_t got = 0;
+	ssize_t n = 0;
+	int fd;
+
+	server_init(&srv, &refused);
+	fd = call(&srv, GET);
+	/* Three idle time-outs at some 400 kB/s, then at once. */
+	for (int i = 0; i < 150; i++) {
+		turn(&srv, CLK_MS(20));
+		n = read(fd, part, sizeof(part));
+		got += n > 0 ? (size_t)n : 0;
+	}
+	for (int i = 0; i < 100000 && got < ANSWER_BYTES && n; i++) {
+		ev_run(srv.loop, EVRUN_NOWAIT);
+		n = read(fd, part, sizeof(part));
+		got += n > 0 ? (size_t)n : 0;
+		if (n < 0)
+			usleep(100);
+	}
+	ck_assert_msg(got > ANSWER_BYTES, "%zu of %lu bytes", got,
+		      ANSWER_BYTES);
+	close(fd);
+	server_free(&srv);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("conn_out");
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, stop_evicts_the_connection_that_it_drains_next);
+	tcase_add_test(tc, large_answer_read_slowly_is_not_idle);
 	return fix_run("conn_out", tc);
 }
