entryd: a stop answers what comes on connections that it has accepted

Cause: the port stayed open until the process closed everything, and a stop waited for the requests in progress alone, not for those not read yet.

Ruled out: requests in progress (waited for), kept connections (each answer of a stop closes its connection).

Fix: after the grace period the port closes; for 0.3 s what still comes on accepted connections is refused as not run. Then as before. Such callers could not tell that their request had not run; now they are told.

--- a/entryd/acceptor.c
+++ b/entryd/acceptor.c
@@ -57,6 +57,7 @@
 	struct pending_conn *slots;
 	size_t count;
 	char *head_buffer;
+	atomic_bool port_closing;
 	atomic_bool stop;
 	pthread_t thread;
 };
@@ -71,7 +72,7 @@
 
 static void set_accepting(struct acceptor *acceptor, bool yes)
 {
-	if (acceptor->accepting == yes)
+	if (acceptor->accepting == yes || acceptor->listener < 0)
 		return;
 	acceptor->accepting = yes;
 	epoll_set(acceptor, EPOLL_CTL_MOD, acceptor->listener,
@@ -251,6 +252,14 @@
 	}
 }
 
+/* Takes the connections that have arrived, and no more. */
+static void close_port(struct acceptor *acceptor)
+{
+	accept_new(acceptor);
+	close(acceptor->listener);
+	acceptor->listener = -1;
+}
+
 static void scan(struct acceptor *acceptor, apr_time_t now)
 {
 	const struct set_entry *entry = &acceptor->set->entry;
@@ -296,8 +305,10 @@
 				arrivals = true;
 		}
 		/* Last, because it may free what an event points to. */
-		if (arrivals)
+		if (arrivals && acceptor->listener >= 0)
 			accept_new(acceptor);
+		if (acceptor->port_closing && acceptor->listener >= 0)
+			close_port(acceptor);
 		if (now < next_scan)
 			continue;
 		scan(acceptor, now);
@@ -378,6 +389,11 @@
 	return 0;
 }
 
+void acceptor_close_port(struct acceptor *acceptor)
+{
+	acceptor->port_closing = true;
+}
+
 void acceptor_stop(struct acceptor *acceptor)
 {
 	acceptor->stop = true;
--- a/entryd/acceptor.h
+++ b/entryd/acceptor.h
@@ -23,6 +23,9 @@
 		   const struct clk *clk, struct callers *callers,
 		   struct MHD_Daemon *daemon);
 
+/* Soon accepts no further connection; those accepted stay. */
+void acceptor_close_port(struct acceptor *acceptor);
+
 /*
  * Closes the port and the connections not yet handed over. To be called before
  * the daemon stops.
--- a/entryd/frontend.c
+++ b/entryd/frontend.c
@@ -514,6 +514,11 @@
 	frontend->draining = true;
 }
 
+void frontend_close_port(struct frontend *frontend)
+{
+	acceptor_close_port(frontend->gate);
+}
+
 void frontend_stop(struct frontend *frontend)
 {
 	release(frontend);
--- a/entryd/frontend.h
+++ b/entryd/frontend.h
@@ -26,6 +26,9 @@
  */
 void frontend_drain(struct frontend *frontend);
 
+/* Soon accepts no further connection; those accepted are still served. */
+void frontend_close_port(struct frontend *frontend);
+
 /* Closes the listener and every connection. */
 void frontend_stop(struct frontend *frontend);
 
--- a/entryd/main.c
+++ b/entryd/main.c
@@ -16,6 +16,9 @@
 
 #define LOG_MODULE "entry.main"
 
+/* Time in which callers that connected before the port closed are answered. */
+#define REFUSE_TIME CLK_MS(300)
+
 struct daemon {
 	struct settings *set;
 	const struct clk *clk;
@@ -115,8 +118,9 @@
 
 /*
  * Keeps serving for the grace period, in which callers with old look-up answers
- * still arrive; then refuses new requests and finishes those in progress. A
- * second signal ends the grace period and skips the rest.
+ * still arrive; then closes the port, refuses what still comes on connections
+ * that it has accepted, and finishes the requests in progress. A second signal
+ * ends the grace period and skips the rest.
  */
 static void drain(struct daemon *d, const sigset_t *signals)
 {
@@ -130,6 +134,8 @@
 	frontend_drain(d->frontend);
 	if (!tick_until(d, signals, began + grace, false)) {
 		router_refuse_new(d->router);
+		frontend_close_port(d->frontend);
+		tick_until(d, signals, clk_now(d->clk) + REFUSE_TIME, false);
 		tick_until(d, signals, INT64_MAX, true);
 		tkt_agent_drain(d->deps.ticket);
 	}
