tests: requests of other programs do not reach the stand-ins of pst-steerd

Cause of the weakness: stand-ins listened at 127.0.0.1 at a port that the kernel chose, and the check counts every arrival. A port that another program's server had before still gets the requests of that program's callers and VMs.

Before, with a caller of another program at 127.0.0.1 and the stand-in's port:

Failure used again after its entry came back: ['foreign', 'foreign', 'foreign']

After, with the same caller: passes. Stand-ins and stores listen at a loopback address that is made of the number of their process, so that the port of one is no port of another program. The check is as it was.

--- a/tests/proc/fix_steer.py
+++ b/tests/proc/fix_steer.py
@@ -17,6 +17,8 @@
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BIN = os.environ.get("PST_BIN", os.path.join(ROOT, "build/bin"))
 HOST = "h.example"
+# Stand-ins listen at an address of their process: others may still call ports that were theirs before.
+LOOPBACK = "127.%d.%d.%d" % (64 + os.getpid() // 65536 % 64, os.getpid() // 256 % 256, os.getpid() % 256)
 # Past states of the store, from which it answers lists that may lag.
 MAX_PAST_STATES = 256
 SAFE = {"prefix": "/a/", "service": "s", "kind": "safe"}
@@ -133,10 +135,10 @@
 
     def door(self):
         """Another address of the same store."""
-        server = ThreadingHTTPServer(("127.0.0.1", 0), self.handler)
+        server = ThreadingHTTPServer((LOOPBACK, 0), self.handler)
         server.daemon_threads = True
         threading.Thread(target=server.serve_forever, daemon=True).start()
-        return "127.0.0.1:%d" % server.server_address[1]
+        return "%s:%d" % server.server_address[:2]
 
     def expire(self):
         while True:
@@ -307,8 +309,8 @@
         self.ran = []
         # Header lines in all answers, and in the late copies of mode extra-late; seconds in the refusals of mode quiet.
         self.said, self.said_late, self.quiet = "", "", "2.0"
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.addr = "127.0.0.1:%d" % self.listener.getsockname()[1]
+        self.listener = socket.create_server((LOOPBACK, 0))
+        self.addr = "%s:%d" % self.listener.getsockname()
         threading.Thread(target=self.accept, daemon=True).start()
 
     def entry(self, service="s", domain="d1", state="ready", cold=0):
