steerd: the idle time-out passes also while a last answer is not read

A caller that asks to close the connection and then reads nothing of a large answer keeps its connection and the answer past the idle time-out.

Cause: behind a last answer the timer only tried to send again, and closed nothing. What ended the connection was the kernel: with an idle time-out of 1 s it was open after 3.5 s and closed within 15 s (TCP_USER_TIMEOUT is 5 s).

Such a connection is now closed as any other whose caller takes nothing.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -544,14 +544,14 @@
 		return;
 	}
 	conn->users++;
-	if (conn->reading)
+	if (conn->reading) {
 		refuse_input(conn, 408, STR_LIT("Request Timeout"));
-	if (!conn->dead && conn->reading == NULL && conn->read_ended)
 		send_ready(conn);
-	else if (!conn->dead && conn_idle(conn))
+	} else if (conn_idle(conn)) {
 		end_idle(conn, SRV_END_IDLE_TIMEOUT);
-	else if (!conn->dead)
+	} else {
 		close_conn(conn, SRV_END_IDLE_TIMEOUT);
+	}
 	conn_leave(conn);
 }
 
--- a/tests/test_conn_out.c
+++ b/tests/test_conn_out.c
@@ -15,6 +15,7 @@
 #define LIMIT	     (8UL << 20)
 
 #define GET	     "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+#define GET_CLOSE    "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
 
 static char body[ANSWER_BYTES];
 
@@ -162,6 +163,22 @@
 }
 END_TEST
 
+/* The idle time-out never passed behind an answer that closes. */
+START_TEST(last_answer_that_nobody_reads_times_out)
+{
+	struct srv srv;
+	int refused;
+	int fd;
+
+	server_init(&srv, &refused);
+	fd = call(&srv, GET_CLOSE);
+	turn(&srv, CLK_MS(3500));
+	ck_assert_uint_eq(srv.conn_count, 0);
+	close(fd);
+	server_free(&srv);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("conn_out");
@@ -169,5 +186,6 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, stop_evicts_the_connection_that_it_drains_next);
 	tcase_add_test(tc, large_answer_read_slowly_is_not_idle);
+	tcase_add_test(tc, last_answer_that_nobody_reads_times_out);
 	return fix_run("conn_out", tc);
 }
