policy/outquota: large answers are not refused for good

Once the answers of a route are larger on average than the quota for unread answers, every request of that route gets 503 (why=unread), in calm, with no answer waiting. Since no answer comes, the average never falls again.

Cause: a request was admitted only if its expected answer fit the quota, though an answer that has come may take twice the quota. Ruled out: callers that do not read (none; no conn_evicted line).

Half of the quota is now room enough for an answer of any size. Beyond that the hard limit holds as before.

--- a/policy/outquota.c
+++ b/policy/outquota.c
@@ -3,11 +3,18 @@
 /* Longest time in which a caller that reads takes no byte. */
 #define STALLED_US (APR_USEC_PER_SEC / 2)
 
+/* Part of the quota that is room enough for an answer of any size. */
+#define ROOM_RATIO 0.5
+
 /* Ratio of the hard limit to the quota. */
 #define HARD_RATIO 2
 
 bool outquota_admits(const struct outquota *quota, size_t expected)
 {
+	const size_t room = (size_t)((double)quota->limit * ROOM_RATIO);
+
+	if (expected > room)
+		expected = room;
 	return quota->used < quota->limit &&
 	       expected <= quota->limit - quota->used;
 }
--- a/policy/outquota.h
+++ b/policy/outquota.h
@@ -30,7 +30,10 @@
 	apr_interval_time_t stalled;
 };
 
-/* Whether a request may run whose answer is expected to take so much. */
+/*
+ * Whether a request may run whose answer is expected to take so much. Half of
+ * the quota is room for any: an answer may be larger than all of it.
+ */
 bool outquota_admits(const struct outquota *quota, size_t expected);
 
 /* Whether the quota is exceeded so far that any connection may be closed. */
--- a/tests/test_outquota.c
+++ b/tests/test_outquota.c
@@ -115,11 +115,28 @@
 }
 END_TEST
 
+START_TEST(answers_larger_than_the_quota_are_not_refused_for_good)
+{
+	struct outquota quota = {.limit = LIMIT};
+
+	ck_assert(outquota_admits(&quota, 3 * LIMIT));
+	quota.used = LIMIT / 2;
+	ck_assert(outquota_admits(&quota, 3 * LIMIT));
+	quota.used++;
+	ck_assert(!outquota_admits(&quota, 3 * LIMIT));
+	ck_assert(outquota_admits(&quota, LIMIT / 2 - 1));
+	quota.used = LIMIT;
+	ck_assert(!outquota_admits(&quota, 0));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("outquota");
 
 	tcase_add_test(tc, callers_that_do_not_read_make_room_for_others);
 	tcase_add_test(tc, answers_that_have_come_fit_the_hard_limit);
+	tcase_add_test(tc,
+		       answers_larger_than_the_quota_are_not_refused_for_good);
 	return fix_run("outquota", tc);
 }
