steerd: gauges of upstreams that leave or are quiet, requests kept away

What operators saw: `pst_upstreams_leaving_total` and `pst_upstreams_quiet_total` count words, and no metric said how many upstreams of a service are kept away from now, or what that cost.

`/metrics` gets `pst_upstreams_leaving` (by entry, by answer) and `pst_upstreams_quiet` by service of the manifest. They are counted when they are asked for, so that a service that has gone leaves no old value and their number is bounded by the manifest. `pst_requests_kept_away_total` counts requests that waited for a connection when the word came; upstreams that are passed over in the choice itself are not counted. One that runs out of memory while it renders is now answered 503, not with an empty 200.

--- a/steerd/endpoint.c
+++ b/steerd/endpoint.c
@@ -5,6 +5,7 @@
 #include "common/ctr.h"
 #include "common/evt.h"
 #include "platform/plt_codec.h"
+#include "steerd/upstats.h"
 
 #define LOG_MODULE "asks"
 
@@ -51,6 +52,22 @@
 		answer_lookup(st, req, &lookup);
 }
 
+static void answer_metrics(const struct st *st, struct srv_req *req)
+{
+	size_t len = 0;
+	char *text = ctr_render(&len);
+	struct buf body = {0};
+
+	if (!text || buf_add(&body, (struct str){.ptr = text, .len = len}) ||
+	    upstats_put_gauges(st, &body))
+		send_empty(req, 503, STR_LIT("Service Unavailable"));
+	else
+		srv_answer(req, 200, STR_LIT("OK"), STR_LIT(TEXT_FIELD),
+			   buf_str(&body));
+	buf_free(&body);
+	free(text);
+}
+
 static void on_ready(void *ctx, struct srv_req *req)
 {
 	struct st *st = ctx;
@@ -62,12 +79,7 @@
 		else
 			send_empty(req, 503, STR_LIT("Service Unavailable"));
 	} else if (str_eq(target, STR_LIT("/metrics"))) {
-		size_t len = 0;
-		char *text = ctr_render(&len);
-
-		srv_answer(req, 200, STR_LIT("OK"), STR_LIT(TEXT_FIELD),
-			   (struct str){.ptr = text ? text : "", .len = len});
-		free(text);
+		answer_metrics(st, req);
 	} else {
 		send_empty(req, 404, STR_LIT("Not Found"));
 	}
--- a/steerd/flow.c
+++ b/steerd/flow.c
@@ -13,6 +13,7 @@
 #include "steerd/pass.h"
 #include "steerd/refuse.h"
 #include "steerd/said.h"
+#include "steerd/upstats.h"
 #include "steerd/stoplog.h"
 #include "steerd/verdict.h"
 
@@ -275,6 +276,8 @@
 			said_record(flow->st, call, up, log_id(flow), now);
 	} else if (result == UPCLIENT_STALE || result == UPCLIENT_WITHHELD) {
 		outcome = UP_OUTCOME_ABANDONED;
+		if (result == UPCLIENT_WITHHELD)
+			upstats_count_kept_away(up);
 	}
 	elapsed = now - call->sent_at;
 	up_note_outcome(up, outcome, elapsed, flow->pick.expected, now);
