placement: Retry-After counts only upstreams that may take the route

What callers saw: a route with home regions whose upstreams there are all quiet was refused with Retry-After 0.100, though the first of them opens in 3 s or more; each caller that obeyed came back to the next refusal.

Cause: `placement_retry_after()` asked all regions, while the choice asks only the home regions of the route; free upstreams of another region counted as room.

Ruled out: that the choice itself leaves the home regions (it gives none, in the same test); that the refusal waits (it is given at once, `t_steer_said` all_want_quiet).

Before, test_placement retry_after_counts_home_regions_only:

placement_retry_after(&ask) == 100000, 3000000 wanted

After: passes, with the other 14 of test_placement. The estimate now leaves out the same regions as the choice. Shown on the decision alone, not with processes.

--- a/policy/placement.c
+++ b/policy/placement.c
@@ -341,6 +341,16 @@
 		choose_region(ask, GEO_NONE, out);
 }
 
+/* Whether placement_choose() looks at the upstream's region at all. */
+static bool is_in_allowed_region(const struct placement_request *ask,
+				 const struct up *up)
+{
+	if (up->region < 0)
+		return !ask->route->home_count;
+	return routing_allows_region(
+		ask->route, strbuf_str(&ask->geo->regions[up->region]));
+}
+
 /*
  * Time until an upstream has room, the time ends for which it wants no request,
  * or its ejection after failures ends; NO_ROOM_AHEAD if none of these is known.
@@ -352,7 +362,8 @@
 	const double slots = up->slots ? up->slots : 1;
 	apr_interval_time_t room = 0;
 
-	if (up->state != UP_READY || is_evacuated(ask, up))
+	if (up->state != UP_READY || is_evacuated(ask, up) ||
+	    !is_in_allowed_region(ask, up))
 		return NO_ROOM_AHEAD;
 	if (up->quiet_until > ask->now)
 		return up->quiet_until - ask->now;
@@ -371,7 +382,7 @@
 		const struct up *up = ask->svc->ups[i];
 
 		if (up->region == ask->region && up_accepts(up, ask->now) &&
-		    !is_evacuated(ask, up))
+		    !is_evacuated(ask, up) && is_in_allowed_region(ask, up))
 			return true;
 	}
 	return false;
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -373,6 +373,27 @@
 }
 END_TEST
 
+/* Callers came back at once for upstreams that may not take the route. */
+START_TEST(retry_after_counts_home_regions_only)
+{
+	struct str home = STR_LIT("s");
+	struct placement_request ask;
+
+	add_many("n1", 1);
+	add_many("s1", 2);
+	place.route.homes = &home;
+	place.route.home_count = 1;
+	ask = place_ask(&place, object(1));
+	for (size_t i = 0; i < ask.svc->count; i++) {
+		if (ask.svc->ups[i]->region != ask.region)
+			up_note_quiet(ask.svc->ups[i], CLK_SEC(3), 1,
+				      place.now);
+	}
+	ck_assert_ptr_null(choose(object(1)).up);
+	ck_assert_int_ge(placement_retry_after(&ask), CLK_SEC(3));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("placement");
@@ -393,5 +414,6 @@
 	tcase_add_test(tc, evacuation_of_a_domain_changes_the_split);
 	tcase_add_test(tc, split_changes_within_its_cap);
 	tcase_add_test(tc, quiet_upstreams_are_never_chosen);
+	tcase_add_test(tc, retry_after_counts_home_regions_only);
 	return fix_run("plc", tc);
 }
