tests: no way past the predicate, and no flood when quiet times end together

no_path_past_the_predicate draws 20,000 mixes of states, attempts, routes with and without objects and home regions, and evacuations: no upstream is chosen that leaves, is quiet, is set aside or was tried, and one is chosen where one is free. return_from_quiet_floods_none plays 8, 40 and 300 upstreams whose quiet times end in the same 100 ms, under requests for nine tenths of their slots: nothing is sent before the ends, no upstream ever has more requests than it can answer within the route's aim, and all are used again.

That the ends are apart is checked by test_registry ends_of_quiet_are_spread, not here.

--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "common/clk.h"
+#include "policy/admission.h"
 #include "tests/fix_place.h"
 #include "tests/fix_run.h"
 
@@ -394,6 +395,158 @@
 }
 END_TEST
 
+static uint32_t draw(uint32_t *seed, uint32_t below)
+{
+	*seed = *seed * 1664525 + 1013904223;
+	return (uint32_t)(((uint64_t)*seed * below) >> 32);
+}
+
+/* Draws whether and why an upstream may not be used; returns if it may. */
+static bool draw_state(struct up *up, uint32_t *seed)
+{
+	up->state = draw(seed, 4) ? UP_READY : UP_DRAINING;
+	up->quiet_until = draw(seed, 2) ? place.now + 1 : place.now;
+	up->ejected_until = draw(seed, 8) ? 0 : place.now + 1;
+	up->cold_until = draw(seed, 4) ? 0 : place.now + 1;
+	up->cold_tokens = draw(seed, 2);
+	up->in_flight = draw(seed, 12);
+	up->failure_rate = draw(seed, 2);
+	return up->state == UP_READY && up->quiet_until <= place.now &&
+	       !up->ejected_until && !up->cold_until;
+}
+
+/* Any mix of states, routes, evacuations and attempts keeps the predicate. */
+START_TEST(no_path_past_the_predicate)
+{
+	static const char *const domains[] = {"n1", "n2", "s1", "s2", "other"};
+	struct str home = STR_LIT("s");
+	uint32_t seed = 42;
+
+	for (size_t i = 0; i < sizeof(domains) / sizeof(domains[0]); i++)
+		add_many(domains[i], 2);
+	for (unsigned o = 0; o < 20000; o++) {
+		struct placement_request ask;
+		struct placement_pick pick;
+		size_t usable = 0;
+
+		place.now += CLK_MS(300);
+		place.route.sticky = draw(&seed, 2);
+		place.route.homes = &home;
+		place.route.home_count = draw(&seed, 4) == 0;
+		place.evacuated[draw(&seed, 4)] = draw(&seed, 2);
+		ask = place_ask(&place, object(o));
+		for (size_t i = 0; i < ask.svc->count; i++) {
+			struct up *up = ask.svc->ups[i];
+			const bool evacuated =
+				up->domain >= 0 && place.evacuated[up->domain];
+			const bool home_region =
+				!place.route.home_count ||
+				(up->region >= 0 && up->region != ask.region);
+
+			if (draw_state(up, &seed) && !evacuated && home_region)
+				usable++;
+		}
+		ask.tried_count = draw(&seed, 3);
+		for (size_t i = 0; i < ask.tried_count; i++)
+			ask.tried[i] = ask.svc->ups[draw(&seed, 10)];
+		placement_choose(&ask, &pick);
+		ck_assert(pick.up || usable <= ask.tried_count);
+		if (!pick.up)
+			continue;
+		ck_assert_int_eq(pick.up->state, UP_READY);
+		ck_assert_int_le(pick.up->quiet_until, place.now);
+		ck_assert_int_le(pick.up->ejected_until, place.now);
+		for (size_t i = 0; i < ask.tried_count; i++)
+			ck_assert_ptr_ne(pick.up, ask.tried[i]);
+	}
+}
+END_TEST
+
+#define RETURN_RUN_US CLK_MS(100)
+#define RETURN_SLOTS  4
+#define RETURN_MOST   20
+
+/* An upstream that runs so many requests at a time, in order of arrival. */
+struct runner {
+	struct up *up;
+	apr_time_t free_at[RETURN_SLOTS];
+	/* Ends of the requests that it has, in a ring. */
+	apr_time_t ends[64];
+	unsigned head;
+	unsigned tail;
+};
+
+static void runner_take(struct runner *runner, apr_time_t now)
+{
+	apr_time_t *slot = &runner->free_at[0];
+
+	for (int i = 1; i < RETURN_SLOTS; i++)
+		slot = runner->free_at[i] < *slot ? &runner->free_at[i] : slot;
+	*slot = (*slot > now ? *slot : now) + RETURN_RUN_US;
+	runner->ends[runner->tail++ % 64] = *slot;
+	up_note_sent(runner->up);
+}
+
+/* Quiet times that end together flood no upstream when requests return. */
+START_TEST(return_from_quiet_floods_none)
+{
+	static const int counts[] = {8, 40, 300};
+	const int count = counts[_i];
+	struct runner *runners = calloc((size_t)count, sizeof(*runners));
+	int due = 0;
+	unsigned o = 0;
+
+	add_many("n1", count);
+	for (int i = 0; i < count; i++) {
+		char name[16];
+
+		snprintf(name, sizeof(name), "n1-%d", i);
+		runners[i].up =
+			registry_find(&place.registry, str_from_c(name));
+		up_note_quiet(runners[i].up, CLK_SEC(2) + CLK_MS(i % 100), 7,
+			      place.now);
+		runners[i].up->pool = &runners[i];
+	}
+	for (int ms = 0; ms < 4000; ms++, place.now += CLK_MS(1)) {
+		for (int i = 0; i < count; i++) {
+			struct runner *r = &runners[i];
+
+			for (; r->head != r->tail &&
+			       r->ends[r->head % 64] <= place.now;
+			     r->head++)
+				up_note_outcome(r->up, UP_OUTCOME_OK,
+						RETURN_RUN_US, RETURN_RUN_US,
+						place.now);
+		}
+		/* Nine tenths of what all can run. */
+		for (due += 9 * RETURN_SLOTS * count; due >= 1000;
+		     due -= 1000) {
+			const struct placement_request ask =
+				place_ask(&place, object(o++));
+			apr_interval_time_t retry_after;
+			struct placement_pick pick;
+			struct admission_request request = {
+				.route = &place.route,
+				.pick = &pick,
+			};
+
+			placement_choose(&ask, &pick);
+			if (!pick.up ||
+			    admission_request(&ask.svc->ranks, &request,
+					      place.now, &retry_after))
+				continue;
+			ck_assert_int_ge(place.now, CLK_SEC(1002));
+			runner_take(pick.up->pool, place.now);
+			/* What it can answer within the route's aim. */
+			ck_assert_uint_le(pick.up->in_flight, RETURN_MOST);
+		}
+	}
+	for (int i = 0; i < count; i++)
+		ck_assert_uint_gt(runners[i].tail, 0);
+	free(runners);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("placement");
@@ -415,5 +568,7 @@
 	tcase_add_test(tc, split_changes_within_its_cap);
 	tcase_add_test(tc, quiet_upstreams_are_never_chosen);
 	tcase_add_test(tc, retry_after_counts_home_regions_only);
+	tcase_add_test(tc, no_path_past_the_predicate);
+	tcase_add_loop_test(tc, return_from_quiet_floods_none, 0, 3);
 	return fix_run("plc", tc);
 }
