steerd: relays keep the next watch where its end is noticed

A pointer to the next watch that watch_free() moves on says it plainly, and watches are tried once each again. t_steer_relay 13 checks, test_relay 103: none failed; lint is clean.

--- a/steerd/relay.c
+++ b/steerd/relay.c
@@ -40,6 +40,8 @@
 
 static void watch_free(struct relay *relay, struct relay_watch *watch)
 {
+	if (relay->next == watch)
+		relay->next = TAILQ_NEXT(watch, link);
 	TAILQ_REMOVE(&relay->watches, watch, link);
 	watch->req->user = NULL;
 	free(watch);
@@ -60,11 +62,8 @@
 	       relaytree_is_fresh(feed_fresh_at(feed), clk_now(relay->st->clk));
 }
 
-/*
- * Answers a list once this VM has listed the keys itself; returns whether it
- * was answered.
- */
-static bool try_list(struct relay *relay, struct relay_watch *watch)
+/* Answers a list once this VM has listed the keys itself. */
+static void try_list(struct relay *relay, struct relay_watch *watch)
 {
 	struct feed *feed = watch->feed;
 	struct srv_req *req = watch->req;
@@ -79,31 +78,24 @@
 		   clk_now(relay->st->clk) >= watch->wait_until) {
 		watch_free(relay, watch);
 		refuse(req, 503, STR_LIT("Service Unavailable"));
-	} else {
-		return false;
 	}
-	return true;
 }
 
-/*
- * Answers if there is a change, or if the watch has waited long enough; returns
- * whether it was answered.
- */
-static bool try_watch(struct relay *relay, struct relay_watch *watch)
+/* Answers if there is a change, or if the watch has waited long enough. */
+static void try_watch(struct relay *relay, struct relay_watch *watch)
 {
 	const bool late = clk_now(relay->st->clk) >= watch->wait_until;
 	struct srv_req *req = watch->req;
 	struct buf body = {0};
-	bool answered = true;
 	int count;
 
 	if (!is_fresh(relay, watch->feed)) {
 		/* The store may answer the call in progress in time. */
 		if (!late && may_be_fresh(relay, watch->feed))
-			return false;
+			return;
 		watch_free(relay, watch);
 		refuse(req, 503, STR_LIT("Service Unavailable"));
-		return true;
+		return;
 	}
 	count = plt_put_changes(&body, &watch->feed->changes, watch->after,
 				watch->received_at -
@@ -118,17 +110,16 @@
 		watch_free(relay, watch);
 		refuse(req, count == PST_ERR_STALE ? 410 : 503,
 		       STR_LIT("Not Known"));
-	} else {
-		answered = false;
 	}
 	buf_free(&body);
-	return answered;
 }
 
-static bool try_answer(struct relay *relay, struct relay_watch *watch)
+static void try_answer(struct relay *relay, struct relay_watch *watch)
 {
-	return watch->is_list ? try_list(relay, watch)
-			      : try_watch(relay, watch);
+	if (watch->is_list)
+		try_list(relay, watch);
+	else
+		try_watch(relay, watch);
 }
 
 static struct feed *find_feed(const struct relay *relay, struct str prefix)
@@ -201,14 +192,12 @@
 
 static void answer_watches(struct relay *relay, const struct feed *feed)
 {
-	struct relay_watch *watch = TAILQ_FIRST(&relay->watches);
-
-	while (watch) {
-		/* An answer may end connections, and with them any watch. */
-		if ((!feed || watch->feed == feed) && try_answer(relay, watch))
-			watch = TAILQ_FIRST(&relay->watches);
-		else
-			watch = TAILQ_NEXT(watch, link);
+	struct relay_watch *watch;
+
+	for (watch = TAILQ_FIRST(&relay->watches); watch; watch = relay->next) {
+		relay->next = TAILQ_NEXT(watch, link);
+		if (!feed || watch->feed == feed)
+			try_answer(relay, watch);
 	}
 }
 
--- a/steerd/relay.h
+++ b/steerd/relay.h
@@ -13,6 +13,11 @@
 	struct ev_timer timer;
 	/* Watches of other VMs that wait for a change. */
 	TAILQ_HEAD(, relay_watch) watches;
+	/*
+	 * The next to be tried while watches are answered: an answer can end
+	 * connections, and with them any watch.
+	 */
+	struct relay_watch *next;
 };
 
 /* Operations of the server for other VMs; their ctx is the struct relay. */
