--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -1,7 +1,5 @@
 /* Requests sent ahead on one connection, cut and answered in many ways. */
 #include <check.h>
-#include <fcntl.h>
-#include <netinet/in.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -11,6 +9,7 @@
 #include "common/clk.h"
 #include "common/evt.h"
 #include "steerd/conn.h"
+#include "tests/fix_conn.h"
 #include "tests/fix_run.h"
 
 #define MAX_REQS 256
@@ -322,10 +321,6 @@
 		.gone = on_gone,
 		.logs_answers = true,
 	};
-	const struct sockaddr_in any = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	};
 
 	world_init(w);
 	conn_free(TAILQ_FIRST(&w->srv.conns), SRV_END_STOP_CUT);
@@ -334,23 +329,14 @@
 	w->srv.max_conns = max_conns;
 	w->srv.limits.header_timeout = CLK_MS(100);
 	w->srv.limits.idle_timeout = CLK_MS(100);
-	ck_assert_int_eq(srv_start(&w->srv, &any), 0);
+	fix_conn_listen(&w->srv);
 	w->srv.stopping = true;
 }
 
 /* Returns a new caller's descriptor. */
 static int call(struct world *w)
 {
-	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	const int size = 4096;
-	struct sockaddr_in addr;
-	socklen_t len = sizeof(addr);
-
-	getsockname(w->srv.accept_io.fd, (struct sockaddr *)&addr, &len);
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, len), 0);
-	fcntl(fd, F_SETFL, O_NONBLOCK);
-	return fd;
+	return fix_conn_call(&w->srv, 4096);
 }
 
 #define GET(target, more) "GET " target " HTTP/1.1\r\nHost: h\r\n" more "\r\n"
--- a/tests/test_conn_close.c
+++ b/tests/test_conn_close.c
@@ -1,6 +1,5 @@
 /* Connections that the server ends while something is in transit. */
 #include <check.h>
-#include <fcntl.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -8,6 +7,7 @@
 #include "common/clk.h"
 #include "steerd/conn.h"
 #include "steerd/sock.h"
+#include "tests/fix_conn.h"
 #include "tests/fix_run.h"
 
 static const char request[] = "GET /0 HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -41,19 +41,10 @@
 
 static const struct srv_ops ops = {.request = on_request, .gone = on_gone};
 
-/* Returns a new caller's descriptor; its receive buffer is small. */
+/* Returns a new caller's descriptor. */
 static int call(struct world *w)
 {
-	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	const int size = 4096;
-	struct sockaddr_in addr;
-	socklen_t len = sizeof(addr);
-
-	getsockname(w->srv.accept_io.fd, (struct sockaddr *)&addr, &len);
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, len), 0);
-	fcntl(fd, F_SETFL, O_NONBLOCK);
-	return fd;
+	return fix_conn_call(&w->srv, 4096);
 }
 
 static void turn(struct world *w)
@@ -64,11 +55,6 @@
 
 static void world_init(struct world *w, size_t body_len)
 {
-	const struct sockaddr_in any = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	};
-
 	*w = (struct world){
 		.body_len = body_len,
 		.srv = {.loop = ev_loop_new(0),
@@ -83,7 +69,7 @@
 			.outquota.limit = 1 << 20,
 			.max_conns = 2},
 	};
-	ck_assert_int_eq(srv_start(&w->srv, &any), 0);
+	fix_conn_listen(&w->srv);
 	w->fd = call(w);
 	turn(w);
 }
--- a/tests/test_conn_out.c
+++ b/tests/test_conn_out.c
@@ -1,7 +1,5 @@
 /* Connections whose callers read large answers slowly, or not at all. */
 #include <check.h>
-#include <fcntl.h>
-#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -9,6 +7,7 @@
 
 #include "common/clk.h"
 #include "steerd/conn.h"
+#include "tests/fix_conn.h"
 #include "tests/fix_run.h"
 
 #define ANSWER_BYTES (16UL << 20)
@@ -48,10 +47,6 @@
 		.gone = on_gone,
 		.logs_answers = true,
 	};
-	const struct sockaddr_in any = {
-		.sin_family = AF_INET,
-		.sin_addr.s_addr = htonl(INADDR_LOOPBACK),
-	};
 
 	*refused = 0;
 	*srv = (struct srv){
@@ -67,7 +62,7 @@
 		.outquota = {.limit = LIMIT},
 		.max_conns = 8,
 	};
-	ck_assert_int_eq(srv_start(srv, &any), 0);
+	fix_conn_listen(srv);
 }
 
 static void server_free(struct srv *srv)
@@ -82,15 +77,8 @@
 
 static int call(struct srv *srv, const char *text)
 {
-	const int fd = socket(AF_INET, SOCK_STREAM, 0);
-	const int size = 65536;
-	struct sockaddr_in addr;
-	socklen_t len = sizeof(addr);
-
-	getsockname(srv->accept_io.fd, (struct sockaddr *)&addr, &len);
-	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
-	ck_assert_int_eq(connect(fd, (struct sockaddr *)&addr, len), 0);
-	fcntl(fd, F_SETFL, O_NONBLOCK);
+	const int fd = fix_conn_call(srv, 65536);
+
 	ck_assert_int_eq((int)write(fd, text, strlen(text)), (int)strlen(text));
 	return fd;
 }
