--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -40,8 +40,7 @@
 	bool said_close;
 	/* All is written and the output ended; the caller's end is awaited. */
 	bool lingering;
-	/* The cause once the caller has ended its side, and how long to wait.
-	 */
+	/* The cause when lingering ends in order; when it ends at the latest. */
 	enum srv_end linger_end;
 	apr_time_t linger_until;
 	/* The caller's last request asked to close the connection. */
