steerd: callers that read slowly are not closed for memory as if they read nothing

A caller that reads a large answer at some 400 kB/s loses the rest once the quota for unread answers is used up and another request comes.

Cause: a caller counted as reading only when there was room for another write. A socket tells that when a third of its buffer is free; with 4 MB that takes seconds. Ruled out: the hard limit (twice the quota), which was not reached.

The search for a connection to close looks at what the kernel has left to send; a change counts as reading. A caller that takes nothing is closed at the first search that comes half a second after its last change; until then requests get 503 (unread).

--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -52,8 +52,10 @@
 	apr_time_t last_byte_at;
 	/* When the caller last took a byte, or output began to wait. */
 	apr_time_t taken_at;
-	/* Bytes that the kernel had to send at the last look. */
+	/* Bytes that the kernel had to send at the timer's last look. */
 	size_t unsent;
+	/* The same at the last search for a connection to evict. */
+	size_t unsent_seen;
 	/* Part of srv->outquota. */
 	size_t out_held;
 	/* Bytes written so far. */
--- a/steerd/conn_out.c
+++ b/steerd/conn_out.c
@@ -85,8 +85,15 @@
 	return taken;
 }
 
-static struct outquota_conn as_item(const struct srv_conn *conn, apr_time_t now)
+static struct outquota_conn as_item(struct srv_conn *conn, apr_time_t now)
 {
+	const size_t unsent = conn->out.len ? sock_unsent(conn->fd) : 0;
+
+	/* The kernel may send for long before there is room for a write. */
+	if (unsent != conn->unsent_seen) {
+		conn->unsent_seen = unsent;
+		conn->taken_at = now;
+	}
 	return (struct outquota_conn){
 		.bytes = conn->out_held,
 		.stalled = conn->out.len ? now - conn->taken_at : 0,
@@ -103,10 +110,12 @@
 
 	TAILQ_FOREACH(conn, &srv->conns, link)
 	{
-		const struct outquota_conn item = as_item(conn, now);
+		struct outquota_conn item;
 
-		if (conn == kept || conn->dead ||
-		    !outquota_evicts(&srv->outquota, &item,
+		if (conn == kept || conn->dead)
+			continue;
+		item = as_item(conn, now);
+		if (!outquota_evicts(&srv->outquota, &item,
 				     victim ? &chosen : NULL))
 			continue;
 		victim = conn;
