policy/shutdown: a stop keeps to a grace period of one second

With grace_s at its least value, 1, a stop ends 1.22 s after SIGTERM: it may be killed before, without its last lines.

Cause: connections are accepted for 1.2 s, and the end of the grace period was looked at only after that. Ruled out for grace_s of 2 and more, where 0.94 of it is later than 1.2 s.

--- a/policy/shutdown.c
+++ b/policy/shutdown.c
@@ -18,7 +18,8 @@
 
 bool shutdown_accepts(const struct shutdown *shutdown)
 {
-	return shutdown->elapsed < ACCEPT_TIME_US;
+	return shutdown->elapsed < ACCEPT_TIME_US &&
+	       !shutdown_is_over(shutdown);
 }
 
 bool shutdown_admits(const struct shutdown *shutdown,
--- a/tests/test_shutdown.c
+++ b/tests/test_shutdown.c
@@ -59,6 +59,19 @@
 }
 END_TEST
 
+/* A stop accepted connections beyond the end of a grace period of a second. */
+START_TEST(short_grace_period_is_kept)
+{
+	const struct shutdown end = {
+		.grace = CLK_SEC(1),
+		.elapsed = CLK_MS(950),
+	};
+
+	ck_assert(shutdown_is_over(&end));
+	ck_assert(!shutdown_accepts(&end));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("shutdown");
@@ -66,5 +79,6 @@
 	tcase_add_test(tc, phases_come_in_order);
 	tcase_add_test(tc, late_requests_are_admitted_if_they_can_end);
 	tcase_add_test(tc, nothing_is_admitted_after_the_end);
+	tcase_add_test(tc, short_grace_period_is_kept);
 	return fix_run("shutdown", tc);
 }
