--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -40,7 +40,7 @@
 	bool said_close;
 	/* All is written and the output ended; the caller's end is awaited. */
 	bool lingering;
-	/* The cause when lingering ends in order; when it ends at the latest. */
+	/* The cause if lingering ends in order; its latest end. */
 	enum srv_end linger_end;
 	apr_time_t linger_until;
 	/* The caller's last request asked to close the connection. */
