soak: what a held link delays is not sent after its caller left

The users' rule: a request is not counted as late at a target if the link between the sending machine and the target was cut or harmed within stabilityMs. The check now leaves out arrivals at an upstream whose link was harmed within that time, as the checks of stops and of lost requests do.

--- a/tests/soak/soak_checks.py
+++ b/tests/soak/soak_checks.py
@@ -227,9 +227,9 @@
 
 
 def gone(seen):
-    """What reaches an upstream after its caller has left."""
+    """What reaches an upstream after its caller has left, unless its link held it up."""
     late = [r for r in seen.requests if r.outcome in ("left", "late") and seen.in_touch(r.vm, r.began, r.done + 1)
-            and any(n["at"] > r.done + GONE_S for n in seen.runs[r.id])]
+            and any(n["at"] > r.done + GONE_S and seen.unharmed(n, n["at"]) for n in seen.runs[r.id])]
     if len(late) > 3:
         yield "%d reached upstreams after their callers left, the first: %s" % (len(late), late[0])
 
