Limits of tenants: shares end with the lease, and move when both sides know

Cause: the list of VMs alone decided who keeps an account, whatever its age. The VM that got no answer kept the whole limit by its old list, and a new one used it 3 s after its start. Evidence: in the worst window 1,000 requests ran through the first VM and 1,007 through the new ones; both have account_taken with share=1.0000. Where the store answers the first VM the limit holds, 1,007. Change: shares are used for 6 s after the last renewed lease and the last current list, by others 8 s after that lease. A VM that joins waits 8 s, or 3 s when those that may have kept the account answer with a current list. VMs that hear nothing, as three in four of those they ask, go on: the store is away for all. Why it works: whoever takes a share over does so after the last moment at which a VM that does not know of it may use it, by the same lease. On related paths, in the same rule: a VM that the store turns away among others counted itself as listed for up to 3.3 s after its lease; an empty list was used at once; a restarted process needed no lease of its own.

t_steer_quota: its stand-in for a listed VM answers whether it follows the store, as VMs do now; else the VMs beside it, which have just joined, wait 8 s. Questions of VMs that are not listed, and damaged ones, are checked in addition.

--- a/policy/account.c
+++ b/policy/account.c
@@ -96,11 +96,15 @@
 static void refill(struct account *account, const struct account_limits *limits,
 		   apr_time_t now)
 {
-	if (account->share < account->place.share && now >= account->rise_at) {
+	const apr_time_t rise_at = account->rise_at > account->barred_until
+					   ? account->rise_at
+					   : account->barred_until;
+
+	if (account->share < account->place.share && now >= rise_at) {
 		/* The time before is refilled by the share until then. */
-		const apr_time_t from = account->refilled_at > account->rise_at
+		const apr_time_t from = account->refilled_at > rise_at
 						? account->refilled_at
-						: account->rise_at;
+						: rise_at;
 
 		account->tokens += rate_of(account, limits) *
 				   (double)(from - account->refilled_at) /
@@ -158,6 +162,16 @@
 	account->tokens = fmin(account->tokens, cap_of(account, limits));
 }
 
+void account_bar(struct account *account, apr_time_t until, apr_time_t now)
+{
+	account->barred_until = until;
+	if (until <= now || account->share <= 0)
+		return;
+	account->share = 0;
+	account->tokens = 0;
+	account->refilled_at = now;
+}
+
 void account_note_stall(struct account *account, apr_time_t now)
 {
 	account->share = 0;
--- a/policy/account.h
+++ b/policy/account.h
@@ -111,8 +111,9 @@
 	struct account_place place;
 	/* Share in use: the least that the lists gave it recently. */
 	double share;
-	/* When a higher share of the list takes effect. */
+	/* When a higher share of the list takes effect: the later of both. */
 	apr_time_t rise_at;
+	apr_time_t barred_until;
 	double tokens;
 	apr_time_t refilled_at;
 	/* Tokens of an account without a share are dropped then. */
@@ -165,6 +166,12 @@
 		       const struct account_limits *limits,
 		       const struct account_place *place, apr_time_t now);
 
+/*
+ * Uses no share until then, since a VM that does not know of this one may use
+ * it. To be called right after account_init() and account_set_place().
+ */
+void account_bar(struct account *account, apr_time_t until, apr_time_t now);
+
 /*
  * The process did not run for ACCOUNT_STALL_US. To be called for every account
  * before any other call, as its VM may no longer be listed.
--- a/policy/acctorder.c
+++ b/policy/acctorder.c
@@ -33,9 +33,8 @@
 	       (vms->list[vm].peer.len || vms->count == 1);
 }
 
-/* Writes the first max VMs of the region in order; returns their count. */
-static unsigned find_first(const struct vms *vms, int region, uint64_t tenant,
-			   unsigned max, int *out)
+unsigned acctorder_first(const struct vms *vms, int region, uint64_t tenant,
+			 unsigned max, int *out)
 {
 	unsigned count = 0;
 
@@ -83,8 +82,8 @@
 	/* With room for the spare one. */
 	if (reserve(order, (size_t)order->accounts + accounts + 1))
 		return PST_ERR_NOMEM;
-	found = find_first(vms, region, tenant, accounts + is_own,
-			   order->vms + order->accounts);
+	found = acctorder_first(vms, region, tenant, accounts + is_own,
+				order->vms + order->accounts);
 	if (is_own) {
 		order->region_vms = region_vms;
 		order->region_accounts = accounts;
--- a/policy/acctorder.h
+++ b/policy/acctorder.h
@@ -54,6 +54,13 @@
 /* Whether the VM with this index in the list may keep accounts. */
 bool acctorder_can_keep(const struct vms *vms, size_t vm);
 
+/*
+ * Writes the first VMs, at most max, of a region by the tenant's order, as
+ * indexes into the list; returns their count.
+ */
+unsigned acctorder_first(const struct vms *vms, int region, uint64_t tenant,
+			 unsigned max, int *out);
+
 /* The VM at a position of the own region's order, or ACCTORDER_NONE. */
 int acctorder_vm_at(const struct acctorder *order, unsigned position);
 
--- a/schema/account.x
+++ b/schema/account.x
@@ -63,6 +63,23 @@
 	double per_s;
 };
 
+/* Kind of act_x_state, which earlier versions drop. */
+const ACT_X_STATE_KIND = 0x70737433;
+
+/* What a VM knows of the store, or a question for it. */
+struct act_x_state {
+	unsigned int kind;
+	bool is_question;
+	/*
+	 * Age of its list of VMs, and of what it last heard from the store, in
+	 * milliseconds. 0 in a question, as is the next one.
+	 */
+	unsigned int list_age_ms;
+	unsigned int store_age_ms;
+	/* It joined the list so long ago that it waits for nothing. */
+	bool is_settled;
+};
+
 struct act_x_batch {
 	unsigned int kind;
 	act_x_ask asks<ACT_X_MOST_ASKS>;
--- a/schema/gen/account.h
+++ b/schema/gen/account.h
@@ -57,6 +57,16 @@
 	double per_s;
 };
 typedef struct act_x_give act_x_give;
+#define ACT_X_STATE_KIND 0x70737433
+
+struct act_x_state {
+	u_int kind;
+	bool_t is_question;
+	u_int list_age_ms;
+	u_int store_age_ms;
+	bool_t is_settled;
+};
+typedef struct act_x_state act_x_state;
 
 struct act_x_batch {
 	u_int kind;
@@ -86,6 +96,7 @@
 extern  bool_t xdr_act_x_grant (XDR *, act_x_grant*);
 extern  bool_t xdr_act_x_pull (XDR *, act_x_pull*);
 extern  bool_t xdr_act_x_give (XDR *, act_x_give*);
+extern  bool_t xdr_act_x_state (XDR *, act_x_state*);
 extern  bool_t xdr_act_x_batch (XDR *, act_x_batch*);
 
 #else /* K&R C */
@@ -93,6 +104,7 @@
 extern bool_t xdr_act_x_grant ();
 extern bool_t xdr_act_x_pull ();
 extern bool_t xdr_act_x_give ();
+extern bool_t xdr_act_x_state ();
 extern bool_t xdr_act_x_batch ();
 
 #endif /* K&R C */
--- a/schema/gen/account_xdr.c
+++ b/schema/gen/account_xdr.c
@@ -81,6 +81,69 @@
 	return TRUE;
 }
 
+bool_t
+xdr_act_x_state (XDR *xdrs, act_x_state *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_question))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->list_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_settled))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->kind);
+			IXDR_PUT_BOOL(buf, objp->is_question);
+			IXDR_PUT_U_LONG(buf, objp->list_age_ms);
+			IXDR_PUT_U_LONG(buf, objp->store_age_ms);
+			IXDR_PUT_BOOL(buf, objp->is_settled);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->kind))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_question))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->list_age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+				 return FALSE;
+			 if (!xdr_bool (xdrs, &objp->is_settled))
+				 return FALSE;
+		} else {
+			objp->kind = IXDR_GET_U_LONG(buf);
+			objp->is_question = IXDR_GET_BOOL(buf);
+			objp->list_age_ms = IXDR_GET_U_LONG(buf);
+			objp->store_age_ms = IXDR_GET_U_LONG(buf);
+			objp->is_settled = IXDR_GET_BOOL(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_int (xdrs, &objp->kind))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_question))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->list_age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->store_age_ms))
+		 return FALSE;
+	 if (!xdr_bool (xdrs, &objp->is_settled))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_act_x_batch (XDR *xdrs, act_x_batch *objp)
 {
--- a/steerd/accounts.c
+++ b/steerd/accounts.c
@@ -6,7 +6,10 @@
 #include "common/evt.h"
 #include "platform/plt_codec.h"
 #include "steerd/acctbook.h"
+#include "steerd/acctlist.h"
+#include "steerd/acctpeers.h"
 #include "steerd/acctstats.h"
+#include "steerd/self.h"
 
 #define LOG_MODULE "accounts"
 
@@ -25,12 +28,6 @@
 /* Shortest time until a timer, so that rounding causes no busy loop. */
 #define MIN_TIMER_S 0.001
 
-/*
- * Time for which a VM that left the list gets permits: it may run, and the
- * store turn it away, so that its lease has ended.
- */
-#define LEFT_SERVED_US (60 * APR_USEC_PER_SEC)
-
 /* Retry-After without memory for a record. */
 #define NO_MEMORY_RETRY_US APR_USEC_PER_SEC
 
@@ -215,34 +212,10 @@
 	ev_prepare_start(accounts->st->loop, &accounts->prepare);
 }
 
-/* Finds this VM's numbers among the listed ones, in the order of hashes. */
-static void number_self(struct accounts *accounts)
-{
-	const struct st *st = accounts->st;
-
-	accounts->self_index = 0;
-	accounts->region_index = 0;
-	for (size_t i = 0; i < st->vms.count; i++) {
-		const bool before = st->vms.hashes[i] < accounts->self_hash;
-
-		accounts->self_index += before;
-		accounts->region_index +=
-			before && st->vms.list[i].region == st->region &&
-			acctorder_can_keep(&st->vms, i);
-	}
-}
-
 void accounts_list_changed(struct accounts *accounts)
 {
-	const struct vms *vms = &accounts->st->vms;
-	size_t self;
-
-	if (accounts->list_version == vms->version)
+	if (!acctlist_update(accounts))
 		return;
-	accounts->list_version = vms->version;
-	self = vms_find(vms, accounts->st->set->vm.id);
-	accounts->self = self < vms->count ? (int)self : ACCTORDER_NONE;
-	number_self(accounts);
 	for (apr_hash_index_t *i = apr_hash_first(NULL, accounts->tenants); i;
 	     i = apr_hash_next(i)) {
 		struct acct_tenant *tenant = apr_hash_this_val(i);
@@ -252,42 +225,6 @@
 	}
 }
 
-void accounts_list_known(struct accounts *accounts)
-{
-	const struct vms *vms = &accounts->st->vms;
-
-	if (accounts->list_known)
-		return;
-	accounts->list_known = true;
-	/* Without any other VM, none has taken over a share. */
-	accounts->was_listed =
-		!vms->count ||
-		vms_find(vms, accounts->st->set->vm.id) < vms->count;
-}
-
-void accounts_note_left(struct accounts *accounts,
-			const struct vms_entry *entry)
-{
-	struct acct_left *left = &accounts->left;
-	const size_t at = left->count++ % ACCT_MAX_LEFT;
-
-	left->vms[at] = *entry;
-	left->at[at] = clk_now(accounts->st->clk);
-}
-
-bool accounts_has_left(const struct accounts *accounts, struct str id,
-		       apr_time_t since)
-{
-	const struct acct_left *left = &accounts->left;
-
-	for (size_t i = 0; i < left->count && i < ACCT_MAX_LEFT; i++) {
-		if (left->at[i] >= since &&
-		    str_eq(strbuf_str(&left->vms[i].id), id))
-			return true;
-	}
-	return false;
-}
-
 void acct_note_running(struct accounts *accounts)
 {
 	const apr_time_t now = clk_now(accounts->st->clk);
@@ -308,13 +245,36 @@
 	}
 }
 
+/* Brings the accounts up to date with the shares that may be used. */
+static void update_shares(struct accounts *accounts, bool changed)
+{
+	for (apr_hash_index_t *i = apr_hash_first(NULL, accounts->tenants); i;
+	     i = apr_hash_next(i)) {
+		struct acct_tenant *tenant = apr_hash_this_val(i);
+
+		if (!tenant->account)
+			continue;
+		acct_refresh(tenant);
+		if (changed)
+			acctbook_set_place(tenant);
+		else
+			acctbook_bar(tenant);
+		acct_mark_dirty(tenant);
+	}
+}
+
 static void on_beat(struct ev_loop *loop, struct ev_timer *timer, int events)
 {
 	struct accounts *accounts = timer->data;
+	bool changed;
 
 	(void)loop;
 	(void)events;
 	acct_note_running(accounts);
+	changed = acctpeers_beat(accounts);
+	if (changed ||
+	    accthold_is_joining(&accounts->hold, clk_now(accounts->st->clk)))
+		update_shares(accounts, changed);
 	if (++accounts->beats % SWEEP_BEATS)
 		return;
 	for (apr_hash_index_t *i = apr_hash_first(NULL, accounts->tenants); i;
@@ -357,31 +317,13 @@
 	acctbook_receive(accounts, (int)vm, &batch);
 }
 
-/* The number of a VM that left lately, as for acct_send(), or NONE. */
-static int find_left(const struct accounts *accounts,
-		     const struct sockaddr_in *from)
-{
-	const struct acct_left *left = &accounts->left;
-	const apr_time_t since = clk_now(accounts->st->clk) - LEFT_SERVED_US;
-	struct sockaddr_in addr;
-
-	for (size_t i = 0; i < left->count && i < ACCT_MAX_LEFT; i++) {
-		if (left->at[i] >= since &&
-		    !plt_read_addr(strbuf_str(&left->vms[i].peer), &addr) &&
-		    addr.sin_addr.s_addr == from->sin_addr.s_addr &&
-		    addr.sin_port == from->sin_port)
-			return ACCT_LEFT_VM - (int)i;
-	}
-	return ACCTORDER_NONE;
-}
-
 /* Only asks: a VM that is not listed keeps no account. */
 static bool on_unlisted(void *ctx, const struct sockaddr_in *from,
 			struct str bytes)
 {
 	struct accounts *accounts = ctx;
 	struct acctmsg_batch batch = {0};
-	const int vm = find_left(accounts, from);
+	const int vm = acctlist_find_left(accounts, from);
 
 	if (vm == ACCTORDER_NONE)
 		return false;
@@ -414,6 +356,8 @@
 	accounts->self = ACCTORDER_NONE;
 	accounts->self_hash = vms_hash(st->set->vm.id);
 	accounts->outdated_at = clk_now(st->clk);
+	accthold_init(&accounts->hold, CLK_MS(SELF_LEASE_MS),
+		      accounts->outdated_at);
 	acctorder_sort_regions(&st->geo, accounts->regions_by_name);
 	TAILQ_INIT(&accounts->dirty);
 	accounts->tenants = apr_hash_make(st->pool);
@@ -426,6 +370,7 @@
 	accounts->beat.data = accounts;
 	if (sock)
 		peersock_add_kind(sock, &kind);
+	acctpeers_start(accounts, sock);
 	return 0;
 }
 
--- a/steerd/accounts.h
+++ b/steerd/accounts.h
@@ -8,6 +8,7 @@
 
 #include <apr_hash.h>
 
+#include "policy/accthold.h"
 #include "policy/acctorder.h"
 #include "policy/permits.h"
 #include "steerd/peersock.h"
@@ -73,6 +74,8 @@
 	 */
 	bool was_listed;
 	bool list_known;
+	/* Whether shares may be used. */
+	struct accthold hold;
 	/* VMs that left the list within ACCOUNT_LIST_SPREAD_US. */
 	struct acct_left left;
 	uint64_t list_version;
@@ -108,6 +111,9 @@
 /* All VMs have been listed. */
 void accounts_list_known(struct accounts *accounts);
 
+/* The lease of this VM's entry runs at least from then on. */
+void accounts_note_renewal(struct accounts *accounts, apr_time_t at);
+
 /* A VM is about to leave the list. */
 void accounts_note_left(struct accounts *accounts,
 			const struct vms_entry *entry);
--- a/steerd/acctbook.c
+++ b/steerd/acctbook.c
@@ -5,40 +5,13 @@
 #include <openssl/rand.h>
 
 #include "common/err.h"
+#include "steerd/acctlist.h"
+#include "steerd/acctpeers.h"
 #include "steerd/acctstats.h"
 
 /* Longest Retry-After that a message can state, in microseconds. */
 #define MAX_RETRY_AFTER_US INT64_C(0xffffffff)
 
-/*
- * Adds the VMs that left the list lately to a copy of it. Returns when the
- * last one left, 0 if none did, and the present time without memory.
- */
-static apr_time_t with_left(const struct accounts *accounts, struct vms *out)
-{
-	const struct acct_left *left = &accounts->left;
-	const struct vms *vms = &accounts->st->vms;
-	const apr_time_t now = clk_now(accounts->st->clk);
-	apr_time_t last = 0;
-
-	for (size_t i = 0; i < left->count && i < ACCT_MAX_LEFT; i++) {
-		const struct str id = strbuf_str(&left->vms[i].id);
-
-		if (now - left->at[i] >= ACCOUNT_LIST_SPREAD_US ||
-		    vms_find(vms, id) < vms->count)
-			continue;
-		if (vms_put(out, &left->vms[i]))
-			return now;
-		if (left->at[i] > last)
-			last = left->at[i];
-	}
-	for (size_t i = 0; last && i < vms->count; i++) {
-		if (vms_put(out, &vms->list[i]))
-			return now;
-	}
-	return last;
-}
-
 /*
  * When the share of a new account was last smaller, or may have been in use at
  * a VM that has left the list: the latest of that, of when this process started
@@ -51,7 +24,7 @@
 	const struct st *st = accounts->st;
 	struct acctorder order = {0};
 	struct vms vms = {0};
-	const apr_time_t last = with_left(accounts, &vms);
+	const apr_time_t last = acctlist_add_left(accounts, &vms);
 	const size_t self = vms_find(&vms, st->set->vm.id);
 	apr_time_t since = accounts->outdated_at;
 
@@ -67,12 +40,29 @@
 						: tenant->limit_changed_at;
 }
 
+void acctbook_bar(struct acct_tenant *tenant)
+{
+	account_bar(tenant->account, acctpeers_usable_at(tenant),
+		    clk_now(tenant->accounts->st->clk));
+}
+
+/* This VM's place; without a share where it must not use it. */
+static struct account_place usable_place(const struct acct_tenant *tenant)
+{
+	const struct accounts *accounts = tenant->accounts;
+	struct account_place place =
+		acctorder_place(&tenant->order, accounts->self);
+
+	if (accounts->hold.is_stopped)
+		place.share = 0;
+	return place;
+}
+
 /* Adds the account if it is missing. Returns 0 or PST_ERR_NOMEM. */
 static int open_account(struct acct_tenant *tenant)
 {
 	struct accounts *accounts = tenant->accounts;
-	const struct account_place place =
-		acctorder_place(&tenant->order, accounts->self);
+	const struct account_place place = usable_place(tenant);
 	const apr_time_t now = clk_now(accounts->st->clk);
 	apr_time_t since;
 
@@ -86,6 +76,7 @@
 	if (accounts->was_listed && since == accounts->outdated_at &&
 	    now - since < ACCOUNT_LIST_SPREAD_US)
 		account_resume(tenant->account, now);
+	acctbook_bar(tenant);
 	if (place.share > 0)
 		acctstats_log_share(tenant, &place);
 	return 0;
@@ -148,15 +139,15 @@
 void acctbook_set_place(struct acct_tenant *tenant)
 {
 	struct account *account = tenant->account;
-	const struct account_place place =
-		acctorder_place(&tenant->order, tenant->accounts->self);
+	const apr_time_t now = clk_now(tenant->accounts->st->clk);
+	const struct account_place place = usable_place(tenant);
 	bool had_share;
 
 	if (!account)
 		return;
 	had_share = account->place.share > 0;
-	account_set_place(account, &tenant->limits, &place,
-			  clk_now(tenant->accounts->st->clk));
+	account_set_place(account, &tenant->limits, &place, now);
+	acctbook_bar(tenant);
 	if (had_share != (place.share > 0))
 		acctstats_log_share(tenant, &place);
 }
--- a/steerd/acctbook.h
+++ b/steerd/acctbook.h
@@ -17,6 +17,9 @@
 /* Gives the account its place in an order that has changed. */
 void acctbook_set_place(struct acct_tenant *tenant);
 
+/* Sets when the account may use its share, as what others know has changed. */
+void acctbook_bar(struct acct_tenant *tenant);
+
 /* Frees the account. */
 void acctbook_drop(struct acct_tenant *tenant);
 
--- a/steerd/feedstate.c
+++ b/steerd/feedstate.c
@@ -44,6 +44,15 @@
 						: feed->st->relaytree.fresh_at;
 }
 
+apr_time_t feed_vms_fresh_at(const struct feed_group *group)
+{
+	for (size_t i = 0; i < group->count; i++) {
+		if (group->feeds[i].lists_vms)
+			return feed_fresh_at(&group->feeds[i]);
+	}
+	return 0;
+}
+
 bool feed_any_direct(const struct feed_group *group)
 {
 	for (size_t i = 0; i < group->count; i++) {
--- a/steerd/feedstate.h
+++ b/steerd/feedstate.h
@@ -19,6 +19,9 @@
 /* Time up to which the store's changes are known; 0: not following. */
 apr_time_t feed_fresh_at(const struct feed *feed);
 
+/* As feed_fresh_at(), of the feed that lists the VMs. */
+apr_time_t feed_vms_fresh_at(const struct feed_group *group);
+
 /* Whether any feed watches the store itself. */
 bool feed_any_direct(const struct feed_group *group);
 
--- a/steerd/peersock.h
+++ b/steerd/peersock.h
@@ -9,7 +9,7 @@
 #include "steerd/st.h"
 
 /* Modules that receive datagrams. */
-#define PEERSOCK_MAX_KINDS 3
+#define PEERSOCK_MAX_KINDS 4
 
 /* Largest datagram that is accepted, in bytes. */
 #define PEERSOCK_MAX_BYTES 1024
--- a/steerd/self.c
+++ b/steerd/self.c
@@ -6,6 +6,7 @@
 
 #include "common/err.h"
 #include "common/evt.h"
+#include "steerd/accounts.h"
 #include "steerd/calls.h"
 #include "steerd/feedstate.h"
 #include "steerd/restore.h"
@@ -148,6 +149,7 @@
 	if (!finish_call(self, reply, "lease"))
 		return;
 	self->lease = reply->lease;
+	accounts_note_renewal(self->st->accounts, self->called_at);
 	if (self->leaving)
 		self_leave(self);
 	else
@@ -174,6 +176,7 @@
 
 	if (!finish_call(self, reply, "keep"))
 		return;
+	accounts_note_renewal(self->st->accounts, self->called_at);
 	schedule_renewal(self);
 }
 
--- a/tests/proc/fix_quota.py
+++ b/tests/proc/fix_quota.py
@@ -152,6 +152,34 @@
     expect(not bad, "neither served nor refused with Retry-After: %s" % bad[:3])
 
 
+# With this limit, and without slack, one VM of a region keeps the tenant's only account.
+ONE_RATE, ONE_BURST, NO_SLACK = 40, 5, "  tenant_slack: 0\n"
+# Requests per second and VM of a load beyond that limit.
+FLOOD_PER_S = 60
+
+
+def flood(vms):
+    return Load(vms, 4 * len(vms), 4 / FLOOD_PER_S)
+
+
+def one_account(count):
+    """A fleet whose only account is in use."""
+    fleet = Fleet(count, [tenant(ONE_RATE, ONE_BURST)], bounds=NO_SLACK)
+    fleet.wait_ready()
+    with flood(fleet.vms):
+        time.sleep(2)
+    wait_for(fleet.account_vms, 2, "an account")
+    return fleet
+
+
+def check_one_limit(fleet, results, what):
+    """The limit of one_account() holds in all windows; results may have requests without an answer."""
+    check_refusals([x for x in results if x[2]])
+    most, allowed = fleet.most_in_window(), bound(ONE_RATE, ONE_BURST, 0)
+    print("%s: at most %d in a window, bound %.0f, %s" % (what, most, allowed, statuses(results)))
+    expect(most <= allowed, "%s: %d in a window, bound %.0f" % (what, most, allowed))
+
+
 def metric(vm, name):
     """The value of a series with its labels; 0 if it is missing."""
     text = ask(vm.ready, "/metrics")[2].decode()
