Peers that stop reading for some seconds keep their connections

What callers saw: those that stopped reading in an answer for 6.5 s, within their deadline of 8 s, were reset after 5 s. An upload to an upstream that paused ended with 502. Cause: TCP_USER_TIMEOUT (5 s), which finds peers that have vanished, also ends connections whose peer keeps its receive window closed, though it acknowledges every probe. Evidence: answer_unsent with end=caller_reset after 5 s, though no caller had reset; in that state the queue of unsent bytes is the whole send queue, and each probe is acknowledged (a bare connection over loopback). Ruled out: the idle time-out, 15 s; a longer or no option for all, as vanished peers would be found later, and requests at vanished upstreams retried later. Change: while output is under way, every 2 s: if all that was sent is acknowledged and more waits, the option is off until the peer reads on. Why it works: a peer that acknowledges is alive; the idle time-out and the deadlines bound how long it may take.

--- a/steerd/conn.c
+++ b/steerd/conn.c
@@ -60,6 +60,7 @@
 		conn_end_record(conn, end);
 		ev_io_stop(srv->loop, &conn->io);
 		ev_timer_stop(srv->loop, &conn->timer);
+		sockwatch_drop(&srv->watch, &conn->watch);
 		close(conn->fd);
 		conn->fd = -1;
 	}
@@ -183,6 +184,8 @@
 			close_conn(conn, SRV_END_CALLER_RESET);
 			return;
 		}
+		sockwatch_written(&conn->srv->watch, conn->srv->loop,
+				  &conn->watch, conn->fd);
 		conn_out_written(conn, (size_t)n);
 		conn->last_byte_at = clk_now(conn->srv->clk);
 	}
--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -22,6 +22,7 @@
 	struct ev_timer timer;
 	struct srv *srv;
 	int fd;
+	struct sockwatch_item watch;
 	/* The libev events that io waits for. */
 	int events;
 	struct buf in;
--- a/steerd/sock.c
+++ b/steerd/sock.c
@@ -12,15 +12,17 @@
 
 #include "common/err.h"
 
-/* A connection whose sent bytes stay unacknowledged for so long is closed. */
-#define USER_TIMEOUT_MS 5000
-
 static void set_option(int fd, int level, int option, int value)
 {
 	/* The socket also works without the option. */
 	(void)setsockopt(fd, level, option, &value, sizeof(value));
 }
 
+void sock_set_user_timeout(int fd, int timeout_ms)
+{
+	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, timeout_ms);
+}
+
 int sock_listen(const struct sockaddr_in *addr)
 {
 	const int fd =
@@ -40,7 +42,7 @@
 static void set_tcp_options(int fd)
 {
 	set_option(fd, IPPROTO_TCP, TCP_NODELAY, 1);
-	set_option(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS);
+	sock_set_user_timeout(fd, SOCK_USER_TIMEOUT_MS);
 }
 
 int sock_accept(int listener)
@@ -173,6 +175,17 @@
 	return queue_size(fd, SIOCOUTQ);
 }
 
+enum sock_output sock_output(int fd)
+{
+	const size_t unacked_or_unsent = sock_unsent(fd);
+
+	if (!unacked_or_unsent)
+		return SOCK_OUTPUT_NONE;
+	return queue_size(fd, SIOCOUTQNSD) == unacked_or_unsent
+		       ? SOCK_OUTPUT_NOT_TAKEN
+		       : SOCK_OUTPUT_UNDER_WAY;
+}
+
 size_t sock_unread(int fd)
 {
 	return queue_size(fd, SIOCINQ);
--- a/steerd/sock.h
+++ b/steerd/sock.h
@@ -1,4 +1,4 @@
-/* Non-blocking IPv4 sockets; connections have a TCP user time-out. */
+/* Non-blocking IPv4 sockets; connections begin with a TCP user time-out. */
 #ifndef STEERD_SOCK_H
 #define STEERD_SOCK_H
 
@@ -9,6 +9,19 @@
 /* Most connections that wait to be accepted. */
 #define SOCK_BACKLOG 1024
 
+/* A connection whose sent bytes stay unacknowledged for so long is closed. */
+#define SOCK_USER_TIMEOUT_MS 5000
+
+/* What has become of the bytes that were written. */
+enum sock_output {
+	/* All are acknowledged, or it is not known. */
+	SOCK_OUTPUT_NONE,
+	/* Some were sent and are not acknowledged. */
+	SOCK_OUTPUT_UNDER_WAY,
+	/* All that were sent are acknowledged; the peer takes no more now. */
+	SOCK_OUTPUT_NOT_TAKEN,
+};
+
 /* Returns a listening descriptor, or PST_ERR_IO. */
 int sock_listen(const struct sockaddr_in *addr);
 
@@ -54,6 +67,11 @@
 /* Bytes written that the peer has not acknowledged; 0 if not known. */
 size_t sock_unsent(int fd);
 
+enum sock_output sock_output(int fd);
+
+/* Sets TCP_USER_TIMEOUT of a connection, SOCK_USER_TIMEOUT_MS at first. */
+void sock_set_user_timeout(int fd, int timeout_ms);
+
 /* Bytes received that were not read; 0 if not known. */
 size_t sock_unread(int fd);
 
--- a/steerd/srv.h
+++ b/steerd/srv.h
@@ -19,6 +19,7 @@
 #include "policy/outquota.h"
 #include "policy/routing.h"
 #include "steerd/msg.h"
+#include "steerd/sockwatch.h"
 
 struct srv;
 struct srv_conn;
@@ -119,6 +120,8 @@
 	unsigned conn_count;
 	unsigned req_count;
 	TAILQ_HEAD(, srv_conn) conns;
+	/* Connections with answers under way. */
+	struct sockwatch watch;
 };
 
 /*
--- a/steerd/upclient.c
+++ b/steerd/upclient.c
@@ -48,6 +48,7 @@
 	struct upclient *upclient;
 	struct upclient_pool *pool;
 	int fd;
+	struct sockwatch_item watch;
 	int events;
 	enum conn_state state;
 	struct upclient_call *call;
@@ -119,6 +120,7 @@
 
 	ev_io_stop(conn->upclient->loop, &conn->io);
 	ev_timer_stop(conn->upclient->loop, &conn->timer);
+	sockwatch_drop(&conn->upclient->watch, &conn->watch);
 	close(conn->fd);
 	if (conn->state == CONN_IDLE)
 		TAILQ_REMOVE(&pool->idle, conn, link);
@@ -398,8 +400,11 @@
 			on_broken(conn);
 		return;
 	}
-	if (n > 0)
+	if (n > 0) {
 		conn->sent += (size_t)n;
+		sockwatch_written(&conn->upclient->watch, conn->upclient->loop,
+				  &conn->watch, conn->fd);
+	}
 	set_events(conn, conn->sent < call->head.len + call->body.len
 				 ? EV_READ | EV_WRITE
 				 : EV_READ);
--- a/steerd/upclient.h
+++ b/steerd/upclient.h
@@ -16,6 +16,7 @@
 #include "policy/memquota.h"
 #include "policy/registry.h"
 #include "steerd/msg.h"
+#include "steerd/sockwatch.h"
 
 struct upclient;
 struct upclient_call;
@@ -75,9 +76,11 @@
 	struct memquota quota;
 	/* Connections with an attempt. */
 	TAILQ_HEAD(, upclient_conn) active;
+	/* Connections with requests under way. */
+	struct sockwatch watch;
 };
 
-/* The caller has set all fields but count and active. */
+/* The caller has set all fields but count, active and watch. */
 void upclient_init(struct upclient *upclient);
 
 /*
