Callers that read no more are closed after two idle time-outs, not three

What callers saw: nothing; a connection whose caller had read nothing since its answer was written stayed open, with its answer, for three idle time-outs. Cause: a change of the send queue counts as bytes taken, and so does the end of the output, which adds a byte to the queue. Change: only a queue that shrinks counts. A write begins the count anew, as the queue grows with it; the first look after it still puts the time-out off once. Before: t_steer_paused_readers callers_that_never_read_are_closed: not within 15.0 s with an idle time-out of 7 s; 21 s in a run by hand. After: passes. t_steer_idle_close, t_steer_slow_callers and t_steer_slow_readers pass.

--- a/steerd/conn.h
+++ b/steerd/conn.h
@@ -53,7 +53,10 @@
 	apr_time_t last_byte_at;
 	/* When the caller last took a byte, or output began to wait. */
 	apr_time_t taken_at;
-	/* Bytes that the kernel had to send at the timer's last look. */
+	/*
+	 * Bytes that the kernel had to send at the timer's last look; 0: there
+	 * was none since the last write.
+	 */
 	size_t unsent;
 	/* The same at the last search for a connection to evict. */
 	size_t unsent_seen;
--- a/steerd/conn_out.c
+++ b/steerd/conn_out.c
@@ -65,6 +65,7 @@
 {
 	buf_consume(&conn->out, count);
 	conn->written += count;
+	conn->unsent = 0;
 	conn->taken_at = clk_now(conn->srv->clk);
 	if (!conn->out.len)
 		buf_free(&conn->out);
@@ -79,7 +80,9 @@
 bool conn_out_is_taken(struct srv_conn *conn)
 {
 	const size_t unsent = sock_unsent(conn->fd);
-	const bool taken = unsent && unsent != conn->unsent;
+	/* More than at the last look: the end of the output counts as a byte.
+	 */
+	const bool taken = unsent && (!conn->unsent || unsent < conn->unsent);
 
 	conn->unsent = unsent;
 	return taken;
