--- a/policy/accthold.h
+++ b/policy/accthold.h
@@ -28,7 +28,7 @@
 /* Time beyond a lease in which the shares that depend on it are used. */
 #define ACCTHOLD_EXCESS_US 1000000
 
-/* VMs whose state is remembered; a power of two. */
+/* VMs whose state is remembered. */
 #define ACCTHOLD_MAX_PEERS 512
 
 /* VMs that are asked in an outage whether the store answers them. */
@@ -68,14 +68,13 @@
 	apr_time_t renewed_at;
 	/* The list of VMs is known as it was then. */
 	apr_time_t listed_at;
-	/* When this VM joined the list, or may use its shares again; 0: n/a. */
+	/* When this VM joined the list, or may use its shares again; 0: never. */
 	apr_time_t joined_at;
 	/* The whole store is taken to be away until then. */
 	apr_time_t outage_until;
 	/* Shares are not used before that. */
 	apr_time_t first_use_at;
-	/* The shares are not in use, as the list may have changed; since when.
-	 */
+	/* The shares are not in use, as the list may have changed. */
 	bool is_stopped;
 	apr_time_t stopped_at;
 	/* VMs asked in an outage, and those that heard nothing either. */
--- a/steerd/acctpeers.c
+++ b/steerd/acctpeers.c
@@ -12,8 +12,7 @@
 /* Size of an encoded state. */
 #define STATE_BYTES 20
 
-/* VMs of a tenant's order that are considered; in a larger region, the first.
- */
+/* Most VMs of a tenant's order that are considered: in a region, the first. */
 #define MAX_ORDER 512
 
 static void send_state(struct accounts *accounts, int vm,
