--- a/tests/soak/soak_stage.py
+++ b/tests/soak/soak_stage.py
@@ -97,9 +97,11 @@
 
 
 class Stage:
-    def __init__(self, folder, book=None):
+    def __init__(self, folder, book=None, vms=0):
+        """vms: VMs of each domain; 0: as in DOMAINS."""
         # Tenants of the manifests (soak_tenants.Book), or None.
         self.folder, self.book = folder, book
+        self.counts = {domain: vms or count for domain, count in DOMAINS.items()}
         self.loop, self.store, self.troubles = Loop(), Store(), Troubles()
         self.store.lag_s = LAG_S
         self.lock = threading.RLock()
@@ -120,7 +122,7 @@
             post.arrive()
         self.new_version()
         bounds = "  retry_ratio: %(ratio)s\n  retry_extra: %(extra)s\n  retry_window_s: %(window_s)s\n" % BUDGET
-        for domain, count in DOMAINS.items():
+        for domain, count in self.counts.items():
             for i in range(count):
                 door = Proxy(self.loop, self.store.door())
                 vm = Steerd(self.store, "vm-%s-%d" % (domain, i), domain, bounds, door.addr)
