--- a/policy/accthold.h
+++ b/policy/accthold.h
@@ -68,7 +68,7 @@
 	apr_time_t renewed_at;
 	/* The list of VMs is known as it was then. */
 	apr_time_t listed_at;
-	/* When this VM joined the list, or may use its shares again; 0: never. */
+	/* When this VM joined, or may use its shares again; 0: never. */
 	apr_time_t joined_at;
 	/* The whole store is taken to be away until then. */
 	apr_time_t outage_until;
