--- a/tests/soak/soak_stage.py
+++ b/tests/soak/soak_stage.py
@@ -17,6 +17,8 @@
 TRIES, TIMEOUT_MS = 2, 2000
 # What a list that may lag lacks: the platform says "seconds".
 LAG_S = 2
+# Pages of a list of VMs, however many there are: each is a call to the stand-in, which is busy then.
+MOST_PAGES = 10
 
 
 def now():
@@ -104,6 +106,7 @@
         self.counts = {domain: vms or count for domain, count in DOMAINS.items()}
         self.loop, self.store, self.troubles = Loop(), Store(), Troubles()
         self.store.lag_s = LAG_S
+        self.store.page_items = max(self.store.page_items, sum(self.counts.values()) // MOST_PAGES)
         self.lock = threading.RLock()
         self.posts = [Post(self, i, *at) for i, at in enumerate(POSTS)]
         # Time of the store's answer and what holds since: versions, and (domain, on).
