--- a/policy/account.c
+++ b/policy/account.c
@@ -8,12 +8,9 @@
 #define DEMAND_REQUESTS 1
 #define MAX_DEMAND_S	30.0
 
-/* Demand for which an account keeps tokens: two round trips. */
-#define RESERVE_S 0.25
-
-/* Round trip between regions, with a margin. */
+/* Round trip between regions, with a margin; demand to keep tokens for. */
 #define PULL_ROUND_US 125000
-
+#define RESERVE_S     0.25
 /*
  * Parts of its depth below which an account pulls that has more demand than
  * refill, or a small refill in requests per second, and up to which: its own
@@ -22,10 +19,8 @@
 #define SMALL_RATE   2
 #define BORROW_BELOW 0.7
 #define BORROW_UP_TO 0.8
-
 /* Time in seconds in which tokens are used while a pull is in flight. */
 #define PULL_USE_S 0.1
-
 /*
  * A pull without an answer has failed; that account is skipped for a time. The
  * time-out and the life of a permit (PERMIT_LIFE_US) are the two parts of
@@ -34,16 +29,12 @@
 #define PULL_TIMEOUT_US 250000
 #define SKIP_PEER_US	1000000
 
-/* Time between the beginnings of rounds. */
+/* Time between the beginnings of rounds; the longest after an empty one. */
 #define ROUND_INTERVAL_US 100000
+#define MAX_DRY_WAIT_US	  1000000
 
-/* Longest time to the next round after one that brought nothing. */
-#define MAX_DRY_WAIT_US 1000000
-
-/* Less than that is not worth a pull, and counts as nothing. */
+/* Tokens, and part of the depth in a round, below which it is nothing. */
 #define LEAST_TOKENS 0.25
-
-/* A round that brings less than this part of the depth counts as nothing. */
 #define DRY_FRACTION 0.1
 
 /*
@@ -54,22 +45,19 @@
 
 /* Tokens of an account without a share are dropped after that time. */
 #define DROP_US 250000
-
 /* Demand that is assumed of an account without any, in requests per second. */
 #define LEAST_PER_S 0.01
 
 /* A VM that is sent away returns at least that often, if the rate allows. */
 #define MAX_PROMISE_US 1000000
-
 /* Part of its refill that another account is taken to gain at least. */
 #define LEAST_GROWTH 0.5
 
 /*
  * The tenant is over its limit if an account has more demand than its refill
  * by the first factor, and those that it knows together gain less than its
- * refill times the second one. VMs return for several permits at a time then:
- * with one at a time the busiest VM sent 57 to 72 messages per second in a
- * burst, with three 46 to 55.
+ * refill times the second one. To save messages, VMs return for several
+ * permits at a time then.
  */
 #define EXCESS_DEMAND	1.2
 #define LITTLE_GROWTH	3
