--- a/policy/account.c
+++ b/policy/account.c
@@ -8,7 +8,7 @@
 #define DEMAND_REQUESTS 1
 #define MAX_DEMAND_S	30.0
 
-/* Round trip between regions, with a margin; demand to keep tokens for. */
+/* Round trip between regions, with a margin; time to keep tokens for. */
 #define PULL_ROUND_US 125000
 #define RESERVE_S     0.25
 /*
@@ -29,11 +29,11 @@
 #define PULL_TIMEOUT_US 250000
 #define SKIP_PEER_US	1000000
 
-/* Time between the beginnings of rounds; the longest after an empty one. */
+/* Time between the beginnings of rounds, and the longest after a dry one. */
 #define ROUND_INTERVAL_US 100000
 #define MAX_DRY_WAIT_US	  1000000
 
-/* Tokens, and part of the depth in a round, below which it is nothing. */
+/* Less is not worth a pull; a round that brings less of the depth is dry. */
 #define LEAST_TOKENS 0.25
 #define DRY_FRACTION 0.1
 
--- a/policy/accthold.c
+++ b/policy/accthold.c
@@ -36,7 +36,7 @@
 	return a > b ? a : b;
 }
 
-/* When the others may use a share of a VM that they don't list any more. */
+/* Time from the last lease of a VM until the others may use its shares. */
 static apr_interval_time_t join_time(const struct accthold *hold)
 {
 	return hold->lease + ACCOUNT_LIST_SPREAD_US;
